Close idle connections where calls get none, and those that idled as long as one that was lost

Cause: endpoints of some kinds take few connections, idle ones counted, and a large fleet's idle ones fill the table. Assumption removed: no connection means down. May harm in an outage: handshakes at that kind.

--- a/choice/api.go
+++ b/choice/api.go
@@ -63,6 +63,7 @@
 	MaxHeld     int // messages held at most, sent or not
 	MaxAttempts int // attempts for one message, those never sent included
 	Tick        time.Duration
+	ConnIdle    time.Duration // idle connections close by themselves after this; 0 if unknown
 	Classes     []Class
 	Kinds       []Kind
 	ZoneFee     []float64 // points for each message a route apart takes on, by zone
@@ -179,6 +180,9 @@
 	Attempt int
 }
 
+// CloseIdle shuts this relay's idle connections to an endpoint. A Send to it that follows opens a new one.
+type CloseIdle struct{ Host string }
+
 // Wake asks for a Step with a Woken event after a while.
 type Wake struct{ After time.Duration }
 
@@ -192,6 +196,7 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Cancel) action()    {}
+func (CloseIdle) action() {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
 func (Log) action()       {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,8 @@
 	// aside is the share of worth by which a host that just failed, or is not yet well, comes later.
 	aside  = 0.02
 	glance = 200 // looks without news within the shortest aim
+	// scarce is the share of a kind's calls without a connection above which none is left open.
+	scarce = 0.05
 	// crowded is the part of the holding room above which the least worth is turned away.
 	crowded = 0.9
 )
@@ -53,6 +55,7 @@
 	}
 	c.pool.width = c.bound / buckets
 	c.luck = slices.Repeat([]float64{0.5}, max(1, len(s.Kinds)))
+	c.unconn, c.keep = make([]float64, len(c.luck)), s.ConnIdle
 	c.nap = max(s.Tick, c.minAim/glance)
 	return c, nil
 }
@@ -114,10 +117,10 @@
 		}
 		if h == nil {
 			d := c.dest(n.Dest)
-			h = &host{dest: d, liking: c.rand.Float64()}
+			h = &host{dest: d, liking: c.rand.Float64(), idleAt: math.MinInt64 / 2}
 			c.hosts[n.Addr], d.hosts = h, append(d.hosts, h)
 			if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
-				d.kind, d.luck = c.set.Kinds[n.Kind], &c.luck[n.Kind]
+				d.kind, d.luck, d.unconn = c.set.Kinds[n.Kind], &c.luck[n.Kind], &c.unconn[n.Kind]
 			}
 			if d.kind.Apart || len(d.units) == 0 {
 				u := &unit{name: n.Addr, born: c.now - time.Second, lastServed: c.now - time.Second}
@@ -157,7 +160,7 @@
 func (c *Chooser) dest(id int) *dest {
 	d := c.dests[id]
 	if d == nil {
-		d = &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0]}
+		d = &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0], unconn: &c.unconn[0]}
 		d.table = table{width: c.bound / buckets, weight: 1}
 		c.dests[id] = d
 		c.order = append(c.order, d)
@@ -529,6 +532,7 @@
 	if k.members = remove(k.members, m); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
 		u.outs = remove(u.outs, k)
+		c.part(k, e.Outcome)
 	}
 	if r := c.set.ReportLimit; r >= 0 && r < len(e.Report) && e.Report[r] > 0 {
 		u.listed = e.Report[r]
@@ -578,6 +582,47 @@
 	}
 }
 
+// part closes idle connections where calls get none: an endpoint may take few, idle ones counted, and in a large
+// fleet those of all relays fill its table though each is seldom used again. A new one costs a handshake, so
+// they are kept elsewhere. Where more calls are lost on connections that had idled than on new ones, the path
+// drops them unseen, and the shortest such idling tells how long they can be trusted.
+func (c *Chooser) part(k *call, o Outcome) {
+	h, none := k.host, k.host.dest.unconn
+	before := *none
+	if *none -= *none / memory; o == NoConnection {
+		*none += 1.0 / history
+	}
+	lost := &c.lost[0]
+	if k.reused {
+		lost = &c.lost[1]
+	}
+	*lost -= *lost / 16
+	if o == Reset || o == Timeout || o == Cancelled {
+		if *lost += 1.0 / 16; k.reused && *lost > 2*c.lost[0] {
+			c.keep = min(c.keep, k.idle/2)
+		}
+	} else if k.reused && o == Served {
+		c.keep = min(c.keep+c.keep/16, c.set.ConnIdle)
+	}
+	if h.out > 0 || c.set.ConnIdle == 0 {
+		return
+	}
+	h.kept, h.idleAt = *none < scarce, c.now
+	if !h.kept {
+		c.act(CloseIdle{h.Addr})
+	}
+	if before < scarce && !h.kept {
+		for _, d := range c.order {
+			for _, g := range d.hosts {
+				if d.unconn == none && g.kept && g.out == 0 {
+					g.kept = false
+					c.act(CloseIdle{g.Addr})
+				}
+			}
+		}
+	}
+}
+
 // queue lets a message wait for its next try.
 func (c *Chooser) queue(m *message) {
 	d := m.dest
@@ -790,7 +835,11 @@
 		return false
 	}
 	u := h.unit
-	k := &call{host: h, sent: c.now}
+	k := &call{host: h, sent: c.now, reused: h.kept && h.out == 0, idle: c.now - h.idleAt}
+	if k.reused && k.idle > c.keep {
+		k.reused = false
+		c.act(CloseIdle{h.Addr})
+	}
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
 	old := func(t time.Duration) bool { return c.now-t > max(c.set.Rules.Cold, time.Second) }
 	u.outs, u.sends = append(u.outs, k), append(slices.DeleteFunc(u.sends, old), c.now)
--- /dev/null
+++ b/choice/large_test.go
@@ -0,0 +1,62 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// Tests of what deployments with large fleets and narrow endpoints have shown.
+
+func closes(acts []Action) (out []string) {
+	for _, a := range acts {
+		if c, ok := a.(CloseIdle); ok {
+			out = append(out, c.Host)
+		}
+	}
+	return out
+}
+
+// deliver sends one message and has it served; the actions of both steps come back.
+func (r *rig) deliver(m Arrival) []Action {
+	r.t.Helper()
+	acts := r.step(m)
+	s := sends(acts)
+	if len(s) != 1 {
+		r.t.Fatalf("%d sends for %s, want one", len(s), m.ID)
+	}
+	r.now += 50 * ms
+	return append(acts, r.step(r.end(m.ID, s[0].Host, Served))...)
+}
+
+func TestIdleConnectionsThatGetLost(t *testing.T) {
+	s := settings()
+	s.ConnIdle = 5 * time.Second
+	r := newRig(t, s, ready("a", 1, 0, 0))
+	if n := closes(r.deliver(arrival("first", 0))); len(n) != 0 {
+		t.Errorf("closed %v where every call got a connection", n)
+	}
+	r.now += 4 * time.Second
+	r.step(arrival("lost", 2))
+	r.now += time.Second
+	r.step(r.end("lost", "a", Reset, func(e *Result) { e.Took = time.Second }))
+	r.deliver(arrival("again", 0))
+	r.now += 4 * time.Second
+	acts := r.step(arrival("late", 0))
+	if n := closes(acts); len(n) != 1 || len(sends(acts)) != 1 {
+		t.Errorf("closed %v before a call, want the connection closed that idled as long as one that was lost", n)
+	}
+}
+
+func TestFullTablesGetNoIdleConnections(t *testing.T) {
+	s := settings()
+	s.ConnIdle = 5 * time.Second
+	other := arrival("other", 0)
+	other.Dest = 2
+	r := newRig(t, s, ready("a", 1, 0, 0), ready("b", 2, 0, 0))
+	r.deliver(other)
+	acts := r.step(arrival("none", 0))
+	acts = r.step(r.end("none", sends(acts)[0].Host, NoConnection))
+	if n := closes(acts); len(n) != 2 || r.c.hosts["b"].kept {
+		t.Errorf("closed %v where a call to this kind got no connection, want both hosts' idle ones closed", n)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,8 +31,10 @@
 type call struct {
 	host    *host
 	sent    time.Duration
-	members []*message // outcomes still due
-	off     bool       // called off
+	members []*message    // outcomes still due
+	off     bool          // called off
+	idle    time.Duration // how long its connection had idled, or would have
+	reused  bool          // it went out on a connection that was kept
 }
 
 // host is one endpoint.
@@ -43,6 +45,8 @@
 	out     int
 	liking  float64       // this relay's own liking, by chance
 	fails   int           // in a row
+	idleAt  time.Duration // the last call ended
+	kept    bool          // its connection was left open then
 	retryAt time.Duration // after failures
 }
 
@@ -96,6 +100,7 @@
 	table      table
 	refused    int      // refusals in a row
 	luck       *float64 // of its kind
+	unconn     *float64 // of its kind
 	pauseUntil time.Duration
 	backoff    int // time-outs in a row with nothing served since
 }
@@ -126,6 +131,9 @@
 	rand    *rand.Rand
 	nap     time.Duration // between looks
 	luck    []float64     // by kind: share served of the calls to destinations that refused the last one
+	unconn  []float64     // by kind: share of the calls that got no connection
+	lost    [2]float64    // share of the calls lost, on new connections and on those that had idled
+	keep    time.Duration // longest that an idle connection is trusted
 	pool    table         // of all destinations together, for those that have few samples yet
 	askAt   time.Duration // ask for list changes then; below 0 for never
 	acts    []Action
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -140,9 +140,10 @@
 // config is the part of the settings object that is read.
 type config struct {
 	Bounds struct {
-		Cancel      bool `json:"cancel"`
-		MaxAttempts int  `json:"max-attempts"`
-		MostHeld    int  `json:"most-held"`
+		Cancel      bool    `json:"cancel"`
+		ConnIdle    float64 `json:"conn-idle"`
+		MaxAttempts int     `json:"max-attempts"`
+		MostHeld    int     `json:"most-held"`
 	} `json:"bounds"`
 	Classes []struct {
 		Name      string  `json:"name"`
@@ -190,7 +191,8 @@
 	}
 	s := choice.Settings{
 		Index: c.Index, Fleet: c.FleetSize, Workers: c.Family.Workers, MaxHeld: c.Bounds.MostHeld,
-		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick), ZoneFee: c.Family.ZoneFee,
+		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick),
+		ConnIdle: seconds(c.Bounds.ConnIdle), ZoneFee: c.Family.ZoneFee,
 		Halving: c.Family.Late == "halving", Listed: c.Weights == "nominal" || c.Weights == "rough",
 		Cancels: c.Bounds.Cancel, Subscribe: c.RegistryMode == "subscribe",
 		ReportLimit: -1,
@@ -480,6 +482,8 @@
 		fmt.Fprintf(s.out, "SURRENDER\trelay-id=%s\top-id=%s\n", inst, a.ID)
 	case choice.Cancel:
 		fmt.Fprintf(s.out, "REVOKE\trelay-id=%s\top-id=%s\ttry=%d\n", inst, a.ID, a.Attempt)
+	case choice.CloseIdle:
+		fmt.Fprintf(s.out, "DROP_CONNS\trelay-id=%s\thost=%s\n", inst, a.Host)
 	case choice.Wake:
 		fmt.Fprintf(s.out, "ARM\trelay-id=%s\twait=%s\ttag=0\n", inst, sec(a.After))
 	case choice.Subscribe:
