--- a/choice/choice.go
+++ b/choice/choice.go
@@ -583,8 +583,9 @@
 }
 
 // part closes idle connections where calls get none: an endpoint may take few, idle ones counted, and those
-// of a large fleet fill its table though each is seldom used again. Elsewhere a handshake is saved. Where more calls are lost on connections that had idled than on new ones, the path
-// drops them unseen, and the shortest such idling tells how long they can be trusted.
+// of a large fleet fill its table though each is seldom used again. Elsewhere a handshake is saved. Where more
+// calls are lost on connections that had idled than on new ones, the path drops them unseen, and the shortest
+// such idling tells how long they can be trusted.
 func (c *Chooser) part(k *call, o Outcome) {
 	h, none := k.host, k.host.dest.unconn
 	before := *none
