Fail-back: pauses grow fourfold after refusals that tell no wait

A partner hung, its full queue refused without a told wait, and 20 retries a second against 5 first tries pushed it over 1.1 s after its return: 5.3 times what it could do, four fifths of it from relays refused before. Evidence: followed call by call; refusals only, none with a wait, first tries level. Why it cannot come back: pauses of 1, 4, 16 quarter aims (twice that for the destination) leave a relay two retries in any outage of the rule's length against its own first try. Assumption removed: refusals alone mean a limit. Holds also for shut partners that tell nothing. Harms where a limit is just exceeded and tells no wait: retries come later.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -385,14 +385,21 @@
 	c.bad(u)
 	u.waitUntil = max(u.waitUntil, c.now+wait)
 	u.pauseUntil = max(c.now, u.waitUntil)
+	step := u.bad - 1
+	if wait <= 0 {
+		step *= 2 // a full queue tells no wait, and may be that of a unit that hangs
+	}
 	if wait <= 0 || c.thin(u) {
-		u.pauseUntil += c.spread(u, d, u.bad-1)
+		u.pauseUntil += c.spread(u, d, step)
 	}
 	if d.refused > 0 {
 		*d.luck -= *d.luck / 16
 	}
 	if d.refused++; d.refused >= len(d.units) && c.thin(u) {
-		d.pauseUntil = c.now + 2*c.spread(u, d, d.refused-len(d.units))
+		if d.kind.Apart {
+			step = d.refused - len(d.units)
+		}
+		d.pauseUntil = c.now + 2*c.spread(u, d, step)
 	}
 	if c.now-u.cutAt >= time.Second && !c.thin(u) {
 		// Over at least the even share of a call, or the refused call alone counts as more than its share.
@@ -414,7 +421,7 @@
 // to the even share of a call, sooner the fewer calls after a refusal are served at this kind: where refused
 // calls use up the limit, retries alone can keep it shut. It may harm where refusals come by chance.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
-	pause := (c.minAim / 4).Seconds() * math.Exp2(float64(min(step, 10))) / math.Pow(2*(*d.luck), 3)
+	pause := (c.minAim / 4).Seconds() * math.Exp2(float64(min(step, 20))) / math.Pow(2*(*d.luck), 3)
 	return time.Duration(min(pause, c.even(u).Seconds()) * (0.5 + c.rand.Float64()) * float64(time.Second))
 }
 
@@ -583,9 +590,9 @@
 }
 
 // part closes idle connections where calls get none: an endpoint may take few, idle ones counted, and those
-// of a large fleet fill its table though each is seldom used again. Elsewhere a handshake is saved. Where more
-// calls are lost on connections that had idled than on new ones, the path drops them unseen, and the shortest
-// such idling tells how long they can be trusted.
+// of a large fleet fill its table though each is seldom used again. Elsewhere a handshake is saved.
+// Where more calls are lost on connections that had idled than on new ones, the path drops them unseen, and
+// the shortest such idling tells how long they can be trusted.
 func (c *Chooser) part(k *call, o Outcome) {
 	h, none := k.host, k.host.dest.unconn
 	before := *none
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -60,3 +60,45 @@
 		t.Errorf("closed %v where a call to this kind got no connection, want both hosts' idle ones closed", n)
 	}
 }
+
+func TestRetriesDoNotOutweighFirstTriesAtAFullQueue(t *testing.T) {
+	// A partner that hangs refuses with its queue full and tells no wait. When it comes back cold, two thirds of
+	// its load must not be retries of relays that were refused there. Here 100 relays take 5 messages a second.
+	s := settings()
+	s.Fleet, s.Listed = 100, false
+	s.Classes[0].Deadline = 20 * time.Second
+	first, again := 0, 0
+	relays := make([]*rig, s.Fleet)
+	for i := range relays {
+		c, err := New(s, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		relays[i] = &rig{t: t, c: c, now: time.Hour, try: map[string]int{}}
+		relays[i].step(Listing{Whole: true, Hosts: []Host{ready("a", 1, 0, 0)}})
+	}
+	for tick := range 4000 { // twenty seconds
+		for i, r := range relays {
+			r.now += 5 * ms
+			events := []Event{Woken{}}
+			if tick%40 == 0 && tick/40 == i {
+				m := arrival("m", 0)
+				m.Left = 20 * time.Second
+				events = append(events, m)
+			}
+			for acts := r.step(events...); len(sends(acts)) > 0; acts = r.step(r.end("m", "a", Refused)) {
+				if tick < 2000 {
+					continue
+				}
+				if r.try["m"] == 1 {
+					first++
+				} else {
+					again++
+				}
+			}
+		}
+	}
+	if first != 50 || again > 2*first {
+		t.Errorf("%d retries and %d first tries, want at most two thirds retries", again, first)
+	}
+}
