Where a unit is met seldom: one soon trial after a first failure; told openings are met spread over the wait

Cause: in a large fleet a single lost call, error or refused connection stopped a relay's traffic to a partner for up to twice the cold time, and its first answer then let it send next to nothing for the cold time. After a long told wait relays now come spread over eight times that wait, at most twice the long gap. Why it cannot come back: a wait told with a shut door is longer the earlier it was told, so the spread makes the rate at the opening a share of the first tries during it. Assumption removed: where a relay meets a unit seldom the first failure is an outage. Harms: in a real outage each relay makes one more call.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -346,7 +346,7 @@
 	fall := c.set.Rules.Fall
 	longest := max(fall/3, min(2*c.set.Rules.Cold, time.Duration(float64(fall)/(2*c.budget(u, 0)))))
 	gap := min(fall/8<<min(u.trials, 6), longest)
-	if c.thin(u) {
+	if c.thin(u) && u.trials > 0 {
 		gap = longest
 	}
 	return gap/2 + time.Duration(c.rand.Float64()*float64(gap))
@@ -414,6 +414,11 @@
 	fall := c.set.Rules.Fall
 	if u.state == healthy && (wait > 2*fall/3 || u.bad > 6 && c.now-u.lastServed >= fall) {
 		c.suspect(u, d, "refusals only")
+		if wait > 0 && c.thin(u) {
+			// All that were refused would come at once when it opens, cold.
+			u.trials = 1
+			u.trialAt = u.waitUntil + min(c.gap(u), time.Duration(8*c.rand.Float64()*float64(wait)))
+		}
 	}
 }
 
@@ -432,7 +437,8 @@
 	u.pace += (took.Seconds() - u.pace) / 8
 	cold := c.set.Rules.Cold.Seconds()
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
-	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall
+	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall ||
+		u.bad == 1 && c.thin(u) && c.now-u.since < c.set.Rules.Fall
 	u.lastServed, u.bad = c.now, 0
 	u.streak++
 	u.note(false)
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -102,3 +102,57 @@
 		t.Errorf("%d retries and %d first tries, want at most two thirds retries", again, first)
 	}
 }
+
+func TestShutPartnersAreNotMetByAllAtOnce(t *testing.T) {
+	// Sixty relays were told when a partner opens. Cold, it takes 5 calls/s * 0.2 * 2 in the rule's 2 seconds: 4 calls.
+	s := settings()
+	s.Fleet = 200
+	due := 0
+	for i := range 60 {
+		c, err := New(s, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, c: c, now: time.Hour, try: map[string]int{}}
+		h := ready("a", 1, 0, 0)
+		h.Rate = 5
+		r.step(Listing{Whole: true, Hosts: []Host{h}})
+		opens := r.now + 9*time.Second
+		r.now += time.Duration(i) * 100 * ms
+		if len(sends(r.step(arrival("m", 0)))) != 1 {
+			t.Fatal("no first try")
+		}
+		r.step(r.end("m", "a", Refused, func(e *Result) { e.Wait = opens - r.now }))
+		for r.now < opens+2*time.Second {
+			r.now += 5 * ms
+			if n := len(sends(r.step(Woken{}))); n > 0 {
+				if due += n; r.now < opens {
+					t.Fatal("a call before the wait was over")
+				}
+				break
+			}
+		}
+	}
+	if due > 9 {
+		t.Errorf("%d of 60 relays call within 2s of the opening, want few", due)
+	}
+}
+
+func TestOneLostCallDoesNotStopASeldomMetPartner(t *testing.T) {
+	s := settings()
+	s.Fleet, s.Listed = 100, false
+	r := newRig(t, s, ready("a", 1, 0, 0))
+	r.after(5 * time.Second)
+	r.step(arrival("m", 0))
+	r.step(r.end("m", "a", Error))
+	for waited := time.Duration(0); len(sends(r.after(5*ms))) == 0; waited += 5 * ms {
+		if waited > time.Second {
+			t.Fatal("no second try within a second of a single error")
+		}
+	}
+	r.now += 50 * ms
+	r.step(r.end("m", "a", Served))
+	if u := r.c.hosts["a"].unit; u.state != healthy {
+		t.Errorf("state %v after a single error and a call served, want healthy", u.state)
+	}
+}
