Connections refused at once tell of a full table; restarts where tables never fill; pauses by luck beyond the even share

Restarts: messages that may be repeated waited until their deadline where a table never fills (one of 240 endpoints met in minutes). Assumptions removed: a listed rate is exact; a table fills at every destination.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,11 +30,10 @@
 	// cut of a unit's pace: a fifth on a refusal. grow is what it regains in a second without, and
 	// search the same where no rate is listed.
 	cut, grow, search = 0.8, 0.05, 0.1
-	// aside is the share of worth by which a host that just failed, or is not yet well, comes later.
-	aside  = 0.02
-	glance = 200 // looks without news within the shortest aim
+	aside             = 0.02 // share of worth by which a host that failed or is not yet well comes later
+	glance            = 200  // looks without news within the shortest aim
 	// scarce is the share of a kind's calls without a connection above which none is left open.
-	scarce = 0.05
+	scarce = 1.0 / 32
 	// crowded is the part of the holding room above which the least worth is turned away.
 	crowded = 0.9
 )
@@ -123,7 +122,7 @@
 				d.kind, d.luck, d.unconn = c.set.Kinds[n.Kind], &c.luck[n.Kind], &c.unconn[n.Kind]
 			}
 			if d.kind.Apart || len(d.units) == 0 {
-				u := &unit{name: n.Addr, born: c.now - time.Second, lastServed: c.now - time.Second}
+				u := &unit{name: n.Addr, lastServed: c.now - time.Second}
 				d.units = append(d.units, u)
 			}
 			h.unit = d.units[len(d.units)-1]
@@ -271,6 +270,9 @@
 	switch {
 	case u.state == suspect:
 		t = c.patience(d) << min(u.trials, 4)
+	case t == 0 && c.pool.total >= minSamples && c.thin(u):
+		// Its table never fills: that of all destinations together stands in, longer with each try.
+		t = max(2*c.patience(d), m.class.Aim) * time.Duration(m.attempts+1)
 	case t > 0 && len(d.waiting) > 1:
 		// With a message waiting here a restart takes its place, and feeds an overload:
 		// only calls that are very likely lost are given up.
@@ -423,11 +425,11 @@
 }
 
 // spread is a pause drawn by chance, so that relays do not come back in step. It doubles with each step up
-// to the even share of a call, sooner the fewer calls after a refusal are served at this kind: where refused
-// calls use up the limit, retries alone can keep it shut. It may harm where refusals come by chance.
+// to the even share of a call, all of it longer the fewer calls after a refusal are served at this kind:
+// where refused calls use up the limit, retries alone can keep it shut. May harm where refusals come by chance.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
-	pause := (c.minAim / 4).Seconds() * math.Exp2(float64(min(step, 20))) / math.Pow(2*(*d.luck), 3)
-	return time.Duration(min(pause, c.even(u).Seconds()) * (0.5 + c.rand.Float64()) * float64(time.Second))
+	pause := min((c.minAim/4).Seconds()*math.Exp2(float64(min(step, 20))), c.even(u).Seconds())
+	return time.Duration(pause / math.Pow(2*(*d.luck), 3) * (0.5 + c.rand.Float64()) * float64(time.Second))
 }
 
 func (c *Chooser) served(u *unit, d *dest, took time.Duration) {
@@ -545,7 +547,7 @@
 	if k.members = remove(k.members, m); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
 		u.outs = remove(u.outs, k)
-		c.part(k, e.Outcome)
+		c.part(k, e.Outcome, e.Took)
 	}
 	if r := c.set.ReportLimit; r >= 0 && r < len(e.Report) && e.Report[r] > 0 {
 		u.listed = e.Report[r]
@@ -599,11 +601,11 @@
 // of a large fleet fill its table though each is seldom used again. Elsewhere a handshake is saved.
 // Where more calls are lost on connections that had idled than on new ones, the path drops them unseen, and
 // the shortest such idling tells how long they can be trusted.
-func (c *Chooser) part(k *call, o Outcome) {
+func (c *Chooser) part(k *call, o Outcome, took time.Duration) {
 	h, none := k.host, k.host.dest.unconn
 	before := *none
-	if *none -= *none / memory; o == NoConnection {
-		*none += 1.0 / history
+	if *none -= *none / memory; o == NoConnection && took < c.minAim/4 && h.State == Ready {
+		*none += 1.0 / history // a full table refuses at once; who is down or gone seldom does
 	}
 	lost := &c.lost[0]
 	if k.reused {
@@ -620,14 +622,11 @@
 	if h.out > 0 || c.set.ConnIdle == 0 {
 		return
 	}
-	h.kept, h.idleAt = *none < scarce, c.now
-	if !h.kept {
-		c.act(CloseIdle{h.Addr})
-	}
-	if before < scarce && !h.kept {
-		for _, d := range c.order {
+	h.kept, h.idleAt = true, c.now
+	for _, d := range c.order {
+		if full := *none >= scarce; full && (d == h.dest || before < scarce && d.unconn == none) {
 			for _, g := range d.hosts {
-				if d.unconn == none && g.kept && g.out == 0 {
+				if g.kept && g.out == 0 {
 					g.kept = false
 					c.act(CloseIdle{g.Addr})
 				}
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -156,3 +156,25 @@
 		t.Errorf("state %v after a single error and a call served, want healthy", u.state)
 	}
 }
+
+func TestSeldomMetUnitsRestart(t *testing.T) {
+	// A relay that meets each partner seldom has no table for any, but one for all together.
+	s := settings()
+	s.Fleet, s.Listed = 100, false
+	r := newRig(t, s)
+	for i := range minSamples + 1 {
+		h := ready(string(rune('A'+i)), i+2, 0, 0)
+		r.step(Listing{Hosts: []Host{h}})
+		m := arrival(h.Addr, 0)
+		m.Dest = h.Dest
+		r.deliver(m)
+	}
+	r.step(Listing{Hosts: []Host{ready("a", 1, 0, 0)}})
+	r.after(time.Second)
+	if got := sends(r.step(arrival("m", 0))); len(got) != 1 || got[0].Timeout > 2*s.Classes[0].Aim {
+		t.Errorf("sends %v, want one with a time-out that leaves time for a restart", got)
+	}
+	if got := sends(r.step(arrival("u", 2))); len(got) == 1 && got[0].Timeout < 9*time.Second {
+		t.Errorf("an unsafe message was sent with %v, want the time left", got[0].Timeout)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -62,7 +62,6 @@
 // unit is what health, limits and waits hang on: a destination, or a route where routes are apart.
 type unit struct {
 	name       string
-	born       time.Duration
 	listed     float64 // calls a second from all relays, 0 if unknown
 	state      health
 	since      time.Duration // of the state
