--- a/choice/choice.go
+++ b/choice/choice.go
@@ -426,7 +426,7 @@
 
 // spread is a pause drawn by chance, so that relays do not come back in step. It doubles with each step up
 // to the even share of a call, all of it longer the fewer calls after a refusal are served at this kind:
-// where refused calls use up the limit, retries alone can keep it shut. May harm where refusals come by chance.
+// where refused calls use up the limit, retries alone keep it shut. May harm where refusals come by chance.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
 	pause := min((c.minAim/4).Seconds()*math.Exp2(float64(min(step, 20))), c.even(u).Seconds())
 	return time.Duration(pause / math.Pow(2*(*d.luck), 3) * (0.5 + c.rand.Float64()) * float64(time.Second))
