--- a/choice/choice.go
+++ b/choice/choice.go
@@ -261,7 +261,7 @@
 // timeout for the next try of a message at a unit.
 func (c *Chooser) timeout(m *message, u *unit) time.Duration {
 	left := m.due - c.now
-	if !c.repeatable(m) || m.attempts+1 >= c.set.MaxAttempts {
+	if m.class.Effect == Unsafe || !c.repeatable(m) || m.attempts+1 >= c.set.MaxAttempts {
 		return left
 	}
 	d := m.dest
