--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,8 +53,7 @@
 		c.askAt = -1
 	}
 	c.pool.width = c.bound / buckets
-	c.luck = slices.Repeat([]float64{0.5}, max(1, len(s.Kinds)))
-	c.unconn, c.keep = make([]float64, len(c.luck)), s.ConnIdle
+	c.habits, c.keep = slices.Repeat([]habits{{luck: 0.5}}, max(1, len(s.Kinds))), s.ConnIdle
 	c.nap = max(s.Tick, c.minAim/glance)
 	return c, nil
 }
@@ -119,7 +118,7 @@
 			h = &host{dest: d, liking: c.rand.Float64(), idleAt: math.MinInt64 / 2}
 			c.hosts[n.Addr], d.hosts = h, append(d.hosts, h)
 			if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
-				d.kind, d.luck, d.unconn = c.set.Kinds[n.Kind], &c.luck[n.Kind], &c.unconn[n.Kind]
+				d.kind, d.habits = c.set.Kinds[n.Kind], &c.habits[n.Kind]
 			}
 			if d.kind.Apart || len(d.units) == 0 {
 				u := &unit{name: n.Addr, lastServed: c.now - time.Second}
@@ -159,10 +158,9 @@
 func (c *Chooser) dest(id int) *dest {
 	d := c.dests[id]
 	if d == nil {
-		d = &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0], unconn: &c.unconn[0]}
+		d = &dest{id: id, kind: Kind{PerCall: 1}, habits: &c.habits[0]}
 		d.table = table{width: c.bound / buckets, weight: 1}
-		c.dests[id] = d
-		c.order = append(c.order, d)
+		c.dests[id], c.order = d, append(c.order, d)
 	}
 	return d
 }
@@ -313,8 +311,7 @@
 		return
 	}
 	c.bad(u)
-	u.risky = u.risky || o != NoConnection
-	u.errors = u.errors || o == Error
+	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
 	u.note(true)
 	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall // nothing here speaks against an outage
 	if u.state != suspect && (alone || bits.OnesCount(u.recent) >= outage) {
@@ -387,6 +384,7 @@
 	c.bad(u)
 	u.waitUntil = max(u.waitUntil, c.now+wait)
 	u.pauseUntil = max(c.now, u.waitUntil)
+	d.habits.tells = d.habits.tells || wait > 0
 	step := u.bad - 1
 	if wait <= 0 {
 		step *= 2 // a full queue tells no wait, and may be that of a unit that hangs
@@ -395,7 +393,7 @@
 		u.pauseUntil += c.spread(u, d, step)
 	}
 	if d.refused > 0 {
-		*d.luck -= *d.luck / 16
+		d.habits.luck -= d.habits.luck / 8
 	}
 	if d.refused++; d.refused >= len(d.units) && c.thin(u) {
 		if d.kind.Apart {
@@ -429,13 +427,16 @@
 // where refused calls use up the limit, retries alone keep it shut. May harm where refusals come by chance.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
 	pause := min((c.minAim/4).Seconds()*math.Exp2(float64(min(step, 20))), c.even(u).Seconds())
-	return time.Duration(pause / math.Pow(2*(*d.luck), 3) * (0.5 + c.rand.Float64()) * float64(time.Second))
+	power := 2.0
+	if !d.habits.tells {
+		power = 3 // nothing else tells of room
+	}
+	pause *= (0.5 + c.rand.Float64()) / math.Pow(max(0.4, 2*d.habits.luck), power)
+	return time.Duration(pause * float64(time.Second))
 }
 
 func (c *Chooser) served(u *unit, d *dest, took time.Duration) {
-	if u.pace == 0 {
-		u.pace = took.Seconds()
-	}
+	u.pace = cmp.Or(u.pace, took.Seconds())
 	u.pace += (took.Seconds() - u.pace) / 8
 	cold := c.set.Rules.Cold.Seconds()
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
@@ -561,7 +562,7 @@
 		}
 		h.fails = 0
 		if d.refused > 0 {
-			*d.luck += (1 - *d.luck) / 16
+			d.habits.luck += (1 - d.habits.luck) / 8
 		}
 		d.refused = 0
 		c.served(u, d, e.Took)
@@ -602,7 +603,7 @@
 // Where more calls are lost on connections that had idled than on new ones, the path drops them unseen, and
 // the shortest such idling tells how long they can be trusted.
 func (c *Chooser) part(k *call, o Outcome, took time.Duration) {
-	h, none := k.host, k.host.dest.unconn
+	h, none := k.host, &k.host.dest.habits.unconn
 	before := *none
 	if *none -= *none / memory; o == NoConnection && took < c.minAim/4 && h.State == Ready {
 		*none += 1.0 / history // a full table refuses at once; who is down or gone seldom does
@@ -624,7 +625,7 @@
 	}
 	h.kept, h.idleAt = true, c.now
 	for _, d := range c.order {
-		if full := *none >= scarce; full && (d == h.dest || before < scarce && d.unconn == none) {
+		if full := *none >= scarce; full && (d == h.dest || before < scarce && &d.habits.unconn == none) {
 			for _, g := range d.hosts {
 				if g.kept && g.out == 0 {
 					g.kept = false
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -559,7 +559,7 @@
 	h.Rate = 4
 	pause := func(luck float64) time.Duration {
 		r := newRig(t, s, h)
-		r.c.luck[0] = luck
+		r.c.habits[0].luck = luck
 		r.step(arrival("m", 0))
 		r.now += 50 * ms
 		r.step(r.end("m", "a", Refused))
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -178,3 +178,33 @@
 		t.Errorf("an unsafe message was sent with %v, want the time left", got[0].Timeout)
 	}
 }
+
+func TestRetriesRestWhereNoneIsServedAndNoneTold(t *testing.T) {
+	// Three relays' worth of retries that all fail must leave the next pause several times longer than at the start.
+	pause := func(failed int, told bool) time.Duration {
+		s := settings()
+		s.Fleet, s.Listed = 100, false
+		r := newRig(t, s, ready("a", 1, 0, 0))
+		d := r.c.dests[1]
+		u := d.units[0]
+		sum := time.Duration(0)
+		for range failed {
+			wait := time.Duration(0)
+			if told {
+				wait = ms
+			}
+			u.bad = 0
+			r.c.refused(u, d, wait)
+		}
+		for range 100 {
+			sum += r.c.spread(u, d, 0)
+		}
+		return sum / 100
+	}
+	if start, then := pause(0, false), pause(9, false); then < 8*start {
+		t.Errorf("pauses of %v after nine retries refused, %v before, want eight times as long", then, start)
+	}
+	if told, untold := pause(9, true), pause(9, false); told >= untold {
+		t.Errorf("pauses of %v where waits are told, %v where none is, want shorter ones", told, untold)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -86,6 +86,13 @@
 	tokens     float64
 }
 
+// habits are what this relay has met at the destinations of a kind.
+type habits struct {
+	luck   float64 // share served of the calls to destinations that refused the last one
+	tells  bool    // a refusal told a wait
+	unconn float64 // share of the calls that got no connection
+}
+
 // dest is one destination.
 type dest struct {
 	id         int
@@ -97,9 +104,8 @@
 	live       bool // on the list of those with messages waiting or out
 	lastTurn   time.Duration
 	table      table
-	refused    int      // refusals in a row
-	luck       *float64 // of its kind
-	unconn     *float64 // of its kind
+	refused    int     // refusals in a row
+	habits     *habits // of its kind
 	pauseUntil time.Duration
 	backoff    int // time-outs in a row with nothing served since
 }
@@ -129,8 +135,7 @@
 	wakeAt  time.Duration // the next wake-up asked for
 	rand    *rand.Rand
 	nap     time.Duration // between looks
-	luck    []float64     // by kind: share served of the calls to destinations that refused the last one
-	unconn  []float64     // by kind: share of the calls that got no connection
+	habits  []habits      // by kind
 	lost    [2]float64    // share of the calls lost, on new connections and on those that had idled
 	keep    time.Duration // longest that an idle connection is trusted
 	pool    table         // of all destinations together, for those that have few samples yet
