Fail-back: a second host that failed was the soon trial

Each relay tried the other host at once, then once more. Failures of hosts fade after the cold time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -306,16 +306,21 @@
 	u, d := h.unit, h.dest
 	h.fails++
 	h.retryAt = c.now + min(c.set.Rules.Fall/8<<min(h.fails, 3), c.set.Rules.Fall/3)
-	well := func(g *host) bool { return g.unit == u && g.State == Ready && g.fails == 0 }
-	if slices.ContainsFunc(d.hosts, well) {
-		return
+	trials := 0 // a second host that failed was the trial
+	for _, g := range d.hosts {
+		if g.unit == u && g != h && g.State == Ready {
+			if g.fails == 0 || c.now-g.retryAt > c.set.Rules.Cold {
+				return
+			}
+			trials = 1
+		}
 	}
 	c.bad(u)
 	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
 	u.note(true)
 	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall // nothing here speaks against an outage
 	if u.state != suspect && (alone || bits.OnesCount(u.recent) >= outage) {
-		c.suspect(u, d, "failures")
+		c.suspect(u, d, "failures", trials)
 	}
 }
 
@@ -351,12 +356,12 @@
 	return gap/2 + time.Duration(c.rand.Float64()*float64(gap))
 }
 
-func (c *Chooser) suspect(u *unit, d *dest, why string) {
+func (c *Chooser) suspect(u *unit, d *dest, why string, trials int) {
 	if u.state == healthy {
 		u.base = max(u.served, 1/c.set.Rules.Cold.Seconds())
 	}
 	c.log("destination %d unit %s suspect: %s", d.id, u.name, why)
-	u.state, u.since, u.trials, u.streak = suspect, c.now, 0, 0
+	u.state, u.since, u.trials, u.streak = suspect, c.now, trials, 0
 	u.trialAt = c.now + c.gap(u)
 }
 
@@ -413,10 +418,8 @@
 	// Refusals alone, for longer than a limit explains, are those of a shut destination.
 	fall := c.set.Rules.Fall
 	if u.state == healthy && (wait > 2*fall/3 || u.bad > 6 && c.now-u.lastServed >= fall) {
-		c.suspect(u, d, "refusals only")
-		if wait > 0 && c.thin(u) {
-			// All that were refused would come at once when it opens, cold.
-			u.trials = 1
+		if c.suspect(u, d, "refusals only", 0); wait > 0 && c.thin(u) {
+			u.trials = 1 // all that were refused would come at once when it opens, cold
 			u.trialAt = u.waitUntil + min(c.gap(u), time.Duration(8*c.rand.Float64()*float64(wait)))
 		}
 	}
@@ -468,7 +471,7 @@
 				quiet := c.now - max(u.outs[0].sent, u.lastServed)
 				if quiet > c.patience(d) {
 					u.risky = true
-					c.suspect(u, d, "silent")
+					c.suspect(u, d, "silent", 0)
 				}
 			}
 		}
