Where tables are full a quick failed connection pauses the unit and is no outage

Cause: at kinds that take few connections both hosts' full tables looked like an outage; the relay then stayed away for up to twice the cold time. Told apart by the time to the failure (under a quarter aim) and the share of such calls at the kind. Holds against crashes at such kinds too: pauses grow fourfold, so that retries stay few against first tries.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -292,8 +292,7 @@
 
 // bad takes in a failure or a refusal.
 func (c *Chooser) bad(u *unit) {
-	u.streak = 0
-	u.bad++
+	u.streak, u.bad = 0, u.bad+1
 	if u.state == suspect {
 		u.trials++
 		u.trialAt = c.now + c.gap(u)
@@ -302,7 +301,7 @@
 
 // failed takes in a failure. It is held against the host alone while another of its unit is well: that
 // guards against the loss of one building, and of one machine among several.
-func (c *Chooser) failed(h *host, o Outcome) {
+func (c *Chooser) failed(h *host, o Outcome, took time.Duration) {
 	u, d := h.unit, h.dest
 	h.fails++
 	h.retryAt = c.now + min(c.set.Rules.Fall/8<<min(h.fails, 3), c.set.Rules.Fall/3)
@@ -316,6 +315,10 @@
 		}
 	}
 	c.bad(u)
+	if o == NoConnection && took < c.minAim/4 && d.habits.unconn >= scarce && c.thin(u) {
+		u.pauseUntil = max(u.pauseUntil, c.now+2*c.spread(u, d, 2*u.bad-2)) // full, no outage
+		return
+	}
 	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
 	u.note(true)
 	alone := c.thin(u) && c.now-u.lastServed > c.set.Rules.Fall // nothing here speaks against an outage
@@ -345,7 +348,7 @@
 
 // gap between trials, drawn by chance: it doubles up to a third of the rule's window, or to what leaves the
 // trials of all relays within twice the budget of a unit just back. In a large fleet each relay tries for
-// itself, and those that failed just before the return would come at once: there it is long from the start.
+// itself: there one trial comes soon, or at another host, and gaps are long once it failed.
 func (c *Chooser) gap(u *unit) time.Duration {
 	fall := c.set.Rules.Fall
 	longest := max(fall/3, min(2*c.set.Rules.Cold, time.Duration(float64(fall)/(2*c.budget(u, 0)))))
@@ -467,12 +470,10 @@
 func (c *Chooser) watch() {
 	for _, d := range c.live {
 		for _, u := range d.units {
-			if u.state == healthy && len(u.outs) > 0 {
-				quiet := c.now - max(u.outs[0].sent, u.lastServed)
-				if quiet > c.patience(d) {
-					u.risky = true
-					c.suspect(u, d, "silent", 0)
-				}
+			if u.state == healthy && len(u.outs) > 0 &&
+				c.now-max(u.outs[0].sent, u.lastServed) > c.patience(d) {
+				u.risky = true
+				c.suspect(u, d, "silent", 0)
 			}
 		}
 	}
@@ -572,18 +573,18 @@
 	case Refused:
 		c.refused(u, d, e.Wait)
 	case Error, Reset:
-		c.failed(h, e.Outcome)
+		c.failed(h, e.Outcome, e.Took)
 	case Timeout, Cancelled:
 		d.table.cutShort()
 		if u.lastServed < k.sent {
 			d.backoff++
 			if e.Took >= c.patience(d) {
-				c.failed(h, e.Outcome)
+				c.failed(h, e.Outcome, e.Took)
 			}
 		}
 	case NoConnection:
 		d.table.cutShort()
-		c.failed(h, e.Outcome)
+		c.failed(h, e.Outcome, e.Took)
 	}
 	sure := e.Outcome == Served || e.Outcome == Refused || e.Outcome == NoConnection || e.Outcome == NotSent
 	if !sure {
@@ -721,8 +722,7 @@
 		}
 	}
 	for c.set.MaxHeld > 0 && float64(c.held) > crowded*float64(c.set.MaxHeld) {
-		var worst *message
-		least := math.Inf(1)
+		worst, least := (*message)(nil), math.Inf(1)
 		for _, d := range c.live {
 			for _, m := range d.waiting {
 				w := c.worth(m, c.now) / float64(len(d.waiting))
@@ -804,10 +804,9 @@
 }
 
 // callOff frees a slot while all are taken and a message waits for one: the oldest call out beyond its
-// destination's patience, twice that if the unit has served others since, and as often as it was tried, so
-// that slow ones are served in the end. It guards against calls that nobody will answer. An unsafe message
-// is lost by it: twice the patience while such calls hold no more than half of the slots. Half the room
-// taken halves the patience.
+// destination's patience, twice that if the unit has served others since, and as often as it was tried. It
+// guards against calls that nobody will answer. An unsafe message is lost by it: twice the patience while such
+// calls hold no more than half of the slots. Half the room taken halves the patience.
 func (c *Chooser) callOff() {
 	var stuck []*call
 	for _, d := range c.live {
@@ -913,8 +912,7 @@
 		wait = time.Duration(float64(len(d.waiting)) / rate * float64(time.Second))
 	}
 	wait = min(max(wait, c.minAim/8), 4*c.bound)
-	var best *message
-	most := math.Inf(-1)
+	best, most := (*message)(nil), math.Inf(-1)
 	for _, m := range d.waiting {
 		if !c.hasTurn(m) || !test(m) {
 			continue
@@ -938,8 +936,7 @@
 	m := c.best(d, func(m *message) bool {
 		return slices.ContainsFunc(open, func(h *host) bool { return c.fits(m, h) })
 	})
-	var best *host
-	least := math.Inf(1)
+	best, least := (*host)(nil), math.Inf(1)
 	for _, h := range open {
 		if m != nil && c.fits(m, h) && c.cost(m, h) < least {
 			best, least = h, c.cost(m, h)
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -208,3 +208,34 @@
 		t.Errorf("pauses of %v where waits are told, %v where none is, want shorter ones", told, untold)
 	}
 }
+
+func TestASecondHostThatFailedWasTheTrial(t *testing.T) {
+	s := settings()
+	s.Fleet, s.Listed = 100, false
+	r := newRig(t, s, ready("a", 1, 0, 0), ready("b", 1, 0, 0))
+	r.after(5 * time.Second)
+	first := sends(r.step(arrival("m", 0)))
+	r.now += time.Second
+	second := sends(r.step(r.end("m", first[0].Host, NoConnection, func(e *Result) { e.Took = time.Second })))
+	if len(second) != 1 || second[0].Host == first[0].Host {
+		t.Fatalf("sends %v after a failed host, want one to the other", second)
+	}
+	r.now += time.Second
+	r.step(r.end("m", second[0].Host, NoConnection, func(e *Result) { e.Took = time.Second }))
+	if n := len(sends(r.after(3 * time.Second))); n > 0 {
+		t.Errorf("%d calls within 3s of the failure of both hosts, want none", n)
+	}
+}
+
+func TestAFullTableIsNoOutage(t *testing.T) {
+	s := settings()
+	s.Fleet, s.Listed = 100, false
+	r := newRig(t, s, ready("a", 1, 0, 0))
+	r.c.habits[0].unconn = 2 * scarce
+	r.after(5 * time.Second)
+	r.step(arrival("m", 0))
+	r.step(r.end("m", "a", NoConnection))
+	if u := r.c.hosts["a"].unit; u.state != healthy || u.pauseUntil <= r.now {
+		t.Errorf("state %v, pause until %v at %v after a full table, want healthy and a pause", u.state, u.pauseUntil, r.now)
+	}
+}
