Fail-back: trials of all relays stay within the budget, with a rough rate

Why it cannot come back: the long gap was set to twice the budget for all relays; now to two thirds of it, so that even a rate listed half too high keeps it. Assumption removed: only some relays have seen an outage; a listed rate is exact.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -316,7 +316,7 @@
 	}
 	c.bad(u)
 	if o == NoConnection && took < c.minAim/4 && d.habits.unconn >= scarce && c.thin(u) {
-		u.pauseUntil = max(u.pauseUntil, c.now+2*c.spread(u, d, 2*u.bad-2)) // full, no outage
+		u.pauseUntil = max(u.pauseUntil, c.now+2*c.spread(u, d, 2*u.bad-2)) // full table
 		return
 	}
 	u.risky, u.errors = u.risky || o != NoConnection, u.errors || o == Error
@@ -347,11 +347,11 @@
 }
 
 // gap between trials, drawn by chance: it doubles up to a third of the rule's window, or to what leaves the
-// trials of all relays within twice the budget of a unit just back. In a large fleet each relay tries for
-// itself: there one trial comes soon, or at another host, and gaps are long once it failed.
+// trials of all relays within the budget of a unit just back, its rate half too high. In a large fleet each
+// tries for itself: there one trial comes soon, or at another host, and gaps are long once it failed.
 func (c *Chooser) gap(u *unit) time.Duration {
 	fall := c.set.Rules.Fall
-	longest := max(fall/3, min(2*c.set.Rules.Cold, time.Duration(float64(fall)/(2*c.budget(u, 0)))))
+	longest := max(fall/3, min(2*c.set.Rules.Cold, time.Duration(1.5*float64(fall)/c.budget(u, 0))))
 	gap := min(fall/8<<min(u.trials, 6), longest)
 	if c.thin(u) && u.trials > 0 {
 		gap = longest
@@ -805,8 +805,8 @@
 
 // callOff frees a slot while all are taken and a message waits for one: the oldest call out beyond its
 // destination's patience, twice that if the unit has served others since, and as often as it was tried. It
-// guards against calls that nobody will answer. An unsafe message is lost by it: twice the patience while such
-// calls hold no more than half of the slots. Half the room taken halves the patience.
+// guards against calls that nobody will answer. An unsafe message is lost by it: twice the patience while
+// such calls hold no more than half of the slots. Half the room taken halves the patience.
 func (c *Chooser) callOff() {
 	var stuck []*call
 	for _, d := range c.live {
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -239,3 +239,22 @@
 		t.Errorf("state %v, pause until %v at %v after a full table, want healthy and a pause", u.state, u.pauseUntil, r.now)
 	}
 }
+
+func TestTrialsOfAllRelaysStayWithinTheBudget(t *testing.T) {
+	// All of 200 relays know that a large partner is down. Back cold it takes 50 calls/s * 0.2, overloaded at twice that.
+	s := settings()
+	s.Fleet = 200
+	rate := 0.0
+	for i := range 200 {
+		c, err := New(s, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.now = time.Hour
+		u := &unit{listed: 50, trials: 1, state: suspect}
+		rate += 1 / c.gap(u).Seconds()
+	}
+	if rate > 50*0.2*2 {
+		t.Errorf("%.1f trials a second by all relays, want at most 20", rate)
+	}
+}
