--- a/choice/choice.go
+++ b/choice/choice.go
@@ -315,7 +315,7 @@
 		}
 	}
 	c.bad(u)
-	if o == NoConnection && took < c.minAim/4 && d.habits.unconn >= scarce && c.thin(u) {
+	if o == NoConnection && took < c.minAim/4 && d.habits.unconn > 1.0/history && c.thin(u) {
 		u.pauseUntil = max(u.pauseUntil, c.now+2*c.spread(u, d, 2*u.bad-2)) // full table
 		return
 	}
