Refusals tell clients when to come back

bounds.retry-after and max-retry-after are passed on; a refused message tells the client to stay away until a told wait, a pause or a trial of its destination is over, at most as long as clients heed. Answers go out in the step in which a message is given up, as before.

--- a/choice/api.go
+++ b/choice/api.go
@@ -63,14 +63,16 @@
 	MaxHeld     int // messages held at most, sent or not
 	MaxAttempts int // attempts for one message, those never sent included
 	Tick        time.Duration
-	ConnIdle    time.Duration // idle connections close by themselves after this; 0 if unknown
-	Classes     []Class
-	Kinds       []Kind
-	ZoneFee     []float64 // points for each message a route apart takes on, by zone
-	Halving     bool      // after the aim worth falls by half with each further aim; else evenly
-	Listed      bool      // Host.Rate is the rate that a destination takes from all relays
-	Cancels     bool      // Cancel is allowed
-	Subscribe   bool      // list changes come only after Subscribe
+	// MaxRetryAfter is the longest Refuse.After that clients heed; 0 where none may be told.
+	MaxRetryAfter time.Duration
+	ConnIdle      time.Duration // idle connections close by themselves after this; 0 if unknown
+	Classes       []Class
+	Kinds         []Kind
+	ZoneFee       []float64 // points for each message a route apart takes on, by zone
+	Halving       bool      // after the aim worth falls by half with each further aim; else evenly
+	Listed        bool      // Host.Rate is the rate that a destination takes from all relays
+	Cancels       bool      // Cancel is allowed
+	Subscribe     bool      // list changes come only after Subscribe
 	// ReportLimit is the place in Result.Report of the limit in calls a second;
 	// below 0 where it is not reported.
 	ReportLimit int
@@ -169,7 +171,10 @@
 }
 
 // Refuse ends a message: it did not run, and the client may safely come again.
-type Refuse struct{ ID string }
+type Refuse struct {
+	ID    string
+	After time.Duration // advice to the client: not before then; 0 for none
+}
 
 // Fail ends a message; whether it ran is not known.
 type Fail struct{ ID string }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,8 +1,7 @@
 package choice
 
-// All decisions of the gateway; the interface is in api.go, plain state in state.go. In reading
-// order: constants; the endpoint list; the timeout oracle; health, pacing and waits; admission and
-// final answers; order of keys; the turn.
+// All decisions of the gateway. In reading order: constants; the endpoint list; the timeout oracle; health,
+// pacing and waits; admission and final answers; order of keys; the turn.
 
 import (
 	"cmp"
@@ -30,12 +29,10 @@
 	// cut of a unit's pace: a fifth on a refusal. grow is what it regains in a second without, and
 	// search the same where no rate is listed.
 	cut, grow, search = 0.8, 0.05, 0.1
-	aside             = 0.02 // share of worth by which a host that failed or is not yet well comes later
-	glance            = 200  // looks without news within the shortest aim
-	// scarce is the share of a kind's calls without a connection above which none is left open.
-	scarce = 1.0 / 32
-	// crowded is the part of the holding room above which the least worth is turned away.
-	crowded = 0.9
+	aside             = 0.02     // share of worth by which a host that failed or is not yet well comes later
+	glance            = 200      // looks without news within the shortest aim
+	scarce            = 1.0 / 32 // share of a kind's calls without a connection above which none is left open
+	crowded           = 0.9      // part of the holding room above which the least worth is turned away
 )
 
 // New returns a Chooser for one relay. Pauses are drawn from the seed.
@@ -53,7 +50,7 @@
 		c.askAt = -1
 	}
 	c.pool.width = c.bound / buckets
-	c.habits, c.keep = slices.Repeat([]habits{{luck: 0.5}}, max(1, len(s.Kinds))), s.ConnIdle
+	c.habits, c.keep = slices.Repeat([]habits{{luck: 0.5, power: 3}}, max(1, len(s.Kinds))), s.ConnIdle
 	c.nap = max(s.Tick, c.minAim/glance)
 	return c, nil
 }
@@ -392,9 +389,10 @@
 	c.bad(u)
 	u.waitUntil = max(u.waitUntil, c.now+wait)
 	u.pauseUntil = max(c.now, u.waitUntil)
-	d.habits.tells = d.habits.tells || wait > 0
 	step := u.bad - 1
-	if wait <= 0 {
+	if wait > 0 {
+		d.habits.power = 2 // told waits tell of room too, not luck alone
+	} else {
 		step *= 2 // a full queue tells no wait, and may be that of a unit that hangs
 	}
 	if wait <= 0 || c.thin(u) {
@@ -433,11 +431,7 @@
 // where refused calls use up the limit, retries alone keep it shut. May harm where refusals come by chance.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
 	pause := min((c.minAim/4).Seconds()*math.Exp2(float64(min(step, 20))), c.even(u).Seconds())
-	power := 2.0
-	if !d.habits.tells {
-		power = 3 // nothing else tells of room
-	}
-	pause *= (0.5 + c.rand.Float64()) / math.Pow(max(0.4, 2*d.habits.luck), power)
+	pause *= (0.5 + c.rand.Float64()) / math.Pow(max(0.4, 2*d.habits.luck), d.habits.power)
 	return time.Duration(pause * float64(time.Second))
 }
 
@@ -612,16 +606,13 @@
 	if *none -= *none / memory; o == NoConnection && took < c.minAim/4 && h.State == Ready {
 		*none += 1.0 / history // a full table refuses at once; who is down or gone seldom does
 	}
-	lost := &c.lost[0]
-	if k.reused {
-		lost = &c.lost[1]
-	}
+	lost := &c.lost[k.reused]
 	*lost -= *lost / 16
 	if o == Reset || o == Timeout || o == Cancelled {
-		if *lost += 1.0 / 16; k.reused && *lost > 2*c.lost[0] {
+		if *lost += 1.0 / 16; k.reused == 1 && *lost > 2*c.lost[0] {
 			c.keep = min(c.keep, k.idle/2)
 		}
-	} else if k.reused && o == Served {
+	} else if k.reused == 1 && o == Served {
 		c.keep = min(c.keep+c.keep/16, c.set.ConnIdle)
 	}
 	if h.out > 0 || c.set.ConnIdle == 0 {
@@ -663,13 +654,22 @@
 // final answers a message that is not out: refused where that is lawful, else failed.
 func (c *Chooser) final(m *message) {
 	if !m.ran || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone {
-		c.act(Refuse{m.ID})
+		c.act(Refuse{m.ID, c.back(m.dest)})
 	} else {
 		c.act(Fail{m.ID})
 	}
 	c.end(m)
 }
 
+// back tells how long a client should stay away: until a wait, a pause or a trial of its destination is over.
+func (c *Chooser) back(d *dest) time.Duration {
+	wait := c.set.MaxRetryAfter
+	for _, u := range d.units {
+		wait = min(wait, max(u.waitUntil, u.pauseUntil, d.pauseUntil, u.trialAt)-c.now)
+	}
+	return max(0, wait)
+}
+
 // end frees a message; one that is out keeps its record, and its key, until its outcome.
 func (c *Chooser) end(m *message) {
 	if !m.over {
@@ -850,10 +850,11 @@
 		return false
 	}
 	u := h.unit
-	k := &call{host: h, sent: c.now, reused: h.kept && h.out == 0, idle: c.now - h.idleAt}
-	if k.reused && k.idle > c.keep {
-		k.reused = false
+	k := &call{host: h, sent: c.now, idle: c.now - h.idleAt}
+	if old := h.kept && h.out == 0; old && k.idle > c.keep {
 		c.act(CloseIdle{h.Addr})
+	} else if old {
+		k.reused = 1
 	}
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
 	old := func(t time.Duration) bool { return c.now-t > max(c.set.Rules.Cold, time.Second) }
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -258,3 +258,21 @@
 		t.Errorf("%.1f trials a second by all relays, want at most 20", rate)
 	}
 }
+
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	for longest, want := range map[time.Duration]time.Duration{0: 0, 2 * time.Second: 2 * time.Second, 9 * time.Second: 5 * time.Second} {
+		s := settings()
+		s.MaxRetryAfter, s.MaxAttempts = longest, 1
+		r := newRig(t, s, ready("a", 1, 0, 0))
+		r.step(arrival("m", 0))
+		acts := r.step(r.end("m", "a", Refused, func(e *Result) { e.Wait = 5 * time.Second }))
+		if answers(acts) != "refuse m;" {
+			t.Errorf("answers %q when the attempts are used up, want the refusal at once", answers(acts))
+		}
+		for _, a := range acts {
+			if a, ok := a.(Refuse); ok && (a.After < want || a.After > longest) {
+				t.Errorf("clients that heed %v are told %v after a wait of 5s, want %v", longest, a.After, want)
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,7 +34,7 @@
 	members []*message    // outcomes still due
 	off     bool          // called off
 	idle    time.Duration // how long its connection had idled, or would have
-	reused  bool          // it went out on a connection that was kept
+	reused  int           // 1 if it went out on a connection that was kept
 }
 
 // host is one endpoint.
@@ -89,7 +89,7 @@
 // habits are what this relay has met at the destinations of a kind.
 type habits struct {
 	luck   float64 // share served of the calls to destinations that refused the last one
-	tells  bool    // a refusal told a wait
+	power  float64 // of the luck in pauses: lower once a refusal told a wait
 	unconn float64 // share of the calls that got no connection
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -140,10 +140,12 @@
 // config is the part of the settings object that is read.
 type config struct {
 	Bounds struct {
-		Cancel      bool    `json:"cancel"`
-		ConnIdle    float64 `json:"conn-idle"`
-		MaxAttempts int     `json:"max-attempts"`
-		MostHeld    int     `json:"most-held"`
+		Cancel        bool    `json:"cancel"`
+		ConnIdle      float64 `json:"conn-idle"`
+		MaxAttempts   int     `json:"max-attempts"`
+		MostHeld      int     `json:"most-held"`
+		RetryAfter    bool    `json:"retry-after"`
+		MaxRetryAfter float64 `json:"max-retry-after"`
 	} `json:"bounds"`
 	Classes []struct {
 		Name      string  `json:"name"`
@@ -202,6 +204,9 @@
 			ColdFrom: c.Rules.ColdFrom, Cold: seconds(c.Rules.Cold), OrderSettle: seconds(c.Rules.OrderSettle),
 		},
 	}
+	if c.Bounds.RetryAfter {
+		s.MaxRetryAfter = seconds(c.Bounds.MaxRetryAfter)
+	}
 	if c.LoadReport.How == "inline" {
 		s.ReportLimit = slices.Index(c.LoadReport.Columns, "x1")
 	}
@@ -477,7 +482,7 @@
 	case choice.Send:
 		fmt.Fprintf(s.out, "PLACE\trelay-id=%s\top-id=%s\thost=%s\tmax-wait=%s\n", inst, a.ID, a.Host, sec(a.Timeout))
 	case choice.Refuse:
-		fmt.Fprintf(s.out, "DENY\trelay-id=%s\top-id=%s\n", inst, a.ID)
+		fmt.Fprintf(s.out, "DENY\trelay-id=%s\top-id=%s\tnot-before-for=%s\n", inst, a.ID, sec(a.After))
 	case choice.Fail:
 		fmt.Fprintf(s.out, "SURRENDER\trelay-id=%s\top-id=%s\n", inst, a.ID)
 	case choice.Cancel:
