Fail-back: hosts that fail again and again come after an untried one

Evidence: call by call, all failed after the dial's time. Why it cannot come back: after two failures of the liked hosts the third is tried, and the partner is suspect. Test fails on the old code.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -959,7 +959,7 @@
 	finish := u.pace * float64(h.out+1) / m.class.Aim.Seconds()
 	cost += max(0, finish-0.25) + finish/100
 	if h == m.last || u.state != healthy || h.fails > 0 {
-		cost += aside
+		cost += aside * float64(1+min(h.fails, 4)) // before long an untried host comes first
 	}
 	if c.now < h.retryAt {
 		cost++
--- a/choice/large_test.go
+++ b/choice/large_test.go
@@ -276,3 +276,16 @@
 		}
 	}
 }
+
+func TestHostsThatFailDoNotHideBehindAnUntriedOne(t *testing.T) {
+	s := settings()
+	s.Fleet, s.Listed = 100, false
+	r := newRig(t, s, ready("a", 1, 0, 0), ready("b", 1, 0, 0), ready("c", 1, 0, 0))
+	for i, h := range []string{"a", "b", "c"} {
+		r.c.hosts[h].liking = float64(i) / 2 // a and b are liked far better than c
+	}
+	r.c.hosts["a"].fails, r.c.hosts["b"].fails = 2, 2
+	if got := sends(r.step(arrival("m", 0))); len(got) != 1 || got[0].Host != "c" {
+		t.Errorf("sends %v, want one to the host that never failed", got)
+	}
+}
