--- a/choice/api.go
+++ b/choice/api.go
@@ -114,7 +114,7 @@
 	Attempt int
 	Outcome Outcome
 	Took    time.Duration // since the attempt went out
-	Wait    time.Duration // told with Refused: send nothing there for so long; 0 if none was told
+	Wait    time.Duration // told: send nothing there for so long; 0 if none was told
 	Done    bool          // the message is finished; no answer is owed any more
 	Report  []float64     // load report, if any
 }
@@ -152,11 +152,16 @@
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
+// Stop says that the relay shuts down: nothing further may be sent. Messages that wait get their final answer
+// in this step, those that are out with their result.
+type Stop struct{}
+
 func (Arrival) event()   {}
 func (Result) event()    {}
 func (Withdrawn) event() {}
 func (Listing) event()   {}
 func (Woken) event()     {}
+func (Stop) event()      {}
 
 // An Action is something the relay must do. The types below are the actions.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,6 +70,8 @@
 			}
 		case Listing:
 			c.list(e)
+		case Stop:
+			c.stopped = true
 		}
 	}
 	if c.askAt >= 0 && now >= c.askAt {
@@ -543,6 +545,7 @@
 	}
 	k, h, u, d := m.call, m.call.host, m.call.host.unit, m.dest
 	m.call, m.last = nil, h
+	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // also with an error: a wait is told, whatever came of the call
 	if k.members = remove(k.members, m); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
 		u.outs = remove(u.outs, k)
@@ -716,7 +719,7 @@
 	for _, d := range c.live {
 		for i := len(d.waiting) - 1; i >= 0; i-- {
 			m := d.waiting[i]
-			if m.due-c.now <= margin*c.set.Tick+c.nap || !c.repeatable(m) {
+			if c.stopped || m.due-c.now <= margin*c.set.Tick+c.nap || !c.repeatable(m) {
 				c.final(m)
 			}
 		}
@@ -857,8 +860,10 @@
 		k.reused = 1
 	}
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
-	old := func(t time.Duration) bool { return c.now-t > max(c.set.Rules.Cold, time.Second) }
-	u.outs, u.sends = append(u.outs, k), append(slices.DeleteFunc(u.sends, old), c.now)
+	for len(u.sends) > 0 && c.now-u.sends[0] > max(c.set.Rules.Cold, time.Second) {
+		u.sends = u.sends[1:] // by time; to scan all of them at each send took most of a busy relay's time
+	}
+	u.outs, u.sends = append(u.outs, k), append(u.sends, c.now)
 	u.tokens--
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
--- a/choice/state.go
+++ b/choice/state.go
@@ -139,6 +139,7 @@
 	lost    [2]float64    // share of the calls lost, on new connections and on those that had idled
 	keep    time.Duration // longest that an idle connection is trusted
 	pool    table         // of all destinations together, for those that have few samples yet
+	stopped bool
 	askAt   time.Duration // ask for list changes then; below 0 for never
 	acts    []Action
 }
--- /dev/null
+++ b/cmd/basaltcross/main.go
@@ -0,0 +1,55 @@
+// Command basaltcross is the delivery service: a relay, the tools to check and
+// to try it, and stand-ins for partners.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		if !errors.Is(err, errSilent) {
+			fmt.Fprintln(os.Stderr, "basaltcross:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+// errSilent ends with exit code 1 after everything was said.
+var errSilent = errors.New("failed")
+
+func root() *cobra.Command {
+	c := &cobra.Command{Use: "basaltcross", Short: "A delivery service: carries messages to partners through failures",
+		SilenceUsage: true, SilenceErrors: true}
+	c.AddCommand(relayCommand(), checkCommand(), standinCommand(), demoCommand(), versionCommand())
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print version and build", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			version, revision := "devel", ""
+			if b, ok := debug.ReadBuildInfo(); ok {
+				if b.Main.Version != "" {
+					version = b.Main.Version
+				}
+				for _, s := range b.Settings {
+					if s.Key == "vcs.revision" {
+						revision = " " + s.Value
+					}
+				}
+				version += revision + " " + b.GoVersion
+			}
+			fmt.Fprintln(c.OutOrStdout(), "basaltcross", version)
+		}}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,315 @@
+// Package config reads a relay's configuration and endpoint lists: CUE records
+// checked against a schema that is part of the program. Every error names file,
+// line and path, and what would be right there.
+package config
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	cueerrors "cuelang.org/go/cue/errors"
+
+	"basaltcross.example/basaltcross/choice"
+)
+
+//go:embed schema.cue
+var schemaText string
+
+// Duration is a time span written as a Go duration.
+type Duration time.Duration
+
+// UnmarshalText reads a Go duration such as "250ms".
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// D is the span itself.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Class, Kind and Partner are the records of the same names in the schema.
+type (
+	Class struct {
+		Name      string
+		Aim       Duration
+		Deadline  Duration
+		Worth     float64
+		LateShare float64
+		Effect    string
+		Window    Duration
+		SameZone  bool
+		Ordered   bool
+	}
+	Kind struct {
+		Name            string
+		Apart           bool
+		RefusalNeverRan bool
+		PerCall         int
+	}
+	Partner struct {
+		Name string
+		Kind string
+		Path string
+		Host string
+	}
+	Zone struct {
+		Name string
+		Fee  float64
+	}
+	User struct {
+		Name   string
+		Bcrypt string
+	}
+	// Endpoint is one entry of an endpoint list.
+	Endpoint struct {
+		Addr    string  `json:"addr"`
+		Partner string  `json:"partner"`
+		Zone    string  `json:"zone"`
+		Rate    float64 `json:"rate"`
+		State   string  `json:"state"`
+	}
+)
+
+// MQTT configures the MQTT front.
+type MQTT struct {
+	Listen         []string
+	Connections    int
+	Sessions       int
+	ReceiveMaximum int
+	TopicAliases   int
+	Pending        int
+	SessionExpiry  Duration
+	KeepAlive      Duration
+	Handshake      Duration
+	WriteBuffer    int
+	PartialBytes   int
+	Users          []User
+}
+
+// Config is a checked configuration.
+type Config struct {
+	Relay struct {
+		Name          string
+		Index         int
+		Fleet         int
+		Seed          uint64
+		Workers       int
+		Held          int
+		Attempts      int
+		Tick          Duration
+		Cancels       bool
+		ListedRates   bool
+		MaxRetryAfter Duration
+		ConnIdle      Duration
+		Halving       bool
+		Shutdown      Duration
+	}
+	Zones    []Zone
+	Classes  []Class
+	Kinds    []Kind
+	Partners []Partner
+	Rules    struct {
+		AnswerGrace    Duration
+		DrainGrace     Duration
+		OverloadFactor float64
+		Fall           Duration
+		ColdFrom       float64
+		Cold           Duration
+		OrderSettle    Duration
+	}
+	Limits struct {
+		Body       int
+		Arrivals   int
+		ListBytes  int
+		Identities struct {
+			Count int
+			Keep  Duration
+		}
+	}
+	MQTT         MQTT
+	PartnerCalls struct {
+		HeaderBytes int
+		BodyBytes   int
+		IdlePerHost int
+	}
+	Directory struct{ File string }
+	Metrics   struct{ Listen string }
+	Log       struct{ Level, Format string }
+}
+
+// Error is everything that is wrong with one file.
+type Error struct {
+	File  string
+	Lines []string
+}
+
+func (e *Error) Error() string { return strings.Join(e.Lines, "\n") }
+
+// evaluation of CUE is not safe for concurrent use of one context, and a
+// context grows with all that it compiled: each reading makes a new one.
+var evaluating sync.Mutex
+
+func read(name string, text []byte, def string, into any) (cue.Value, error) {
+	evaluating.Lock()
+	defer evaluating.Unlock()
+	ctx := cuecontext.New()
+	schema := ctx.CompileString(schemaText, cue.Filename("schema.cue"))
+	if err := schema.Err(); err != nil {
+		return cue.Value{}, fmt.Errorf("config: schema: %w", err)
+	}
+	user := ctx.CompileBytes(text, cue.Filename(name))
+	if err := user.Err(); err != nil {
+		return cue.Value{}, explain(name, err)
+	}
+	v := schema.LookupPath(cue.ParsePath(def)).Unify(user)
+	if err := v.Validate(cue.Concrete(true), cue.Final()); err != nil {
+		return cue.Value{}, explain(name, err)
+	}
+	b, err := v.MarshalJSON()
+	if err != nil {
+		return cue.Value{}, explain(name, err)
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return cue.Value{}, &Error{name, []string{name + ": " + err.Error()}}
+	}
+	return user, nil
+}
+
+// explain turns CUE's errors into lines of file:line: path: what is wrong (what the schema wants).
+func explain(name string, err error) error {
+	e := &Error{File: name}
+	for _, c := range cueerrors.Errors(err) {
+		at := name
+		for _, p := range cueerrors.Positions(c) {
+			if p.Filename() == name {
+				at = fmt.Sprintf("%s:%d", name, p.Line())
+				break
+			}
+		}
+		format, args := c.Msg()
+		path := strings.Join(c.Path(), ".")
+		path = strings.TrimPrefix(strings.TrimPrefix(path, "#Config."), "#List.")
+		e.Lines = append(e.Lines, fmt.Sprintf("%s: %s: %s", at, path, fmt.Sprintf(format, args...)))
+	}
+	return e
+}
+
+// Load reads and checks a configuration file. Relative paths in it are taken
+// from its folder.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c, err := Parse(path, text)
+	if err == nil && !filepath.IsAbs(c.Directory.File) {
+		c.Directory.File = filepath.Join(filepath.Dir(path), c.Directory.File)
+	}
+	return c, err
+}
+
+// Parse checks a configuration that was read from the named file.
+func Parse(name string, text []byte) (*Config, error) {
+	c := &Config{}
+	v, err := read(name, text, "#Config", c)
+	if err != nil {
+		return nil, err
+	}
+	bad := &Error{File: name}
+	fail := func(path, format string, args ...any) {
+		at := name
+		if p := v.LookupPath(cue.ParsePath(path)).Pos(); p.IsValid() {
+			at = fmt.Sprintf("%s:%d", name, p.Line())
+		}
+		bad.Lines = append(bad.Lines, fmt.Sprintf("%s: %s: %s", at, path, fmt.Sprintf(format, args...)))
+	}
+	unique := func(list string, n int, name func(int) string) map[string]bool {
+		seen := map[string]bool{}
+		for i := range n {
+			if seen[name(i)] {
+				fail(fmt.Sprintf("%s[%d].name", list, i), "%q stands twice; names must differ", name(i))
+			}
+			seen[name(i)] = true
+		}
+		return seen
+	}
+	unique("zones", len(c.Zones), func(i int) string { return c.Zones[i].Name })
+	unique("classes", len(c.Classes), func(i int) string { return c.Classes[i].Name })
+	kinds := unique("kinds", len(c.Kinds), func(i int) string { return c.Kinds[i].Name })
+	unique("partners", len(c.Partners), func(i int) string { return c.Partners[i].Name })
+	for i, k := range c.Classes {
+		if k.Aim <= 0 || k.Deadline < k.Aim {
+			fail(fmt.Sprintf("classes[%d].deadline", i), "%v must be at least the aim %v, and both above 0",
+				k.Deadline.D(), k.Aim.D())
+		}
+	}
+	for i, p := range c.Partners {
+		if !kinds[p.Kind] {
+			fail(fmt.Sprintf("partners[%d].kind", i), "%q is no kind; the kinds are under kinds", p.Kind)
+		}
+	}
+	if len(c.MQTT.Users) == 0 {
+		for i, l := range c.MQTT.Listen {
+			host, _, _ := net.SplitHostPort(l)
+			if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+				fail(fmt.Sprintf("mqtt.listen[%d]", i), "%q is not loopback; without mqtt.users it must be", l)
+			}
+		}
+	}
+	if c.Relay.Index >= c.Relay.Fleet {
+		fail("relay.index", "%d must be below relay.fleet %d", c.Relay.Index, c.Relay.Fleet)
+	}
+	if len(bad.Lines) > 0 {
+		return nil, bad
+	}
+	if _, err := choice.New(c.Settings(), 0); err != nil {
+		return nil, &Error{name, []string{name + ": " + err.Error()}}
+	}
+	return c, nil
+}
+
+// ParseList checks an endpoint list that was read from the named file.
+func ParseList(name string, text []byte) ([]Endpoint, error) {
+	var l struct{ Endpoints []Endpoint }
+	if _, err := read(name, text, "#List", &l); err != nil {
+		return nil, err
+	}
+	return l.Endpoints, nil
+}
+
+var effects = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
+
+// Settings are those of the decision module.
+func (c *Config) Settings() choice.Settings {
+	s := choice.Settings{
+		Index: c.Relay.Index, Fleet: c.Relay.Fleet, Workers: c.Relay.Workers, MaxHeld: c.Relay.Held,
+		MaxAttempts: c.Relay.Attempts, Tick: c.Relay.Tick.D(), MaxRetryAfter: c.Relay.MaxRetryAfter.D(),
+		ConnIdle: c.Relay.ConnIdle.D(), Halving: c.Relay.Halving, Listed: c.Relay.ListedRates,
+		Cancels: c.Relay.Cancels, ReportLimit: -1,
+		Rules: choice.Rules{AnswerGrace: c.Rules.AnswerGrace.D(), DrainGrace: c.Rules.DrainGrace.D(),
+			OverloadFactor: c.Rules.OverloadFactor, Fall: c.Rules.Fall.D(), ColdFrom: c.Rules.ColdFrom,
+			Cold: c.Rules.Cold.D(), OrderSettle: c.Rules.OrderSettle.D()},
+	}
+	for _, k := range c.Classes {
+		s.Classes = append(s.Classes, choice.Class{Name: k.Name, Aim: k.Aim.D(), Deadline: k.Deadline.D(),
+			Worth: k.Worth, LateShare: k.LateShare, Effect: effects[k.Effect], SameZone: k.SameZone,
+			Window: k.Window.D(), Ordered: k.Ordered})
+	}
+	for _, k := range c.Kinds {
+		s.Kinds = append(s.Kinds, choice.Kind{Apart: k.Apart, PerCall: k.PerCall})
+	}
+	for _, z := range c.Zones {
+		s.ZoneFee = append(s.ZoneFee, z.Fee)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/config/schema.cue
@@ -0,0 +1,128 @@
+// Configuration of a relay. Durations are Go durations ("250ms", "4s").
+#Dur:  string & =~"^([0-9]+(\\.[0-9]+)?(ns|us|ms|s|m|h))+$"
+#Name: string & =~"^[a-z0-9][a-z0-9._-]{0,62}$"
+#Addr: string & =~"^.+:[0-9]{1,5}$"
+
+#Class: {
+	name: #Name
+	// Delivered within aim, a message earns all its worth; after the deadline nothing.
+	aim:       #Dur
+	deadline:  #Dur
+	worth:     number & >=0 | *1
+	lateShare: number & >=0 & <=1 | *0
+	// safe: a repeat does no harm; keyed: the partner drops repeats of a key within window;
+	// unsafe: must never take effect twice.
+	effect:   "safe" | "keyed" | "unsafe"
+	window:   #Dur | *"0s"
+	sameZone: bool | *false
+	ordered:  bool | *false
+	if effect == "keyed" {
+		window: !="0s"
+	}
+}
+
+#Kind: {
+	name: #Name
+	// Endpoints are routes apart, each with limits and health of its own.
+	apart: bool | *false
+	// The partner promises that what it refuses with 429 or 503 never ran.
+	refusalNeverRan: bool | *false
+	// Messages in one call. Calls of several messages are not offered.
+	perCall: 1 | *1
+}
+
+#Partner: {
+	name: #Name
+	kind: #Name
+	path: string & =~"^/[!-~]*$" | *"/"
+	host: string & =~"^[!-~]*$" | *""
+}
+
+#Config: {
+	relay: {
+		name:  #Name | *"relay-1"
+		index: int & >=0 | *0
+		fleet: int & >=1 | *1
+		seed:  int & >=0 | *0
+		// Calls out at once; messages held, sent or not; attempts for one message.
+		workers:     int & >=1 & <=65536 | *64
+		held:        int & >=1 & <=1000000 | *4096
+		attempts:    int & >=1 & <=64 | *6
+		tick:        #Dur | *"5ms"
+		cancels:     bool | *true
+		listedRates: bool | *false
+		// The longest wait that clients are advised; 0s tells none.
+		maxRetryAfter: #Dur | *"10s"
+		connIdle:      #Dur | *"30s"
+		halving:       bool | *false
+		// What is out at an ordinary shutdown gets this long to finish.
+		shutdown: #Dur | *"5s"
+	}
+	zones: [...{name: #Name, fee: number & >=0 | *0}] | *[{name: "default", fee: 0}]
+	classes: [#Class, ...#Class]
+	kinds: [#Kind, ...#Kind]
+	partners: [#Partner, ...#Partner]
+	rules: {
+		answerGrace:    #Dur | *"0s"
+		drainGrace:     #Dur | *"1s"
+		overloadFactor: number & >0 | *2
+		fall:           #Dur | *"2s"
+		coldFrom:       number & >=0 & <=1 | *0.2
+		cold:           #Dur | *"10s"
+		orderSettle:    #Dur | *"0s"
+	}
+	limits: {
+		body:      int & >=1 & <=268435455 | *262144
+		arrivals:  int & >=1 | *4096
+		listBytes: int & >=1 | *16777216
+		identities: {
+			count: int & >=1 | *200000
+			keep:  #Dur | *"1h"
+		}
+	}
+	mqtt: {
+		listen: [...#Addr] | *["127.0.0.1:1883"]
+		connections:    int & >=1 | *20000
+		sessions:       int & >=1 | *20000
+		receiveMaximum: int & >=1 & <=65535 | *256
+		topicAliases:   int & >=0 & <=65535 | *16
+		// Answers owed to one session; further messages are not taken from it.
+		pending:       int & >=1 | *4096
+		sessionExpiry: #Dur | *"1h"
+		keepAlive:     #Dur | *"10m"
+		// Time for a CONNECT, and for the rest of a packet that began.
+		handshake:   #Dur | *"10s"
+		writeBuffer: int & >=4096 | *1048576
+		// Half packets of all connections together.
+		partialBytes: int & >=65536 | *67108864
+		// With no users anyone may connect, on loopback only.
+		users: [...{name: string & !="", bcrypt: string & =~"^\\$2[aby]\\$"}] | *[]
+	}
+	partnerCalls: {
+		headerBytes: int & >=256 | *16384
+		bodyBytes:   int & >=0 | *1048576
+		idlePerHost: int & >=0 | *64
+	}
+	directory: {
+		file: string & !=""
+	}
+	metrics: {
+		listen: =~"^(127\\.[0-9.]+|localhost|\\[::1\\]):[0-9]{1,5}$" | *""
+	}
+	log: {
+		level:  "debug" | "info" | "warn" | "error" | *"info"
+		format: "json" | "console" | *"json"
+	}
+}
+
+// The endpoint list.
+#Endpoint: {
+	addr:    #Addr
+	partner: #Name
+	zone:    #Name | *"default"
+	rate:    number & >=0 | *0
+	state:   "ready" | "draining" | "gone" | *"ready"
+}
+#List: {
+	endpoints: [...#Endpoint]
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,605 @@
+// Package core is the relay's centre: one goroutine owns the decision module,
+// the ledger of identities and all attempts. Whatever happens reaches it as
+// events in batches; it hands them to the module and carries out what comes
+// back. It decides nothing about delivery.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// Message is what a front hands in.
+type Message struct {
+	Identity string // who handed it in and what they call it; empty if nothing tells it apart
+	Class    int    // index in Config.Classes
+	Partner  int    // index in the relay's partners
+	Key      string // key of the order
+	Left     time.Duration
+	Body     []byte // not changed after the hand-in
+	Reply    Reply  // where "taken" and the final answer go
+}
+
+// Reply receives what becomes of one hand-in. Its methods run on the core's
+// goroutine: they must not block and must not call back into the core.
+type Reply interface {
+	// Taken is called once. With a nil error the message is owed an answer; it
+	// may have joined one under way, or an ended one whose answer follows.
+	Taken(err error)
+	// Answer is called once after Taken(nil), unless a later hand-in of the
+	// same identity has taken its place.
+	Answer(a ledger.Answer)
+}
+
+// Why a hand-in was not taken.
+var (
+	ErrBusy       = errors.New("core: inbox is full")
+	ErrStopping   = errors.New("core: relay is stopping")
+	ErrNoIdentity = errors.New("core: a class that must never take effect twice needs an identity")
+)
+
+// Call is one attempt as the caller of partners sees it.
+type Call struct {
+	ID      string // message, the same for each attempt
+	Host    string // endpoint address
+	Class   int
+	Partner int
+	Key     string
+	Idem    string // idempotency key; empty where the class keeps none
+	Body    []byte
+	Patient time.Duration // time-out, from the moment of sending
+	// End takes the attempt's outcome, once, from any goroutine.
+	End func(Ending)
+}
+
+// Ending is how an attempt ended on its socket.
+type Ending struct {
+	Outcome choice.Outcome
+	Took    time.Duration
+	Wait    time.Duration // told with a refusal
+}
+
+// Attempt is a call that is out.
+type Attempt interface {
+	// Abort ends the attempt on its socket and reports how: started if
+	// anything was handed to the kernel. ok is false if it had ended already,
+	// and its Ending is delivered or on its way.
+	Abort() (started, ok bool)
+	// Recall is Abort for an attempt of which not a byte was handed over; it
+	// reports false, and does nothing, for any other.
+	Recall() bool
+}
+
+// Caller calls partners.
+type Caller interface {
+	Send(Call) Attempt
+	CloseIdle(host string)
+}
+
+// Observer is told what passes, for metrics and logs; nil methods are not allowed.
+type Observer interface {
+	Taken(class int)
+	Answered(class int, a ledger.Answer, took time.Duration)
+	Attempted(class int, o choice.Outcome, took time.Duration)
+	Log(text string)
+	Gauge(held, out, identities, inbox int)
+}
+
+// Options of a Core.
+type Options struct {
+	Settings   choice.Settings
+	Seed       uint64
+	Apart      []bool // by partner: its endpoints are routes apart
+	Arrivals   int    // hand-ins that wait for the core; at the bound they are turned away with ErrBusy
+	Identities int
+	Keep       time.Duration
+	Caller     Caller
+	Observer   Observer
+}
+
+// message is one message from hand-in to final answer and last outcome.
+type message struct {
+	Message
+	id       string
+	entry    *ledger.Entry // nil without identity
+	taken    time.Duration
+	answered bool
+	due      time.Duration
+	tries    int
+	out      *attempt
+}
+
+type attempt struct {
+	m       *message
+	n       int
+	host    string
+	partner int
+	sent    time.Duration
+	end     time.Duration // time-out
+	sock    Attempt
+	place   int // in the heap, -1 if not there
+}
+
+// event is one entry of the inbox.
+type event struct {
+	arrival *Message
+	at      time.Duration
+	ended   *attempt
+	ending  Ending
+	listing *choice.Listing
+	drop    string // identity withdrawn
+	call    func()
+}
+
+// Core runs one relay.
+type Core struct {
+	opt   Options
+	ch    *choice.Chooser
+	led   *ledger.Ledger
+	epoch time.Time
+
+	mu       sync.Mutex
+	inbox    []event
+	arrivals int
+	stopping bool
+	wake     chan struct{}
+
+	// Owned by Run.
+	now      time.Duration
+	msgs     map[string]*message
+	byEntry  map[*ledger.Entry]*message
+	waits    timers
+	outs     map[*attempt]struct{}
+	wakeAt   time.Duration
+	next     uint64
+	owed     int
+	draining bool // shutting down: nothing further is taken
+	stopAt   time.Duration
+	batch    []choice.Event
+	spare    []event
+}
+
+// New returns a core; Run makes it work.
+func New(opt Options) (*Core, error) {
+	ch, err := choice.New(opt.Settings, opt.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("core: %w", err)
+	}
+	return &Core{opt: opt, ch: ch, led: ledger.New(opt.Identities, opt.Keep), epoch: time.Now(),
+		wake: make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
+		outs: map[*attempt]struct{}{}, wakeAt: -1, stopAt: -1}, nil
+}
+
+// Now is the core's monotonic clock.
+func (c *Core) Now() time.Duration { return time.Since(c.epoch) }
+
+func (c *Core) put(e event) error {
+	c.mu.Lock()
+	if e.arrival != nil {
+		if c.stopping || c.arrivals >= c.opt.Arrivals {
+			stopping := c.stopping
+			c.mu.Unlock()
+			if stopping {
+				return ErrStopping
+			}
+			return ErrBusy
+		}
+		c.arrivals++
+	}
+	c.inbox = append(c.inbox, e)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Submit hands a message in. An error means that it was not taken and Reply
+// will not be called. Outcomes, list news and answers are never turned away:
+// they are bounded by the calls out and by their sources.
+func (c *Core) Submit(m *Message) error { return c.put(event{arrival: m, at: c.Now()}) }
+
+// List hands in news of the endpoint list.
+func (c *Core) List(l choice.Listing) { _ = c.put(event{listing: &l}) }
+
+// Withdraw says that nobody wants the message of an identity any more.
+func (c *Core) Withdraw(identity string) { _ = c.put(event{drop: identity}) }
+
+// Inspect runs f on the core's goroutine and waits for it.
+func (c *Core) Inspect(ctx context.Context, f func(held, out int)) error {
+	done := make(chan struct{})
+	_ = c.put(event{call: func() { f(c.owed, len(c.outs)); close(done) }})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// stall is how late the core must wake to count as having stood still; then
+// it waits until the sockets' news of that time has come in.
+const (
+	stall  = 100 * time.Millisecond
+	settle = 10 * time.Millisecond
+)
+
+// Run works until ctx ends, then stops taking, gives what is out the time
+// grace to finish, has the rest answered by the module, and returns.
+func (c *Core) Run(ctx context.Context, grace time.Duration) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	done := ctx.Done()
+	last := c.Now()
+	for {
+		sleep := time.Hour
+		if at := c.nextTime(); at >= 0 {
+			sleep = max(0, at-c.Now())
+		}
+		timer.Reset(sleep)
+		before := c.Now()
+		fired := false
+		select {
+		case <-c.wake:
+		case <-timer.C:
+			fired = true
+		case <-done:
+			done = nil
+			c.mu.Lock()
+			c.stopping = true
+			c.mu.Unlock()
+			c.stopAt, c.draining = c.Now()+grace, true
+		}
+		c.now = c.Now()
+		if fired && c.now-before-sleep > stall || c.now-max(last, before) > sleep+stall {
+			c.settle()
+			c.now = c.Now()
+		}
+		last = c.now
+		c.work()
+		if c.draining && len(c.msgs) == 0 {
+			return
+		}
+	}
+}
+
+// settle waits, after the process stood still, until no news has come for a
+// moment: answers that lie in the kernel's buffers count as in time if they
+// came before the time-out did.
+func (c *Core) settle() {
+	seen := -1
+	for range 20 {
+		c.mu.Lock()
+		n := len(c.inbox)
+		c.mu.Unlock()
+		if n == seen {
+			return
+		}
+		seen = n
+		time.Sleep(settle)
+	}
+}
+
+func (c *Core) nextTime() time.Duration {
+	at := c.wakeAt
+	if len(c.waits) > 0 && (at < 0 || c.waits[0].end < at) {
+		at = c.waits[0].end
+	}
+	if c.stopAt >= 0 && (at < 0 || c.stopAt < at) {
+		at = c.stopAt
+	}
+	return at
+}
+
+// work takes in everything that happened and decides once.
+func (c *Core) work() {
+	c.mu.Lock()
+	events := c.inbox
+	c.inbox = c.spare[:0]
+	c.arrivals = 0
+	c.mu.Unlock()
+	c.batch = c.batch[:0]
+	recall := map[string]bool{}
+	for i := range events {
+		switch e := &events[i]; {
+		case e.ended != nil:
+			c.end(e.ended, e.ending)
+			if e.ending.Wait > 0 {
+				c.hold(e.ended, recall)
+			}
+		case e.arrival != nil:
+			c.arrive(e.arrival, e.at)
+		case e.listing != nil:
+			c.batch = append(c.batch, *e.listing)
+			c.listed(e.listing, recall)
+		case e.drop != "":
+			c.withdraw(e.drop)
+		case e.call != nil:
+			e.call()
+		}
+		events[i] = event{}
+	}
+	c.spare = events
+	if len(recall) > 0 {
+		c.recall(recall)
+	}
+	// Only now the time-outs: an answer in the same batch goes before its own.
+	for len(c.waits) > 0 && c.waits[0].end <= c.now {
+		c.abort(c.waits[0], choice.Timeout)
+	}
+	if c.stopAt >= 0 && c.now >= c.stopAt {
+		c.stopAt = -1
+		c.batch = append(c.batch, choice.Stop{})
+		for a := range c.outs {
+			c.abort(a, choice.Cancelled)
+		}
+	}
+	if c.wakeAt >= 0 && c.wakeAt <= c.now {
+		c.wakeAt = -1
+		c.batch = append(c.batch, choice.Woken{})
+	}
+	if len(c.batch) > 0 {
+		c.carryOut(c.ch.Step(c.now, c.batch))
+	}
+	c.opt.Observer.Gauge(c.owed, len(c.outs), c.led.Len(), len(events))
+}
+
+func (c *Core) arrive(in *Message, at time.Duration) {
+	k := &c.opt.Settings.Classes[in.Class]
+	if k.Effect == choice.Unsafe && in.Identity == "" {
+		in.Reply.Taken(ErrNoIdentity)
+		return
+	}
+	if c.draining {
+		in.Reply.Taken(ErrStopping)
+		return
+	}
+	m := &message{Message: *in, taken: c.now, due: at + min(in.Left, k.Deadline)}
+	if in.Identity != "" {
+		if e := c.led.Find(c.now, in.Identity); e != nil {
+			in.Reply.Taken(nil)
+			if e.Answer.Verdict != 0 {
+				in.Reply.Answer(e.Answer)
+			} else if old := c.byEntry[e]; old != nil {
+				old.Reply = in.Reply
+			}
+			return
+		}
+	}
+	c.next++
+	m.id = strconv.FormatUint(c.next, 36)
+	if in.Identity != "" {
+		e, err := c.led.Open(c.now, in.Identity, m.id, k.Effect == choice.Safe)
+		if err != nil {
+			in.Reply.Taken(err)
+			return
+		}
+		m.entry, c.byEntry[e] = e, m
+	}
+	c.msgs[m.id] = m
+	c.owed++
+	in.Reply.Taken(nil)
+	c.opt.Observer.Taken(in.Class)
+	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
+		Left: m.due - c.now, Key: in.Key})
+}
+
+// answer gives a message its one final answer.
+func (c *Core) answer(m *message, a ledger.Answer) {
+	if m.answered {
+		return
+	}
+	m.answered = true
+	c.owed--
+	if m.entry != nil {
+		c.led.End(c.now, m.entry, a)
+		delete(c.byEntry, m.entry)
+	}
+	m.Reply.Answer(a)
+	c.opt.Observer.Answered(m.Class, a, c.now-m.taken)
+	c.forget(m)
+}
+
+// forget frees a message that is answered and has nothing out.
+func (c *Core) forget(m *message) {
+	if m.answered && m.out == nil {
+		delete(c.msgs, m.id)
+	}
+}
+
+func (c *Core) withdraw(identity string) {
+	e := c.led.Find(c.now, identity)
+	if e == nil || e.Answer.Verdict != 0 {
+		return
+	}
+	m := c.byEntry[e]
+	c.batch = append(c.batch, choice.Withdrawn{ID: m.id})
+	c.answer(m, ledger.Answer{Verdict: ledger.Failed})
+}
+
+// end takes in an attempt's outcome from its socket.
+func (c *Core) end(a *attempt, e Ending) {
+	m := a.m
+	if m.out != a {
+		return
+	}
+	m.out = nil
+	delete(c.outs, a)
+	if a.place >= 0 {
+		heap.Remove(&c.waits, a.place)
+	}
+	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
+	served := e.Outcome == choice.Served
+	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.n, Outcome: e.Outcome,
+		Took: e.Took, Wait: e.Wait, Done: served || m.answered})
+	if served {
+		c.answer(m, ledger.Answer{Verdict: ledger.Delivered})
+	}
+	c.forget(m)
+}
+
+// abort ends an attempt for a time-out or a cancel. If its outcome was first,
+// that stands and comes by the inbox.
+func (c *Core) abort(a *attempt, why choice.Outcome) {
+	started, ok := a.sock.Abort()
+	if !ok {
+		if a.place >= 0 {
+			heap.Remove(&c.waits, a.place)
+		}
+		return
+	}
+	if !started { // not one byte was handed over: it cannot have run
+		if why = choice.NotSent; c.now >= a.end {
+			why = choice.NoConnection
+		}
+	}
+	c.end(a, Ending{Outcome: why, Took: c.now - a.sent})
+}
+
+// listed notes endpoints that no longer take new work.
+func (c *Core) listed(l *choice.Listing, recall map[string]bool) {
+	if l.Failed {
+		return
+	}
+	ready := map[string]bool{}
+	for _, h := range l.Hosts {
+		if h.State == choice.Ready {
+			ready[h.Addr] = true
+		} else {
+			recall[h.Addr] = true
+		}
+	}
+	if l.Whole {
+		for a := range c.outs {
+			if !ready[a.host] {
+				recall[a.host] = true
+			}
+		}
+	}
+}
+
+// hold notes endpoints that a told wait covers.
+func (c *Core) hold(a *attempt, recall map[string]bool) {
+	recall[a.host] = true
+	if c.opt.Apart[a.partner] {
+		return
+	}
+	for b := range c.outs {
+		if b.partner == a.partner {
+			recall[b.host] = true
+		}
+	}
+}
+
+// recall takes back attempts whose connection is not up yet, where the news
+// of this batch may have changed what the module would say: bytes must not go
+// out long after the decision that sent them.
+func (c *Core) recall(hosts map[string]bool) {
+	for a := range c.outs {
+		if hosts[a.host] && a.sock.Recall() {
+			c.end(a, Ending{Outcome: choice.NotSent, Took: c.now - a.sent})
+		}
+	}
+}
+
+// carryOut does what the module said, in its order.
+func (c *Core) carryOut(actions []choice.Action) {
+	for _, act := range actions {
+		switch act := act.(type) {
+		case choice.Send:
+			c.send(act)
+		case choice.Refuse:
+			if m := c.msgs[act.ID]; m != nil {
+				c.answer(m, ledger.Answer{Verdict: ledger.Refused, After: act.After})
+			}
+		case choice.Fail:
+			if m := c.msgs[act.ID]; m != nil {
+				c.answer(m, ledger.Answer{Verdict: ledger.Failed})
+			}
+		case choice.Cancel:
+			if m := c.msgs[act.ID]; m != nil && m.out != nil && m.out.n == act.Attempt {
+				a := m.out
+				started, ok := a.sock.Abort()
+				if !ok {
+					continue // the answer was first
+				}
+				e := Ending{Outcome: choice.Cancelled, Took: c.now - a.sent}
+				if !started {
+					e.Outcome = choice.NotSent
+				}
+				c.later(event{ended: a, ending: e})
+			}
+		case choice.CloseIdle:
+			c.opt.Caller.CloseIdle(act.Host)
+		case choice.Wake:
+			if at := c.now + act.After; c.wakeAt < 0 || at < c.wakeAt {
+				c.wakeAt = at
+			}
+		case choice.Log:
+			c.opt.Observer.Log(act.Text)
+		}
+	}
+}
+
+// later puts an event of the core's own into its next batch.
+func (c *Core) later(e event) { _ = c.put(e) }
+
+func (c *Core) send(s choice.Send) {
+	m := c.msgs[s.ID]
+	if m == nil {
+		return
+	}
+	a := &attempt{m: m, n: m.tries, host: s.Host, partner: m.Partner, sent: c.now,
+		end: c.now + s.Timeout}
+	m.tries++
+	m.out = a
+	c.outs[a] = struct{}{}
+	call := Call{ID: m.id, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Body: m.Body,
+		Patient: s.Timeout, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
+	if c.opt.Settings.Classes[m.Class].Effect == choice.Keyed {
+		call.Idem = m.idem()
+	}
+	heap.Push(&c.waits, a)
+	a.sock = c.opt.Caller.Send(call)
+}
+
+// idem is the idempotency key: the identity where there is one, so that a
+// hand-in at another relay carries the same.
+func (m *message) idem() string {
+	if m.Identity != "" {
+		return m.Identity
+	}
+	return m.id
+}
+
+// timers is a heap of attempts by time-out.
+type timers []*attempt
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].end < t[j].end }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+func (t *timers) Push(x any) {
+	a := x.(*attempt)
+	a.place = len(*t)
+	*t = append(*t, a)
+}
+func (t *timers) Pop() any {
+	old := *t
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	a.place = -1
+	return a
+}
--- /dev/null
+++ b/internal/mqttfront/conn.go
@@ -0,0 +1,714 @@
+package mqttfront
+
+import (
+	"bytes"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/mqtt"
+)
+
+// conn is one client's connection.
+type conn struct {
+	front   *Front
+	nb      *nbio.Conn
+	opened  time.Time
+	last    atomic.Int64 // unix ns of the last packet
+	since   atomic.Int64 // a half packet began; 0 for none
+	held    atomic.Int64 // bytes of it
+	ended   atomic.Bool
+	polite  atomic.Bool // DISCONNECT came, the will is off
+	greeted atomic.Bool // a CONNACK of 5.0 is out
+
+	// Reading; under mu, which is held by whoever handles packets.
+	mu      sync.Mutex
+	buf     []byte
+	state   state
+	version byte
+	s       *session
+	keep    time.Duration // 0 for none
+	aliases map[uint16]string
+
+	// Set at CONNECT, under the session's mu from then on.
+	window  int    // client's Receive Maximum
+	largest int    // client's Maximum Packet Size
+	problem bool   // reason strings are wanted
+	obuf    []byte // to write once the session is let go
+	dirty   bool
+}
+
+type state int
+
+const (
+	fresh state = iota
+	checking
+	connected
+)
+
+var (
+	errPending = errors.New("mqtt: session is owed too many answers")
+	errTopic   = errors.New("mqtt: topic names no class and partner of this relay")
+)
+
+// later queues bytes until flush; under the session's mu.
+func (c *conn) later(b []byte) {
+	if c.largest > 0 && len(b) > c.largest {
+		return // 3.1.2.11.4: as if it had been sent
+	}
+	c.obuf = append(c.obuf, b...)
+}
+
+// flush writes what later queued.
+func (c *conn) flush() {
+	c.s.mu.Lock()
+	c.write()
+	c.s.mu.Unlock()
+}
+
+// write is flush under the session's mu, for the order; it never blocks, and an
+// error closes the connection.
+func (c *conn) write() {
+	b := c.obuf
+	c.obuf, c.dirty = nil, false
+	if len(b) > 0 {
+		_, _ = c.nb.Write(b)
+	}
+}
+
+func (c *conn) reason(text string) string {
+	if !c.problem {
+		return ""
+	}
+	return text
+}
+
+// end says why, where the version has a way to, and closes.
+func (c *conn) end(code byte, reason string) {
+	if c.ended.Swap(true) {
+		return
+	}
+	c.front.opt.Observer.Closed(code)
+	if c.greeted.Load() {
+		_, _ = c.nb.Write(mqtt.AppendDisconnect(nil, code, reason))
+	}
+	_ = c.nb.Close()
+}
+
+// data takes in what the socket gave.
+func (c *conn) data(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.process(b)
+}
+
+// process handles whole packets and keeps the rest; under mu.
+func (c *conn) process(b []byte) {
+	own := len(c.buf) > 0
+	if own {
+		c.front.reserve(c, len(b))
+		c.buf = append(c.buf, b...)
+		b = c.buf
+	}
+	limit := c.front.max
+	if c.state != connected {
+		limit = min(limit, firstPacket)
+	}
+	for !c.ended.Load() && c.state != checking {
+		first, body, rest, ok, err := mqtt.Frame(b, limit)
+		if err != nil {
+			c.end(err.Code, err.Text)
+			break
+		}
+		if !ok {
+			break
+		}
+		c.last.Store(time.Now().UnixNano())
+		c.since.Store(0)
+		b = rest
+		if err := c.packet(first, body); err != nil {
+			c.refuse(err)
+			break
+		}
+		limit = c.front.max
+	}
+	if c.ended.Load() {
+		b = nil
+	}
+	if c.state == checking && len(b) > firstPacket {
+		c.end(mqtt.QuotaExceeded, "too much sent before the CONNACK")
+		b = nil
+	}
+	if c.s != nil {
+		c.flush()
+	}
+	switch {
+	case len(b) == 0:
+		c.buf = nil
+		c.since.Store(0)
+	case own:
+		c.buf = b[:len(b):len(b)]
+	default:
+		c.buf = bytes.Clone(b)
+	}
+	if len(b) > 0 && c.since.Load() == 0 {
+		c.since.Store(time.Now().UnixNano())
+	}
+	c.front.reserve(c, len(b)-int(c.held.Load()))
+}
+
+// refuse ends the connection for a fault, within CONNACK if none was sent.
+func (c *conn) refuse(err *mqtt.Error) {
+	if c.s != nil || c.ended.Load() {
+		c.end(err.Code, err.Text)
+		return
+	}
+	if c.version != 0 {
+		code := err.Code
+		if c.version != mqtt.V5 {
+			switch code {
+			case mqtt.UnsupportedVersion:
+				code = 1
+			case mqtt.BadIdentifier:
+				code = 2
+			case mqtt.BadUserOrPassword:
+				code = 4
+			case mqtt.NotAuthorized, mqtt.TopicNameInvalid, mqtt.RetainNotSupported:
+				code = 5
+			case mqtt.ServerBusy, mqtt.ServerUnavailable, mqtt.QuotaExceeded, mqtt.ServerShuttingDown:
+				code = 3
+			default:
+				code = 0
+			}
+		}
+		if code != 0 {
+			p := &mqtt.Props{ReasonString: err.Text}
+			_, _ = c.nb.Write(mqtt.AppendConnack(nil, c.version, false, code, p))
+		}
+	}
+	c.end(err.Code, err.Text)
+}
+
+// overdue ends a connection whose time for something is over.
+func (c *conn) overdue(now time.Time) {
+	wait := c.front.opt.Handshake
+	if since := c.since.Load(); since != 0 && now.UnixNano()-since > int64(wait) {
+		c.end(mqtt.ProtocolError, "packet was not finished in time")
+		return
+	}
+	c.mu.Lock()
+	st, keep := c.state, c.keep
+	c.mu.Unlock()
+	switch {
+	case st != connected && now.Sub(c.opened) > wait:
+		c.end(mqtt.ProtocolError, "no CONNECT in time")
+	case st == connected && keep > 0 && now.UnixNano()-c.last.Load() > int64(keep+keep/2):
+		c.end(mqtt.KeepAliveTimeout, "nothing came within one and a half keep-alive times")
+	}
+}
+
+// closed takes in the end of the connection.
+func (c *conn) closed() {
+	f := c.front
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	c.mu.Lock()
+	c.ended.Store(true)
+	s := c.s
+	c.buf = nil
+	f.reserve(c, -int(c.held.Load()))
+	c.mu.Unlock()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	if s.conn != c {
+		s.mu.Unlock()
+		return
+	}
+	s.conn, s.away, s.open = nil, time.Now(), 0
+	if c.polite.Load() {
+		s.will = nil
+	}
+	if s.will != nil {
+		s.willAt = s.away.Add(time.Duration(s.will.Props.WillDelay) * time.Second)
+	}
+	s.due()
+	s.mu.Unlock()
+	f.expire(s, time.Now())
+}
+
+// packet handles one packet.
+func (c *conn) packet(first byte, body []byte) *mqtt.Error {
+	kind := first >> 4
+	if c.state == fresh {
+		if kind != mqtt.CONNECT {
+			return &mqtt.Error{Code: mqtt.ProtocolError, Text: "first packet is no CONNECT"}
+		}
+		return c.connect(first, body)
+	}
+	switch kind {
+	case mqtt.PUBLISH:
+		return c.publish(first, body)
+	case mqtt.PUBACK, mqtt.PUBREC, mqtt.PUBCOMP:
+		a, err := mqtt.ParseAck(c.version, first, body)
+		if err != nil {
+			return err
+		}
+		c.s.mu.Lock()
+		c.s.acked(a)
+		c.s.mu.Unlock()
+	case mqtt.PUBREL:
+		return c.release(first, body)
+	case mqtt.SUBSCRIBE, mqtt.UNSUBSCRIBE:
+		return c.subscribe(first, body)
+	case mqtt.PINGREQ:
+		if first&0x0f != 0 || len(body) > 0 {
+			return &mqtt.Error{Code: mqtt.MalformedPacket, Text: "PINGREQ with flags or content"}
+		}
+		c.s.mu.Lock()
+		c.later(mqtt.AppendEmpty(nil, mqtt.PINGRESP))
+		c.s.mu.Unlock()
+	case mqtt.DISCONNECT:
+		return c.disconnect(first, body)
+	case mqtt.AUTH:
+		return &mqtt.Error{Code: mqtt.ProtocolError, Text: "AUTH without a method agreed on"}
+	default:
+		return &mqtt.Error{Code: mqtt.ProtocolError, Text: fmt.Sprintf("packet type %d from a client", kind)}
+	}
+	return nil
+}
+
+func (c *conn) disconnect(first byte, body []byte) *mqtt.Error {
+	d, err := mqtt.ParseDisconnect(c.version, first, body)
+	if err != nil {
+		return err
+	}
+	s := c.s
+	s.mu.Lock()
+	if d.Props.HasSessionExpiry() {
+		if s.expiry == 0 && d.Props.SessionExpiry != 0 {
+			s.mu.Unlock()
+			return &mqtt.Error{Code: mqtt.ProtocolError, Text: "session expiry was 0 and stays so"}
+		}
+		s.expiry = c.front.expiry(d.Props.SessionExpiry)
+	}
+	s.mu.Unlock()
+	c.polite.Store(d.Code != mqtt.DisconnectWithWill)
+	c.ended.Store(true)
+	_ = c.nb.Close()
+	return nil
+}
+
+func (f *Front) expiry(seconds uint32) time.Duration {
+	return min(time.Duration(seconds)*time.Second, f.opt.SessionExpiry)
+}
+
+// connect handles CONNECT: checks, then the password off the poller, then the session.
+func (c *conn) connect(first byte, body []byte) *mqtt.Error {
+	in, err := mqtt.ParseConnect(first, body)
+	if in != nil {
+		if c.version = in.Version; in.Version != mqtt.V311 && in.Version != mqtt.V5 && c.version > mqtt.V5 {
+			c.version = mqtt.V5
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if in.Props.HasAuth() {
+		return &mqtt.Error{Code: mqtt.BadAuthMethod, Text: "enhanced authentication is not offered"}
+	}
+	if in.ClientID == "" {
+		if in.Version == mqtt.V311 && !in.Clean {
+			return &mqtt.Error{Code: mqtt.BadIdentifier, Text: "an empty client identifier needs a clean session"}
+		}
+		in.Props.AssignedID = "auto-" + rand.Text()
+		in.ClientID = in.Props.AssignedID
+	}
+	if len(in.ClientID) > 256 {
+		return &mqtt.Error{Code: mqtt.BadIdentifier, Text: "client identifier is over 256 bytes"}
+	}
+	if w := in.Will; w != nil {
+		if w.Retain {
+			return &mqtt.Error{Code: mqtt.RetainNotSupported, Text: "retained messages are not offered"}
+		}
+		if _, _, err := c.front.route(w.Topic); err != nil {
+			return &mqtt.Error{Code: mqtt.TopicNameInvalid, Text: "will: " + err.Error()}
+		}
+		if len(w.Payload) > c.front.opt.Body {
+			return &mqtt.Error{Code: mqtt.PacketTooLarge, Text: "will payload is over the limit"}
+		}
+		w.Payload = bytes.Clone(w.Payload) // it outlives the packet
+		w.Props.Correlation = bytes.Clone(w.Props.Correlation)
+	}
+	if len(c.front.opt.Users) == 0 {
+		return c.admit(in)
+	}
+	if !in.HasUser {
+		return &mqtt.Error{Code: mqtt.BadUserOrPassword, Text: "user name and password are needed"}
+	}
+	if ok, _ := c.front.auth.quick(in.User, in.Password); ok {
+		return c.admit(in)
+	}
+	in.Password = bytes.Clone(in.Password)
+	in.Props.Correlation = nil
+	c.state = checking
+	go func() {
+		ok, err := c.front.auth.check(in.User, in.Password)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.ended.Load() {
+			return
+		}
+		c.state = fresh
+		var fail *mqtt.Error
+		switch {
+		case err != nil:
+			fail = &mqtt.Error{Code: mqtt.ServerBusy, Text: err.Error()}
+		case !ok:
+			fail = &mqtt.Error{Code: mqtt.BadUserOrPassword, Text: "user name or password is wrong"}
+		default:
+			fail = c.admit(in)
+		}
+		if fail != nil {
+			c.refuse(fail)
+			return
+		}
+		rest := c.buf
+		c.buf = nil
+		c.process(rest)
+	}()
+	return nil
+}
+
+// admit gives the client its session and says CONNACK.
+func (c *conn) admit(in *mqtt.Connect) *mqtt.Error {
+	f := c.front
+	keep := time.Duration(in.KeepAlive) * time.Second
+	ack := mqtt.Offers()
+	if in.Version == mqtt.V5 && f.opt.KeepAlive > 0 && (keep == 0 || keep > f.opt.KeepAlive) {
+		keep = f.opt.KeepAlive
+		ack.ServerKeepAlive = uint16(min(keep/time.Second, 65535))
+	}
+	expiry := time.Duration(0)
+	switch {
+	case in.Version == mqtt.V5:
+		expiry = f.expiry(in.Props.SessionExpiry)
+		if time.Duration(in.Props.SessionExpiry)*time.Second != expiry {
+			ack.SessionExpiry = uint32(expiry / time.Second)
+		}
+	case !in.Clean:
+		expiry = f.opt.SessionExpiry
+	}
+	f.mu.Lock()
+	if f.stopping {
+		f.mu.Unlock()
+		return &mqtt.Error{Code: mqtt.ServerShuttingDown, Text: "relay stops"}
+	}
+	old := f.sessions[in.ClientID]
+	if old != nil && old.user != in.User {
+		f.mu.Unlock()
+		return &mqtt.Error{Code: mqtt.NotAuthorized, Text: "client identifier belongs to another user"}
+	}
+	if old == nil && len(f.sessions) >= f.opt.Sessions {
+		f.mu.Unlock()
+		return &mqtt.Error{Code: mqtt.QuotaExceeded, Text: "as many sessions as are kept"}
+	}
+	s := old
+	var before *conn
+	var will *mqtt.Will
+	if s != nil {
+		s.mu.Lock()
+		before, will = s.conn, s.will
+		if s.conn == nil && !time.Now().Before(s.away.Add(s.expiry)) || in.Clean {
+			s.dead, s.conn = true, nil
+			s.due()
+			s.mu.Unlock()
+			s = nil
+		}
+	}
+	present := s != nil
+	if s == nil {
+		s = &session{id: in.ClientID, user: in.User, front: f, subs: map[string]byte{}, pend: map[string]*pending{}}
+		f.sessions[in.ClientID] = s
+		s.mu.Lock()
+	}
+	s.conn, s.version, s.expiry, s.will = c, in.Version, expiry, in.Will
+	s.epoch++
+	s.open = len(s.rel)
+	for _, fl := range s.rel {
+		fl.epoch = s.epoch
+	}
+	c.s, c.state, c.keep = s, connected, keep
+	c.window, c.largest, c.problem = 65535, 0, true
+	if in.Props.HasReceiveMaximum() {
+		c.window = int(in.Props.ReceiveMaximum)
+	}
+	if in.Props.HasMaximumPacket() {
+		c.largest = int(in.Props.MaximumPacket)
+	}
+	if in.Props.HasRequestProblem() {
+		c.problem = in.Props.RequestProblem == 1
+	}
+	s.due()
+	ack.AssignedID = in.Props.AssignedID
+	ack.ReceiveMaximum = uint16(f.opt.ReceiveMaximum)
+	ack.AliasMaximum = uint16(f.opt.TopicAliases)
+	ack.MaximumPacket = uint32(f.max)
+	if in.Props.RequestResponse == 1 {
+		ack.ResponseInfo = answersTopic(s.id)
+	}
+	c.later(mqtt.AppendConnack(nil, c.version, present, mqtt.Success, &ack))
+	s.resume()
+	c.write()
+	c.greeted.Store(c.version == mqtt.V5)
+	s.mu.Unlock()
+	f.mu.Unlock()
+	if before != nil {
+		go before.end(mqtt.SessionTakenOver, "another connection has this client identifier")
+	}
+	// A will of a connection that was taken over, or of a session that ends
+	// with it, is due at once unless its delay runs on with the session.
+	if will != nil && (!present || before != nil && will.Props.WillDelay == 0) {
+		go f.publishWill(s, will)
+	}
+	return nil
+}
+
+func answersTopic(clientID string) string { return "answers/" + clientID }
+
+// route finds class and partner of a topic send/<class>/<partner>.
+func (f *Front) route(topic string) (class, partner int, err error) {
+	rest, ok := strings.CutPrefix(topic, "send/")
+	if !ok {
+		return 0, 0, errTopic
+	}
+	name, to, ok := strings.Cut(rest, "/")
+	class, known := f.opt.Classes[name]
+	partner, there := f.opt.Partners[to]
+	if !ok || !known || !there {
+		return 0, 0, errTopic
+	}
+	return class, partner, nil
+}
+
+func (c *conn) publish(first byte, body []byte) *mqtt.Error {
+	p, err := mqtt.ParsePublish(c.version, first, body)
+	if err != nil {
+		return err
+	}
+	if p.Retain {
+		return &mqtt.Error{Code: mqtt.RetainNotSupported, Text: "retained messages are not offered"}
+	}
+	if p.Props.SubscriptionID != 0 {
+		return &mqtt.Error{Code: mqtt.ProtocolError, Text: "Subscription Identifier from a client"}
+	}
+	if p.Props.HasAlias() {
+		if p.Props.Alias == 0 || int(p.Props.Alias) > c.front.opt.TopicAliases {
+			return &mqtt.Error{Code: mqtt.TopicAliasInvalid, Text: "topic alias is 0 or over the maximum"}
+		}
+		if p.Topic == "" {
+			if p.Topic = c.aliases[p.Props.Alias]; p.Topic == "" {
+				return &mqtt.Error{Code: mqtt.ProtocolError, Text: "topic alias was not set"}
+			}
+		} else {
+			if c.aliases == nil {
+				c.aliases = map[uint16]string{}
+			}
+			c.aliases[p.Props.Alias] = p.Topic
+		}
+	} else if p.Topic == "" {
+		return &mqtt.Error{Code: mqtt.ProtocolError, Text: "no topic and no alias"}
+	}
+	if len(p.Payload) > c.front.opt.Body {
+		return &mqtt.Error{Code: mqtt.PacketTooLarge, Text: "payload is over the limit"}
+	}
+	return c.s.publish(c, &p)
+}
+
+// publish hands a message in, or finds the one that it repeats.
+func (s *session) publish(c *conn, p *mqtt.Publish) *mqtt.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != c {
+		return nil // taken over meanwhile
+	}
+	fl := &flow{id: p.ID, qos: p.QoS, epoch: s.epoch}
+	switch p.QoS {
+	case 1:
+		if old := s.flows[p.ID]; old != nil && p.Dup {
+			fl = old
+			if old.epoch == s.epoch && !old.taken {
+				return nil // its acknowledgement is on the way
+			}
+		}
+	case 2:
+		if old := s.rel[p.ID]; old != nil {
+			if old.epoch = s.epoch; old.taken {
+				c.later(mqtt.AppendAck(nil, s.version, mqtt.PUBREC, p.ID, mqtt.Success, ""))
+			}
+			return nil
+		}
+	}
+	if p.QoS > 0 {
+		fl.epoch = s.epoch
+		if s.open++; s.open > s.front.opt.ReceiveMaximum {
+			return &mqtt.Error{Code: mqtt.ReceiveMaxExceeded, Text: "more publishes than the Receive Maximum"}
+		}
+		if p.QoS == 1 {
+			s.remember(fl)
+		} else {
+			if s.rel == nil {
+				s.rel = map[uint16]*flow{}
+			}
+			s.rel[p.ID] = fl
+		}
+	}
+	s.handIn(p, fl)
+	return nil
+}
+
+// handIn submits a message under its identity; under mu.
+func (s *session) handIn(p *mqtt.Publish, fl *flow) {
+	f := s.front
+	class, partner, err := f.route(p.Topic)
+	if err != nil {
+		s.nack(fl, err)
+		return
+	}
+	known := fl.identity != ""
+	kept := s.expiry > 0 && fl.qos > 0
+	if !known {
+		if p.Props.HasCorrelation() {
+			fl.identity = fmt.Sprintf("c%d:%s%d:%s%s", len(s.user), s.user, len(s.id), s.id, p.Props.Correlation)
+		} else {
+			s.serial++
+			fl.identity = fmt.Sprintf("f%d:%s%d:%s%d.%d", len(s.user), s.user, len(s.id), s.id,
+				s.front.born, s.serial)
+		}
+	}
+	if old := s.pend[fl.identity]; old != nil { // under way, or its answer on the way to this session
+		if old.taken {
+			s.ack(fl)
+		} else if !slices.Contains(old.acks, fl) {
+			old.acks = append(old.acks, fl)
+		}
+		return
+	}
+	if len(s.pend) >= f.opt.Pending {
+		s.nack(fl, errPending)
+		return
+	}
+	pend := &pending{s: s, identity: fl.identity, topic: p.Props.ResponseTopic, packet: p.ID}
+	if pend.topic == "" {
+		pend.topic = answersTopic(s.id)
+	}
+	if p.Props.HasCorrelation() {
+		pend.corr = bytes.Clone(p.Props.Correlation)
+		if pend.corr == nil {
+			pend.corr = []byte{}
+		}
+	}
+	if fl.qos > 0 {
+		pend.acks = []*flow{fl}
+	}
+	m := &core.Message{Class: class, Partner: partner, Key: p.Props.Get("key"), Left: f.opt.Lives[class],
+		Body: bytes.Clone(p.Payload), Reply: &reply{pend}}
+	if p.Props.HasMessageExpiry() {
+		m.Left = min(m.Left, time.Duration(p.Props.MessageExpiry)*time.Second)
+	}
+	if p.Props.HasCorrelation() || kept {
+		m.Identity = fl.identity
+	}
+	s.pend[fl.identity] = pend
+	if err := f.opt.Core.Submit(m); err != nil {
+		delete(s.pend, fl.identity)
+		s.nack(fl, err)
+	}
+}
+
+// publishWill hands a will in as its client would have.
+func (f *Front) publishWill(s *session, w *mqtt.Will) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &mqtt.Publish{Topic: w.Topic, Payload: w.Payload, Props: w.Props}
+	s.handIn(p, &flow{epoch: s.epoch})
+}
+
+// release handles PUBREL.
+func (c *conn) release(first byte, body []byte) *mqtt.Error {
+	a, err := mqtt.ParseAck(c.version, first, body)
+	if err != nil {
+		return err
+	}
+	s := c.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	code := byte(mqtt.PacketIDNotFound)
+	if fl := s.rel[a.ID]; fl != nil {
+		code = mqtt.Success
+		delete(s.rel, a.ID)
+		s.open--
+	}
+	c.later(mqtt.AppendAck(nil, s.version, mqtt.PUBCOMP, a.ID, code, ""))
+	return nil
+}
+
+// subscribe handles SUBSCRIBE and UNSUBSCRIBE.
+func (c *conn) subscribe(first byte, body []byte) *mqtt.Error {
+	in, err := mqtt.ParseSubscribe(c.version, first, body)
+	if err != nil {
+		return err
+	}
+	if in.Props.SubscriptionID != 0 {
+		return &mqtt.Error{Code: mqtt.SubIDsNotSupported, Text: "subscription identifiers are not offered"}
+	}
+	s := c.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	codes := make([]byte, 0, len(in.Filters))
+	for _, f := range in.Filters {
+		code := f.QoS
+		_, there := s.subs[f.Topic]
+		if first>>4 == mqtt.UNSUBSCRIBE {
+			if code = mqtt.NoSubscription; there {
+				code = mqtt.Success
+			}
+			delete(s.subs, f.Topic)
+			codes = append(codes, code)
+			continue
+		}
+		switch {
+		case strings.HasPrefix(f.Topic, "$share/"):
+			code = mqtt.SharedNotSupported
+		case strings.ContainsAny(f.Topic, "+#"):
+			code = mqtt.WildcardNotSupported
+		case strings.HasPrefix(f.Topic, "send/") || strings.HasPrefix(f.Topic, "$"):
+			code = mqtt.NotAuthorized
+		case !there && len(s.subs) >= mostSubscriptions:
+			code = mqtt.QuotaExceeded
+		default:
+			s.subs[f.Topic] = f.QoS
+		}
+		if code >= 0x80 && c.version == mqtt.V311 {
+			code = 0x80
+		}
+		codes = append(codes, code)
+	}
+	kind := byte(mqtt.SUBACK)
+	if first>>4 == mqtt.UNSUBSCRIBE {
+		kind = mqtt.UNSUBACK
+	}
+	c.later(mqtt.AppendSuback(nil, c.version, kind, in.ID, codes))
+	s.pump()
+	return nil
+}
--- /dev/null
+++ b/internal/mqttfront/front.go
@@ -0,0 +1,392 @@
+// Package mqttfront is the relay's MQTT front: connections, sessions, and the
+// way of a PUBLISH into the core and of its final answer back. It is a delivery
+// service's door and no broker: what is published under send/<class>/<partner>
+// is handed in, and the only messages that come out are final answers, each to
+// the session that handed its message in.
+package mqttfront
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/crypto/bcrypt"
+
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/mqtt"
+)
+
+// Core is where messages are handed in.
+type Core interface {
+	Submit(*core.Message) error
+}
+
+// Observer is told what passes.
+type Observer interface {
+	// Connections and sessions now, half packets held, answers owed to sessions.
+	Front(connections, sessions int, partial int64)
+	// Closed counts connections that the front ended, by reason code.
+	Closed(code byte)
+	// NotTaken counts messages turned away at the door, by reason.
+	NotTaken(reason string)
+	Logf(format string, args ...any)
+}
+
+// Options of a Front. Every bound is per relay unless it says otherwise.
+type Options struct {
+	Listen         []string
+	Classes        map[string]int // index by name
+	Partners       map[string]int
+	Lives          []time.Duration // deadline by class
+	Body           int             // bytes of a payload at most
+	Connections    int             // at the bound new ones are closed at once
+	Sessions       int             // at the bound new ones are refused with 0x97
+	ReceiveMaximum int             // of each connection
+	TopicAliases   int
+	Pending        int // answers owed to one session; at the bound nothing is taken from it
+	Partial        int64
+	SessionExpiry  time.Duration
+	KeepAlive      time.Duration
+	Handshake      time.Duration // for a CONNECT, and for the rest of a begun packet
+	WriteBuffer    int           // bytes that wait for one connection; over it, it is closed
+	Users          map[string]string
+	Pollers        int
+	Core           Core
+	Observer       Observer
+}
+
+// Front serves MQTT.
+type Front struct {
+	opt    Options
+	engine *nbio.Engine
+	max    int // bytes of a packet
+	addrs  []string
+	born   int64 // tells serial numbers of this run from those of earlier ones
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	conns    map[*conn]struct{}
+	stopping bool
+
+	partial atomic.Int64 // bytes of half packets held
+	stop    chan struct{}
+	done    sync.WaitGroup
+	// fence orders the making of a conn before its use on a poller: the engine
+	// hands it over through the kernel, which the race detector cannot see.
+	fence atomic.Uint64
+	out   outbox
+	auth  authenticator
+}
+
+// most subscriptions and most bytes before CONNECT of one client.
+const (
+	mostSubscriptions = 64
+	firstPacket       = 64 << 10
+	overhead          = 8 << 10 // of a packet beside its payload
+	mostAuthWaiting   = 256
+)
+
+// New opens the listeners.
+func New(opt Options) (*Front, error) {
+	f := &Front{opt: opt, max: opt.Body + overhead, born: time.Now().UnixNano(), sessions: map[string]*session{}, conns: map[*conn]struct{}{},
+		stop: make(chan struct{})}
+	f.out.wake = make(chan struct{}, 1)
+	f.auth = authenticator{users: opt.Users, slots: make(chan struct{}, 2), known: map[string][32]byte{}}
+	if _, err := rand.Read(f.auth.salt[:]); err != nil {
+		return nil, fmt.Errorf("mqtt: %w", err)
+	}
+	f.engine = nbio.NewEngine(nbio.Config{Name: "mqtt", Network: "tcp", Addrs: opt.Listen,
+		Listen: f.listen, NPoller: max(1, opt.Pollers), ReadBufferSize: 64 << 10, MaxWriteBufferSize: opt.WriteBuffer})
+	f.engine.OnOpen(f.open)
+	f.engine.OnData(func(nb *nbio.Conn, b []byte) {
+		f.fence.Load()
+		if c, ok := nb.Session().(*conn); ok {
+			c.data(b)
+		}
+	})
+	f.engine.OnClose(func(nb *nbio.Conn, err error) {
+		f.fence.Load()
+		if c, ok := nb.Session().(*conn); ok {
+			c.closed()
+		}
+	})
+	f.engine.OnAcceptError(func(err error) { // out of descriptors, mostly: not in a hot loop
+		opt.Observer.Logf("mqtt: accept: %v", err)
+		time.Sleep(20 * time.Millisecond)
+	})
+	if err := f.engine.Start(); err != nil {
+		return nil, fmt.Errorf("mqtt: %w", err)
+	}
+	f.done.Add(2)
+	go f.write()
+	go f.janitor()
+	return f, nil
+}
+
+// Addrs are the addresses listened on.
+func (f *Front) Addrs() []string { return f.addrs }
+
+func (f *Front) listen(network, addr string) (net.Listener, error) {
+	l, err := net.Listen(network, addr)
+	if err == nil {
+		f.addrs = append(f.addrs, l.Addr().String())
+	}
+	return l, err
+}
+
+// Close says goodbye with reason 0x8B and ends all connections. Answers that
+// reached the front before are written first.
+func (f *Front) Close() {
+	f.mu.Lock()
+	f.stopping = true
+	conns := make([]*conn, 0, len(f.conns))
+	for c := range f.conns {
+		conns = append(conns, c)
+	}
+	f.mu.Unlock()
+	close(f.stop)
+	f.done.Wait()
+	for _, c := range conns {
+		c.end(mqtt.ServerShuttingDown, "relay stops")
+	}
+	f.engine.Stop()
+}
+
+func (f *Front) open(nb *nbio.Conn) {
+	c := &conn{front: f, nb: nb}
+	now := time.Now()
+	c.opened = now
+	c.last.Store(now.UnixNano())
+	f.mu.Lock()
+	full := len(f.conns) >= f.opt.Connections || f.stopping
+	if !full {
+		f.conns[c] = struct{}{}
+	}
+	f.mu.Unlock()
+	if full {
+		f.opt.Observer.Closed(mqtt.ServerBusy)
+		go nb.Close() // not within the poller's opening
+		return
+	}
+	nb.SetSession(c)
+	f.fence.Add(1)
+	_ = nb.SetNoDelay(true)
+}
+
+// janitor looks after everything that ends by time.
+func (f *Front) janitor() {
+	defer f.done.Done()
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		f.mu.Lock()
+		conns := make([]*conn, 0, len(f.conns))
+		for c := range f.conns {
+			conns = append(conns, c)
+		}
+		sessions := make([]*session, 0, 16)
+		for _, s := range f.sessions {
+			if s.dueAt.Load() <= now.UnixNano() {
+				sessions = append(sessions, s)
+			}
+		}
+		f.opt.Observer.Front(len(f.conns), len(f.sessions), f.partial.Load())
+		f.mu.Unlock()
+		for _, c := range conns {
+			c.overdue(now)
+		}
+		for _, s := range sessions {
+			f.expire(s, now)
+		}
+	}
+}
+
+// expire publishes a will that is due and drops a session whose time is over.
+func (f *Front) expire(s *session, now time.Time) {
+	f.mu.Lock()
+	s.mu.Lock()
+	if s.conn != nil {
+		s.mu.Unlock()
+		f.mu.Unlock()
+		return
+	}
+	over := !now.Before(s.away.Add(s.expiry))
+	will := s.will
+	if will != nil && !over && now.Before(s.willAt) {
+		will = nil
+	}
+	if will != nil {
+		s.will = nil
+	}
+	if over && f.sessions[s.id] == s {
+		delete(f.sessions, s.id)
+		s.dead = true
+	}
+	s.due()
+	s.mu.Unlock()
+	f.mu.Unlock()
+	if will != nil {
+		f.publishWill(s, will)
+	}
+}
+
+// reserve accounts for bytes of half packets. At the bound the connection that
+// holds most of them is closed.
+func (f *Front) reserve(c *conn, n int) {
+	c.held.Add(int64(n))
+	if f.partial.Add(int64(n)) <= f.opt.Partial || n <= 0 {
+		return
+	}
+	var most *conn
+	f.mu.Lock()
+	for o := range f.conns {
+		if most == nil || o.held.Load() > most.held.Load() {
+			most = o
+		}
+	}
+	f.mu.Unlock()
+	if most != nil {
+		most.end(mqtt.QuotaExceeded, "half packets hold too much memory")
+	}
+}
+
+// outbox carries what the core says to the goroutine that writes it, so that
+// the core waits for no socket. It holds at most one entry for each hand-in
+// that waits to be taken and one for each answer owed.
+type outbox struct {
+	mu   sync.Mutex
+	list []said
+	wake chan struct{}
+}
+
+type said struct {
+	r      *reply
+	answer ledger.Answer // no verdict: whether it was taken
+	err    error
+}
+
+func (o *outbox) put(s said) {
+	o.mu.Lock()
+	o.list = append(o.list, s)
+	first := len(o.list) == 1
+	o.mu.Unlock()
+	if first {
+		select {
+		case o.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (f *Front) write() {
+	defer f.done.Done()
+	var spare []said
+	var dirty []*conn
+	for {
+		stopping := false
+		select {
+		case <-f.out.wake:
+		case <-f.stop:
+			stopping = true
+		}
+		f.out.mu.Lock()
+		list := f.out.list
+		f.out.list = spare[:0]
+		f.out.mu.Unlock()
+		for i, s := range list {
+			p := s.r.pend
+			p.s.mu.Lock()
+			if s.answer.Verdict != 0 {
+				p.s.answered(p, s.answer)
+			} else {
+				p.s.taken(p, s.err)
+			}
+			if c := p.s.conn; c != nil && len(c.obuf) > 0 && !c.dirty {
+				c.dirty = true
+				dirty = append(dirty, c)
+			}
+			p.s.mu.Unlock()
+			list[i] = said{}
+		}
+		spare = list
+		for i, c := range dirty {
+			c.flush()
+			dirty[i] = nil
+		}
+		dirty = dirty[:0]
+		if stopping {
+			return
+		}
+	}
+}
+
+// authenticator checks passwords off the pollers, two at a time; a password
+// that was right is remembered by a salted hash, so that reconnects are cheap.
+type authenticator struct {
+	users   map[string]string // bcrypt by name; none: anyone
+	slots   chan struct{}
+	waiting atomic.Int32
+	salt    [32]byte
+	mu      sync.Mutex
+	known   map[string][32]byte // at most one for each user
+}
+
+var errBusy = errors.New("mqtt: too many connections wait for their password check")
+
+func (a *authenticator) quick(user string, password []byte) (ok, sure bool) {
+	hash, exists := a.users[user]
+	if !exists || hash == "" {
+		return false, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	known, there := a.known[user]
+	sum := a.sum(user, password)
+	return there && subtle.ConstantTimeCompare(known[:], sum[:]) == 1, there
+}
+
+func (a *authenticator) sum(user string, password []byte) [32]byte {
+	h := sha256.New()
+	h.Write(a.salt[:])
+	fmt.Fprintf(h, "%d:%s", len(user), user)
+	h.Write(password)
+	return [32]byte(h.Sum(nil))
+}
+
+// check blocks for as long as bcrypt takes. An unknown user costs the same.
+func (a *authenticator) check(user string, password []byte) (bool, error) {
+	if a.waiting.Add(1) > mostAuthWaiting {
+		a.waiting.Add(-1)
+		return false, errBusy
+	}
+	a.slots <- struct{}{}
+	defer func() { <-a.slots; a.waiting.Add(-1) }()
+	hash, exists := a.users[user]
+	if !exists {
+		for _, h := range a.users {
+			hash = h
+			break
+		}
+	}
+	if bcrypt.CompareHashAndPassword([]byte(hash), password) != nil || !exists {
+		return false, nil
+	}
+	a.mu.Lock()
+	a.known[user] = a.sum(user, password)
+	a.mu.Unlock()
+	return true, nil
+}
--- /dev/null
+++ b/internal/obs/obs.go
@@ -0,0 +1,235 @@
+// Package obs is what operators see from outside: structured logs, bounded in
+// rate, and metrics on a loopback listener.
+package obs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// Logger writes structured lines: JSON, or for people.
+func Logger(w io.Writer, level, format string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), fmt.Errorf("obs: %w", err)
+	}
+	if format == "console" {
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.RFC3339Nano}
+	}
+	return zerolog.New(w).Level(l).With().Timestamp().Logger(), nil
+}
+
+// outcomeNames by choice.Outcome.
+var outcomeNames = [...]string{"served", "error", "refused", "timeout", "no_connection", "reset", "cancelled",
+	"not_sent"}
+
+// Relay collects the metrics of one relay and writes its log. It is safe for
+// concurrent use.
+type Relay struct {
+	log      zerolog.Logger
+	registry *prometheus.Registry
+	classes  []string
+
+	taken    []prometheus.Counter
+	answers  [][4]prometheus.Observer
+	attempts [][len(outcomeNames)]prometheus.Observer
+	notTaken *prometheus.CounterVec
+	closed   *prometheus.CounterVec
+	lists    *prometheus.CounterVec
+	strange  prometheus.Counter
+	gauges   map[string]prometheus.Gauge
+
+	mu    sync.Mutex
+	lines map[string]*allowance
+}
+
+// allowance bounds the lines of one cause: so many at once, one more a second.
+type allowance struct {
+	left    float64
+	at      time.Time
+	dropped int
+}
+
+// burst lines of one cause at once; most causes remembered.
+const (
+	burst = 20
+	most  = 1024
+)
+
+// NewRelay registers the metrics for the classes named.
+func NewRelay(log zerolog.Logger, classes []string) *Relay {
+	r := &Relay{log: log, registry: prometheus.NewRegistry(), classes: classes, lines: map[string]*allowance{},
+		gauges: map[string]prometheus.Gauge{}}
+	r.registry.MustRegister(collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	buckets := prometheus.ExponentialBucketsRange(0.0005, 60, 24)
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "basaltcross", Name: name, Help: help}, labels)
+		r.registry.MustRegister(v)
+		return v
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		v := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "basaltcross", Name: name, Help: help,
+			Buckets: buckets}, labels)
+		r.registry.MustRegister(v)
+		return v
+	}
+	taken := counter("messages_taken_total", "Messages taken from clients.", "class")
+	answers := histogram("answer_seconds", "From taking a message to its final answer.", "class", "answer")
+	attempts := histogram("attempt_seconds", "From sending an attempt to its outcome.", "class", "outcome")
+	for _, c := range classes {
+		r.taken = append(r.taken, taken.WithLabelValues(c))
+		var a [4]prometheus.Observer
+		for v := ledger.Delivered; v <= ledger.Failed; v++ {
+			a[v] = answers.WithLabelValues(c, v.String())
+		}
+		r.answers = append(r.answers, a)
+		var o [len(outcomeNames)]prometheus.Observer
+		for i, name := range outcomeNames {
+			o[i] = attempts.WithLabelValues(c, name)
+		}
+		r.attempts = append(r.attempts, o)
+	}
+	r.notTaken = counter("messages_not_taken_total", "Messages turned away at the door.", "reason")
+	r.closed = counter("mqtt_closed_total", "Connections ended by the relay.", "code")
+	r.lists = counter("list_readings_total", "Readings of the endpoint list.", "result")
+	r.strange = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "basaltcross", Name: "unsolicited_bytes_total",
+		Help: "Times that a partner sent bytes without a request."})
+	r.registry.MustRegister(r.strange)
+	for name, help := range map[string]string{
+		"messages_held": "Messages taken and not yet answered.", "attempts_out": "Calls to partners that are out.",
+		"identities": "Identities kept.", "batch_events": "Events of the core's last batch.",
+		"mqtt_connections": "MQTT connections.", "mqtt_sessions": "MQTT sessions.",
+		"mqtt_partial_bytes": "Bytes of half packets held.", "endpoints": "Endpoints of the last good list.",
+	} {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "basaltcross", Name: name, Help: help})
+		r.registry.MustRegister(g)
+		r.gauges[name] = g
+	}
+	return r
+}
+
+// Taken, Answered, Attempted, Log and Gauge are the core's observer.
+
+func (r *Relay) Taken(class int) { r.taken[class].Inc() }
+
+func (r *Relay) Answered(class int, a ledger.Answer, took time.Duration) {
+	r.answers[class][a.Verdict].Observe(took.Seconds())
+}
+
+func (r *Relay) Attempted(class int, o choice.Outcome, took time.Duration) {
+	r.attempts[class][o].Observe(took.Seconds())
+}
+
+func (r *Relay) Gauge(held, out, identities, batch int) {
+	r.gauges["messages_held"].Set(float64(held))
+	r.gauges["attempts_out"].Set(float64(out))
+	r.gauges["identities"].Set(float64(identities))
+	r.gauges["batch_events"].Set(float64(batch))
+}
+
+// Log writes what the module has to say.
+func (r *Relay) Log(text string) { r.line(zerolog.InfoLevel, "module", text) }
+
+// Front, Closed, NotTaken and Logf are the MQTT front's observer.
+
+func (r *Relay) Front(connections, sessions int, partial int64) {
+	r.gauges["mqtt_connections"].Set(float64(connections))
+	r.gauges["mqtt_sessions"].Set(float64(sessions))
+	r.gauges["mqtt_partial_bytes"].Set(float64(partial))
+}
+
+func (r *Relay) Closed(code byte) { r.closed.WithLabelValues(fmt.Sprintf("0x%02x", code)).Inc() }
+
+func (r *Relay) NotTaken(reason string) {
+	r.notTaken.WithLabelValues(reason).Inc()
+	r.line(zerolog.WarnLevel, "not taken", reason)
+}
+
+// Info writes one line of the program's own.
+func (r *Relay) Info(text string) { r.log.Info().Msg(text) }
+
+func (r *Relay) Logf(format string, args ...any) {
+	r.line(zerolog.WarnLevel, format, fmt.Sprintf(format, args...))
+}
+
+// Unsolicited counts bytes that a partner sent without a request.
+func (r *Relay) Unsolicited(host string) {
+	r.strange.Inc()
+	r.line(zerolog.WarnLevel, "unsolicited", "bytes without a request from "+host)
+}
+
+// Listed counts a reading of the endpoint list.
+func (r *Relay) Listed(endpoints int, err error) {
+	if err != nil {
+		r.lists.WithLabelValues("broken").Inc()
+		r.line(zerolog.ErrorLevel, "list", "endpoint list is broken, the last good one stands: "+err.Error())
+		return
+	}
+	r.lists.WithLabelValues("good").Inc()
+	r.gauges["endpoints"].Set(float64(endpoints))
+}
+
+// line writes one line of a cause within its allowance; how many were left out
+// stands in the next.
+func (r *Relay) line(level zerolog.Level, cause, text string) {
+	if level < r.log.GetLevel() {
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	a := r.lines[cause]
+	if a == nil {
+		if len(r.lines) >= most {
+			clear(r.lines)
+		}
+		a = &allowance{left: burst, at: now}
+		r.lines[cause] = a
+	}
+	a.left, a.at = min(burst, a.left+now.Sub(a.at).Seconds()), now
+	if a.left < 1 {
+		a.dropped++
+		r.mu.Unlock()
+		return
+	}
+	a.left--
+	dropped := a.dropped
+	a.dropped = 0
+	r.mu.Unlock()
+	e := r.log.WithLevel(level)
+	if dropped > 0 {
+		e = e.Int("left_out", dropped)
+	}
+	e.Str("cause", cause).Msg(text)
+}
+
+// Serve answers /metrics, /healthz and the profiles on a loopback address until ctx ends.
+func (r *Relay) Serve(ctx context.Context, addr string) (net.Addr, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("obs: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	go func() { _ = s.Serve(l) }()
+	return l.Addr(), nil
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,204 @@
+// Package relay puts one relay together: fronts, core, partner calls, directory
+// and what operators see. Data goes front, core, partner, and back.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/internal/config"
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/directory"
+	"basaltcross.example/basaltcross/internal/mqttfront"
+	"basaltcross.example/basaltcross/internal/obs"
+	"basaltcross.example/basaltcross/internal/partner"
+)
+
+// Hooks let a test or an audit stand between the parts; nil ones do nothing.
+type Hooks struct {
+	Caller func(core.Caller) core.Caller
+	Sink   func(directory.Sink) directory.Sink
+	Core   func(mqttfront.Core) mqttfront.Core
+}
+
+// Relay is a running relay.
+type Relay struct {
+	cfg    *config.Config
+	obs    *obs.Relay
+	core   *core.Core
+	caller *partner.Caller
+	front  *mqttfront.Front
+	source directory.Source
+
+	// MetricsAddr is where the metrics are served, nil if nowhere.
+	MetricsAddr net.Addr
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// quietLog passes the engine's errors on and nothing else.
+type quietLog struct{ log zerolog.Logger }
+
+func (quietLog) SetLevel(int)         {}
+func (quietLog) Debug(string, ...any) {}
+func (quietLog) Info(string, ...any)  {}
+func (quietLog) Warn(string, ...any)  {}
+func (l quietLog) Error(f string, v ...any) {
+	l.log.Debug().Str("cause", "engine").Msgf(f, v...)
+}
+
+var engineOnce sync.Once
+
+func index[T any](list []T, name func(T) string) map[string]int {
+	m := make(map[string]int, len(list))
+	for i, e := range list {
+		m[name(e)] = i
+	}
+	return m
+}
+
+// names are those that an endpoint list may use.
+func names(cfg *config.Config) directory.Names {
+	n := directory.Names{Partners: index(cfg.Partners, func(p config.Partner) string { return p.Name }),
+		Zones: index(cfg.Zones, func(z config.Zone) string { return z.Name })}
+	kinds := index(cfg.Kinds, func(k config.Kind) string { return k.Name })
+	for _, p := range cfg.Partners {
+		n.Kinds = append(n.Kinds, kinds[p.Kind])
+	}
+	return n
+}
+
+// CheckList reads the endpoint list of a configuration once and counts its endpoints.
+func CheckList(cfg *config.Config) (int, error) {
+	f := directory.File{Path: cfg.Directory.File, Names: names(cfg), Most: cfg.Limits.ListBytes}
+	hosts, err := f.Load()
+	return len(hosts), err
+}
+
+// Start brings a relay up. It runs until Stop.
+func Start(cfg *config.Config, log zerolog.Logger, hooks Hooks) (_ *Relay, err error) {
+	engineOnce.Do(func() { // the engine library keeps these for the process
+		logging.SetLogger(quietLog{log})
+		nbio.MaxOpenFiles = 1 << 18
+	})
+	r := &Relay{cfg: cfg}
+	var classes []string
+	var lives []time.Duration
+	for _, k := range cfg.Classes {
+		classes, lives = append(classes, k.Name), append(lives, k.Deadline.D())
+	}
+	r.obs = obs.NewRelay(log, classes)
+	names := names(cfg)
+	var targets []partner.Target
+	var apart []bool
+	for i, p := range cfg.Partners {
+		k := cfg.Kinds[names.Kinds[i]]
+		apart = append(apart, k.Apart)
+		targets = append(targets, partner.Target{Path: p.Path, Host: p.Host, Promises: k.RefusalNeverRan})
+	}
+	pollers := max(1, runtime.GOMAXPROCS(0)/2)
+	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
+		Limits:      partner.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
+		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
+		Unsolicited: r.obs.Unsolicited})
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	var caller core.Caller = r.caller
+	if hooks.Caller != nil {
+		caller = hooks.Caller(caller)
+	}
+	seed := cfg.Relay.Seed
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	r.core, err = core.New(core.Options{Settings: cfg.Settings(), Seed: seed, Apart: apart,
+		Arrivals: cfg.Limits.Arrivals, Identities: cfg.Limits.Identities.Count,
+		Keep: cfg.Limits.Identities.Keep.D(), Caller: caller, Observer: r.obs})
+	if err != nil {
+		r.caller.Close()
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	var door mqttfront.Core = r.core
+	if hooks.Core != nil {
+		door = hooks.Core(door)
+	}
+	var sink directory.Sink = r.core
+	if hooks.Sink != nil {
+		sink = hooks.Sink(sink)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	source := &directory.File{Path: cfg.Directory.File, Names: names, Most: cfg.Limits.ListBytes, Report: r.obs.Listed}
+	r.source = source
+	fail := func(err error) (*Relay, error) {
+		cancel()
+		r.done.Wait()
+		r.caller.Close()
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	if cfg.Metrics.Listen != "" {
+		if r.MetricsAddr, err = r.obs.Serve(ctx, cfg.Metrics.Listen); err != nil {
+			return fail(err)
+		}
+	}
+	r.done.Add(2)
+	go func() {
+		defer r.done.Done()
+		r.core.Run(ctx, cfg.Relay.Shutdown.D())
+	}()
+	go func() {
+		defer r.done.Done()
+		if err := source.Run(ctx, sink); err != nil {
+			r.obs.Listed(0, err)
+		}
+	}()
+	users := map[string]string{}
+	for _, u := range cfg.MQTT.Users {
+		users[u.Name] = u.Bcrypt
+	}
+	m := &cfg.MQTT
+	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen,
+		Classes: index(cfg.Classes, func(k config.Class) string { return k.Name }), Partners: names.Partners,
+		Lives: lives, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
+		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
+		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
+		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users, Pollers: pollers,
+		Core: door, Observer: r.obs})
+	if err != nil {
+		return fail(err)
+	}
+	r.obs.Info(fmt.Sprintf("relay %s takes messages on %v", cfg.Relay.Name, r.front.Addrs()))
+	return r, nil
+}
+
+// Addrs are the MQTT addresses listened on.
+func (r *Relay) Addrs() []string { return r.front.Addrs() }
+
+// Stop takes nothing further, lets what is out finish within the configured
+// time, answers the rest, hands the answers over and closes everything.
+func (r *Relay) Stop() {
+	r.stop()
+	r.done.Wait()
+	r.front.Close()
+	r.caller.Close()
+}
+
+// Inspect tells what the relay holds now.
+func (r *Relay) Inspect(ctx context.Context) (held, out int, err error) {
+	err = r.core.Inspect(ctx, func(h, o int) { held, out = h, o })
+	return
+}
+
+var _ directory.Sink = (*core.Core)(nil)
+var _ mqttfront.Core = (*core.Core)(nil)
+var _ core.Caller = (*partner.Caller)(nil)
--- /dev/null
+++ b/internal/testutil/testutil.go
@@ -0,0 +1,111 @@
+// Package testutil brings up a relay with stand-ins for tests.
+package testutil
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/internal/config"
+	"basaltcross.example/basaltcross/internal/relay"
+	"basaltcross.example/basaltcross/internal/standin"
+)
+
+// Config is a configuration with a safe, a keyed and an ordered at-most-once
+// class and partners p0, p1, ... of a kind that promises refusals.
+func Config(list string, partners int, extra string) string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `
+classes: [
+	{name: "status", aim: "1s", deadline: "6s", worth: 1, lateShare: 0.3, effect: "safe"},
+	{name: "order", aim: "1s", deadline: "6s", worth: 2, lateShare: 0.3, effect: "keyed", window: "10s"},
+	{name: "charge", aim: "1s", deadline: "6s", worth: 5, lateShare: 0.3, effect: "unsafe", ordered: true},
+]
+kinds: [{name: "bank", refusalNeverRan: true}]
+directory: file: %q
+mqtt: listen: ["127.0.0.1:0"]
+partners: [`, list)
+	for i := range partners {
+		fmt.Fprintf(&b, "{name: \"p%d\", kind: \"bank\"},", i)
+	}
+	fmt.Fprintf(&b, "]\n%s\n", extra)
+	return b.String()
+}
+
+// Bed is a relay with its stand-ins.
+type Bed struct {
+	T        testing.TB
+	Relay    *relay.Relay
+	Rec      *standin.Recorder
+	List     string
+	Partners []*standin.Partner
+	Ends     []*standin.Endpoint
+	states   map[string]string
+}
+
+// New starts so many partners with two endpoints each, and a relay over them.
+func New(t testing.TB, partners int, model standin.Model, extra string, hooks relay.Hooks) *Bed {
+	t.Helper()
+	b := &Bed{T: t, Rec: standin.NewRecorder(1 << 20), List: filepath.Join(t.TempDir(), "list.cue"),
+		states: map[string]string{}}
+	for i := range partners {
+		p := standin.NewPartner(fmt.Sprintf("p%d", i), model, uint64(i+1))
+		b.Partners = append(b.Partners, p)
+		for range 2 {
+			e, err := standin.Start("127.0.0.1:0", p, b.Rec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(e.Close)
+			b.Ends = append(b.Ends, e)
+		}
+	}
+	b.WriteList()
+	cfg, err := config.Parse("test.cue", []byte(Config(b.List, partners, extra)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Relay, err = relay.Start(cfg, zerolog.Nop(), hooks)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Relay.Stop)
+	return b
+}
+
+// State sets what the list says of an endpoint.
+func (b *Bed) State(addr, state string) { b.states[addr] = state }
+
+// WriteList replaces the list file.
+func (b *Bed) WriteList() {
+	var text bytes.Buffer
+	text.WriteString("endpoints: [\n")
+	for _, e := range b.Ends {
+		state := b.states[e.Addr]
+		if state == "" {
+			state = "ready"
+		}
+		fmt.Fprintf(&text, "{addr: %q, partner: %q, state: %q},\n", e.Addr, e.Partner.Name, state)
+	}
+	text.WriteString("]\n")
+	tmp := b.List + ".new"
+	if err := os.WriteFile(tmp, text.Bytes(), 0o600); err != nil {
+		b.T.Fatal(err)
+	}
+	if err := os.Rename(tmp, b.List); err != nil {
+		b.T.Fatal(err)
+	}
+}
+
+// Context ends long after any test.
+func Context(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
