--- a/choice/choice.go
+++ b/choice/choice.go
@@ -545,7 +545,7 @@
 	}
 	k, h, u, d := m.call, m.call.host, m.call.host.unit, m.dest
 	m.call, m.last = nil, h
-	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // also with an error: a wait is told, whatever came of the call
+	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // with an error too: a told wait is heeded
 	if k.members = remove(k.members, m); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
 		u.outs = remove(u.outs, k)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -679,3 +679,32 @@
 		t.Errorf("%d destinations and %d hosts remembered after all left", len(r.c.dests), len(r.c.hosts))
 	}
 }
+
+func TestStopAnswersWhatWaits(t *testing.T) {
+	r := newRig(t, settings(), Host{Addr: "a", Dest: 1, State: Ready})
+	r.step(Arrival{ID: "out", Class: 2, Dest: 1, Left: 10 * time.Second})
+	r.step(Arrival{ID: "ran", Class: 2, Dest: 1, Left: 10 * time.Second})
+	r.step(Listing{Whole: true, Hosts: []Host{{Addr: "a", Dest: 1, State: Draining}}})
+	r.step(Arrival{ID: "waits", Class: 0, Dest: 1, Left: 10 * time.Second})
+	acts := r.step(Stop{}, r.end("ran", "a", Cancelled))
+	if !slices.Contains(acts, Action(Refuse{ID: "waits"})) || !slices.Contains(acts, Action(Fail{ID: "ran"})) {
+		t.Fatalf("at the stop: %v", acts)
+	}
+	acts = r.step(Listing{Whole: true, Hosts: []Host{{Addr: "a", Dest: 1, State: Ready}}}, r.end("out", "a", NotSent))
+	if len(sends(acts)) > 0 || !slices.Contains(acts, Action(Refuse{ID: "out"})) {
+		t.Fatalf("after the stop, with its result: %v", acts)
+	}
+}
+
+func TestWaitToldWithAnErrorIsKept(t *testing.T) {
+	r := newRig(t, settings(), Host{Addr: "a", Dest: 1, State: Ready})
+	r.step(Arrival{ID: "m1", Class: 0, Dest: 1, Left: 10 * time.Second})
+	r.step(r.end("m1", "a", Error, func(e *Result) { e.Wait = 3 * time.Second }))
+	r.step(Arrival{ID: "m2", Class: 0, Dest: 1, Left: 10 * time.Second})
+	if s := sends(r.after(2900 * ms)); len(s) > 0 {
+		t.Fatalf("sent within the wait: %v", s)
+	}
+	if s := sends(r.after(3 * time.Second)); len(s) == 0 {
+		t.Fatal("nothing sent after the wait")
+	}
+}
