--- a/choice/api.go
+++ b/choice/api.go
@@ -73,6 +73,7 @@
 	Listed        bool      // Host.Rate is the rate that a destination takes from all relays
 	Cancels       bool      // Cancel is allowed
 	Subscribe     bool      // list changes come only after Subscribe
+	Certain       bool      // refuse only what certainly never ran; else also what may safely come again
 	// ReportLimit is the place in Result.Report of the limit in calls a second;
 	// below 0 where it is not reported.
 	ReportLimit int
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -656,7 +656,8 @@
 
 // final answers a message that is not out: refused where that is lawful, else failed.
 func (c *Chooser) final(m *message) {
-	if !m.ran || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone {
+	harmless := m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone
+	if !m.ran || harmless && !c.set.Certain {
 		c.act(Refuse{m.ID, c.back(m.dest)})
 	} else {
 		c.act(Fail{m.ID})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -708,3 +708,16 @@
 		t.Fatal("nothing sent after the wait")
 	}
 }
+
+func TestRefusedNeverRan(t *testing.T) {
+	for class := range 2 { // safe, keyed
+		s := settings()
+		s.Certain, s.MaxAttempts = true, 1
+		r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+		r.step(arrival("m", class))
+		acts := r.step(r.end("m", "a", Reset))
+		if !slices.Contains(acts, Action(Fail{ID: "m"})) {
+			t.Errorf("class %d may have run: %v", class, acts)
+		}
+	}
+}
--- a/internal/badday/plant.go
+++ b/internal/badday/plant.go
@@ -67,14 +67,11 @@
 		}
 	case "flood-cold":
 		c.End = func(e core.Ending) {
-			if e.Outcome != choice.Served {
+			if e.Outcome == choice.NoConnection || e.Outcome == choice.Refused && e.Wait == 0 {
 				e = core.Ending{Outcome: choice.NotSent}
 			}
 			end(e)
 		}
-		if c.Patient > 300*time.Millisecond {
-			c.Patient = 300 * time.Millisecond
-		}
 	}
 	return b.Caller.Send(c)
 }
--- /dev/null
+++ b/internal/badday/script.cue
@@ -0,0 +1,24 @@
+#Dur: string & =~"^([0-9]+(\\.[0-9]+)?(ms|s|m))+$"
+
+// One trouble: from at, for so long, at a part of what it strikes, with a size.
+#Trouble: {
+	name: "burst" | "hot_caller" | "hot_key" | "hang" | "crash" | "fast_errors" | "slow" | "shared_slow" |
+		"heavy_tail" | "pauses" | "vanish" | "throttle" | "give_up" | "answer_lost" | "class_fail" |
+		"idle_reap" | "handshake_slow" | "deploy" | "preempt" | "discovery_down" | "balancer_crash" |
+		"balancer_roll" | "balancer_stall"
+	at:   #Dur
+	for:  #Dur
+	part: number & >0 & <=1 | *0.34
+	size: number & >=0 | *0
+}
+
+#Script: {
+	seed:     int & >=0 | *1
+	relays:   int & >=1 & <=16 | *3
+	clients:  int & >=1 & <=64 | *9
+	partners: int & >=1 & <=64 | *6
+	// Messages a second of all clients together.
+	rate:  number & >0 | *150
+	lasts: #Dur | *"20s"
+	troubles: [...#Trouble] | *[]
+}
--- /dev/null
+++ b/internal/badday/sender.go
@@ -0,0 +1,184 @@
+package badday
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/client"
+)
+
+// handIn is one time that a client handed a message in, and what came of it.
+type handIn struct {
+	id, class, partner, key, client string
+	relay                           int
+	number                          int // of the client's hand-ins, in order
+	try                             int
+	first                           time.Time // when the message was first handed in
+	at                              time.Time
+	left                            time.Duration // asked for: what is left of its time
+	taken                           bool          // the relay said so
+	orphan                          bool          // its relay was killed while it was owed an answer
+	answers                         []client.Answer
+}
+
+// sender is one client program. It hands messages in one after the other, so
+// that those of a key have an order, and comes again as clients do.
+type sender struct {
+	day   *day
+	name  string
+	relay int
+	queue chan *handIn
+
+	mu     sync.Mutex
+	hands  []*handIn
+	last   map[string]*handIn // newest hand-in by message
+	cl     *client.Client
+	stray  int // answers to nothing
+	number int
+	gaps   [][2]time.Time    // not connected
+	keys   map[string]string // by message, for the audit
+}
+
+const (
+	mostTries = 3
+	sendTime  = 8 * time.Second
+)
+
+func newSender(d *day, i int) *sender {
+	return &sender{day: d, name: fmt.Sprintf("client-%d", i), relay: i % d.script.Relays,
+		queue: make(chan *handIn, 100000), last: map[string]*handIn{}}
+}
+
+func (s *sender) answer(a client.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.last[a.ID]
+	if h == nil {
+		s.stray++
+		return
+	}
+	h.answers = append(h.answers, a)
+	if a.Answer == "refused" && len(h.answers) == 1 && h.try < mostTries {
+		s.again(h, max(a.After, 100*time.Millisecond))
+	}
+}
+
+// again hands a message in once more after a while; under mu.
+func (s *sender) again(h *handIn, after time.Duration) {
+	n := &handIn{id: h.id, class: h.class, partner: h.partner, key: h.key, client: h.client, try: h.try + 1,
+		first: h.first}
+	time.AfterFunc(after, func() {
+		if time.Now().Before(s.day.until) {
+			s.queue <- n
+		}
+	})
+}
+
+// connect finds a relay that lets it in.
+func (s *sender) connect(ctx context.Context) *client.Client {
+	for ctx.Err() == nil {
+		dial, cancel := context.WithTimeout(ctx, sendTime)
+		cl, err := client.Dial(dial, s.day.relays[s.relay].addr(), client.Options{ID: s.name, Expiry: 120, On: s.answer})
+		cancel()
+		if err == nil {
+			return cl
+		}
+		s.mu.Lock()
+		s.relay = (s.relay + 1) % s.day.script.Relays
+		s.mu.Unlock()
+		time.Sleep(30 * time.Millisecond)
+	}
+	return nil
+}
+
+func (s *sender) run(ctx context.Context) {
+	var next *handIn
+	for ctx.Err() == nil {
+		away := time.Now()
+		cl := s.connect(ctx)
+		if cl == nil {
+			return
+		}
+		s.mu.Lock()
+		s.gaps = append(s.gaps, [2]time.Time{away, time.Now()})
+		s.cl = cl
+		relay := s.relay
+		s.mu.Unlock()
+		for connected := true; connected; {
+			if next == nil {
+				select {
+				case next = <-s.queue:
+				case <-cl.Lost():
+					connected = false
+					continue
+				case <-ctx.Done():
+					cl.Cut()
+					return
+				}
+			}
+			h := next
+			s.mu.Lock()
+			h.relay, h.at, h.left = relay, time.Now(), deadline
+			if h.first.IsZero() {
+				h.first = h.at
+			} else if h.left = (deadline - h.at.Sub(h.first)).Truncate(time.Second); h.left < time.Second {
+				s.mu.Unlock()
+				next = nil
+				continue // nobody waits for it any more
+			}
+			s.number++
+			h.number = s.number
+			s.hands = append(s.hands, h)
+			s.last[h.id] = h
+			s.mu.Unlock()
+			next = nil
+			send, cancel := context.WithTimeout(ctx, sendTime)
+			go func() { // a lost connection does not end a publish by itself
+				select {
+				case <-cl.Lost():
+					cancel()
+				case <-send.Done():
+				}
+			}()
+			err := cl.Send(send, client.Message{ID: h.id, Class: h.class, Partner: h.partner, Key: h.key,
+				Expiry: uint32(h.left / time.Second), Body: fmt.Appendf(nil, "%s %d %s", h.id, h.number, s.name)})
+			cancel()
+			select {
+			case <-cl.Lost():
+				connected = false
+			default:
+			}
+			s.mu.Lock()
+			if err == nil {
+				h.taken = true
+			} else if connected && h.try < mostTries { // turned away at the door
+				s.again(h, 200*time.Millisecond)
+			} else if h.class != "charge" && h.try < mostTries { // nobody knows: safe or keyed comes again
+				s.again(h, 100*time.Millisecond)
+			}
+			s.mu.Unlock()
+		}
+		s.lost(relay)
+	}
+}
+
+// lost deals with the end of a connection: what a dead relay held comes again
+// at another, unless it may have taken effect and may not be repeated.
+func (s *sender) lost(relay int) {
+	time.Sleep(20 * time.Millisecond) // the day notes a kill before it kills; a roll's last answers come in
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hands {
+		if h.relay == relay && h.taken && !h.orphan && len(h.answers) == 0 && s.day.relays[relay].killedAfter(h.at) {
+			h.orphan = true
+			if h.class != "charge" && s.last[h.id] == h && h.try < mostTries {
+				s.again(h, 300*time.Millisecond)
+			}
+		}
+	}
+	if s.day.relays[relay].down() {
+		s.relay = (relay + 1) % s.day.script.Relays
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -295,7 +295,7 @@
 		Index: c.Relay.Index, Fleet: c.Relay.Fleet, Workers: c.Relay.Workers, MaxHeld: c.Relay.Held,
 		MaxAttempts: c.Relay.Attempts, Tick: c.Relay.Tick.D(), MaxRetryAfter: c.Relay.MaxRetryAfter.D(),
 		ConnIdle: c.Relay.ConnIdle.D(), Halving: c.Relay.Halving, Listed: c.Relay.ListedRates,
-		Cancels: c.Relay.Cancels, ReportLimit: -1,
+		Cancels: c.Relay.Cancels, ReportLimit: -1, Certain: true,
 		Rules: choice.Rules{AnswerGrace: c.Rules.AnswerGrace.D(), DrainGrace: c.Rules.DrainGrace.D(),
 			OverloadFactor: c.Rules.OverloadFactor, Fall: c.Rules.Fall.D(), ColdFrom: c.Rules.ColdFrom,
 			Cold: c.Rules.Cold.D(), OrderSettle: c.Rules.OrderSettle.D()},
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -18,6 +19,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -79,7 +81,7 @@
 	What       string
 	Effect     bool
 	Wait       time.Duration // told with a refusal
-	Gone       bool          // the caller had closed when the call ended
+	Left       time.Time     // when the caller closed, if it did so first
 }
 
 // Partner is the state that the endpoints of a partner share.
@@ -103,6 +105,8 @@
 	waiting int
 	free    chan struct{}
 	falls   []Fall
+	saw     map[string]bool // relays that met a failure in this outage
+	returns int
 }
 
 type arrival struct {
@@ -113,7 +117,8 @@
 // Fall is one time that a partner was pushed over.
 type Fall struct {
 	At    time.Time
-	Calls map[string]int // within the window, by relay
+	Calls map[string]int  // within the window, by relay
+	Saw   map[string]bool // relays that had met a failure there in the outage
 }
 
 // Recorder keeps the records of all stand-ins of a run; at its bound it keeps
@@ -151,16 +156,41 @@
 		at: time.Now(), tokens: 1}
 }
 
-// Outage says that the partner is, or is no longer, in an outage.
-func (p *Partner) Outage(down bool) {
+// Outage says that the partner is, or is no longer, in an outage. Relays whose
+// calls arrive during it count as having met a failure; where none can arrive,
+// those named do.
+func (p *Partner) Outage(down bool, saw ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down && !down {
 		p.back, p.load = time.Now(), nil
+		p.returns++
+	}
+	if !p.down && down {
+		p.saw = map[string]bool{}
+	}
+	for _, r := range saw {
+		p.saw[r] = true
 	}
 	p.down = down
 }
 
+// Returns counts the ends of outages.
+func (p *Partner) Returns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.returns
+}
+
+// cold is the share of its capacity that a partner has now; under mu.
+func (p *Partner) cold(now time.Time) float64 {
+	m := &p.Model
+	if p.back.IsZero() || m.Cold <= 0 {
+		return 1
+	}
+	return min(1, m.ColdFrom+(1-m.ColdFrom)*now.Sub(p.back).Seconds()/m.Cold.Seconds())
+}
+
 // Falls are the times that it was pushed over.
 func (p *Partner) Falls() []Fall {
 	p.mu.Lock()
@@ -250,9 +280,16 @@
 	c.Body = string(body)
 	t := e.trouble()
 	e.Partner.arrived(&c)
+	var left atomic.Int64
+	stop := context.AfterFunc(r.Context(), func() { left.Store(time.Now().UnixNano()) })
 	defer func() {
+		stop()
 		c.End = time.Now()
-		c.Gone = r.Context().Err() != nil
+		if r.Context().Err() != nil {
+			if c.Left = c.End; left.Load() != 0 {
+				c.Left = time.Unix(0, left.Load())
+			}
+		}
 		e.rec.add(c)
 	}()
 	st, _ := r.Context().Value(connKey{}).(*connState)
@@ -337,17 +374,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := &p.Model
+	if p.down {
+		p.saw[c.Relay] = true
+	}
 	if m.Fall <= 0 || m.Capacity <= 0 || p.back.IsZero() || p.down || p.fallen {
 		return
 	}
 	now := c.Start
-	share := min(1, m.ColdFrom+(1-m.ColdFrom)*now.Sub(p.back).Seconds()/m.Cold.Seconds())
+	share := p.cold(now)
 	p.load = append(p.load, arrival{now, c.Relay})
 	for len(p.load) > 0 && now.Sub(p.load[0].at) > m.Fall {
 		p.load = p.load[1:]
 	}
 	if now.Sub(p.back) >= m.Fall && float64(len(p.load)) > m.Factor*share*m.Capacity*m.Fall.Seconds() && share < 1 {
-		f := Fall{At: now, Calls: map[string]int{}}
+		f := Fall{At: now, Calls: map[string]int{}, Saw: maps.Clone(p.saw)}
 		for _, a := range p.load {
 			f.Calls[a.relay]++
 		}
@@ -402,7 +442,7 @@
 	if t.Shut || p.fallen {
 		return refuse(time.Second)
 	}
-	rate := m.Rate
+	rate := m.Rate * p.cold(now)
 	if t.RateShare > 0 {
 		rate *= t.RateShare
 	}
