basaltcross load: open-loop and saturation figures beside straight calls and a reverse proxy

Need: the aims on throughput, added latency and memory must be measurable by anyone, as ratios within one run. Open loop counts latency from the intended send time (HDR histograms); saturation keeps a window under way; relay, stand-in and httputil reverse proxy are processes of their own, whose CPU and memory are read from /proc.

--- a/cmd/basaltcross/relay.go
+++ b/cmd/basaltcross/relay.go
@@ -40,11 +40,9 @@
 			if err != nil {
 				return err
 			}
-			if ready != "" {
-				if err := writeReady(ready, r); err != nil {
-					r.Stop()
-					return err
-				}
+			if err := writeReady(ready, r); err != nil {
+				r.Stop()
+				return err
 			}
 			<-c.Context().Done()
 			log.Info().Msg("stopping: nothing further is taken")
@@ -61,10 +59,18 @@
 
 // writeReady tells the MQTT addresses, a line each, then that of the metrics.
 func writeReady(path string, r *relay.Relay) error {
-	text := strings.Join(r.Addrs(), "\n") + "\n"
+	lines := r.Addrs()
 	if r.MetricsAddr != nil {
-		text += "metrics " + r.MetricsAddr.String() + "\n"
+		lines = append(lines, "metrics "+r.MetricsAddr.String())
 	}
+	return writeLines(path, lines...)
+}
+
+func writeLines(path string, lines ...string) error {
+	if path == "" {
+		return nil
+	}
+	text := strings.Join(lines, "\n") + "\n"
 	tmp := path + ".new"
 	if err := os.WriteFile(tmp, []byte(text), 0o600); err != nil {
 		return err
@@ -93,24 +99,39 @@
 	var listen []string
 	var name string
 	m := standin.Model{}
-	var hang, shut bool
+	var ready string
+	var hang, shut, quick bool
 	var errs float64
 	c := &cobra.Command{Use: "standin", Short: "Play a partner on loopback", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			rec := standin.NewRecorder(100000)
+			var addrs []string
 			p := standin.NewPartner(name, m, 1)
 			for _, l := range listen {
 				if !strings.HasPrefix(l, "127.") && !strings.HasPrefix(l, "localhost:") && !strings.HasPrefix(l, "[::1]:") {
 					return fmt.Errorf("--listen %s: stand-ins stay on loopback", l)
 				}
+				if quick {
+					addr, stop, err := standin.Quick(l, m.Service)
+					if err != nil {
+						return err
+					}
+					defer stop()
+					addrs = append(addrs, addr)
+					continue
+				}
 				e, err := standin.Start(l, p, rec)
 				if err != nil {
 					return err
 				}
 				defer e.Close()
+				addrs = append(addrs, e.Addr)
 				e.Set(standin.Trouble{Hang: hang, Shut: shut, Errors: errs})
 				fmt.Fprintf(c.OutOrStdout(), "%s listens on %s\n", name, e.Addr)
 			}
+			if err := writeLines(ready, addrs...); err != nil {
+				return err
+			}
 			<-c.Context().Done()
 			count := map[string]int{}
 			for _, k := range rec.Calls() {
@@ -130,6 +151,8 @@
 	f.IntVar(&m.Concurrency, "concurrency", 0, "calls in service at once, 0 for no limit")
 	f.IntVar(&m.Queue, "queue", 100, "calls that wait for service")
 	f.DurationVar(&m.Window, "window", time.Minute, "how long idempotency keys are remembered")
+	f.StringVar(&ready, "ready-file", "", "write the addresses to this file once up")
+	f.BoolVar(&quick, "quick", false, "answer at once and record nothing, for measurements")
 	f.BoolVar(&hang, "hang", false, "take calls and never answer")
 	f.BoolVar(&shut, "shut", false, "refuse all calls")
 	f.Float64Var(&errs, "errors", 0, "share of calls answered 500")
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,250 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+)
+
+// Options of a measurement.
+type Options struct {
+	Binary      string
+	Rate        float64       // messages a second of the open-loop runs
+	Lasts       time.Duration // of each run
+	Window      int           // messages under way at saturation
+	Connections int           // of light clients
+	Idle        int           // idle MQTT connections; 0 leaves that part out
+	Partners    int
+	Service     time.Duration // of the stand-in
+	Log         io.Writer
+}
+
+// Report is the outcome.
+type Report struct {
+	Results       []Result      `json:"results"`
+	AddedP99      time.Duration `json:"added_p99_ns"`     // relay over straight, at Rate
+	OverProxy     float64       `json:"over_proxy"`       // relay's saturation over the reverse proxy's
+	IdleBytes     int64         `json:"bytes_per_idle"`   // resident, for each idle connection
+	IdleMeasured  int           `json:"idle_connections"` // that were open
+	RelayCapacity float64       `json:"relay_per_s"`
+}
+
+// proc is a child process that is measured.
+type proc struct {
+	cmd   *exec.Cmd
+	addrs []string
+}
+
+func (o *Options) start(ctx context.Context, dir, name string, args ...string) (*proc, error) {
+	ready := filepath.Join(dir, name+".ready")
+	cmd := exec.CommandContext(ctx, o.Binary, append(args, "--ready-file", ready)...)
+	cmd.Stderr = o.Log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	for range 200 {
+		if text, err := os.ReadFile(ready); err == nil {
+			return &proc{cmd, strings.Fields(string(text))}, nil
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+	return nil, fmt.Errorf("load: %s was not up after 5 s", name)
+}
+
+func (p *proc) stop() {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	_ = p.cmd.Wait()
+}
+
+// cpu is the processor time that the process has used (proc(5), stat).
+func (p *proc) cpu() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	u, _ := strconv.ParseInt(f[11], 10, 64)
+	s, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(u+s) * time.Second / 100 // USER_HZ is 100 on Linux
+}
+
+// rss is its resident memory in bytes.
+func (p *proc) rss() int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return n << 10
+		}
+	}
+	return 0
+}
+
+// measured runs f and books the process's CPU and memory.
+func (p *proc) measured(f func() Result) Result {
+	before := p.cpu()
+	r := f()
+	if r.OK > 0 {
+		r.CPU = (p.cpu() - before) / time.Duration(r.OK)
+	}
+	r.RSS = p.rss()
+	return r
+}
+
+func (o *Options) config(dir string, ends []string) error {
+	var b, list strings.Builder
+	// Room for the load: the figures are of this machine, not of a deployment.
+	fmt.Fprintf(&b, `relay: {workers: %d, held: 100000, attempts: 4}
+classes: [{name: "status", aim: "2s", deadline: "10s", effect: "safe"}]
+kinds: [{name: "fast", refusalNeverRan: true}]
+limits: {arrivals: 100000, identities: {count: 1000000, keep: "5s"}}
+mqtt: {listen: ["127.0.0.1:0"], receiveMaximum: 65535, pending: 65535, connections: 30000, sessions: 30000}
+partnerCalls: idlePerHost: 1024
+directory: file: "list.cue"
+log: level: "error"
+partners: [
+`, max(64, o.Window))
+	list.WriteString("endpoints: [\n")
+	for i, e := range ends {
+		fmt.Fprintf(&b, "\t{name: \"p%d\", kind: \"fast\"},\n", i)
+		fmt.Fprintf(&list, "\t{addr: %q, partner: \"p%d\"},\n", e, i)
+	}
+	b.WriteString("]\n")
+	list.WriteString("]\n")
+	if err := os.WriteFile(filepath.Join(dir, "list.cue"), []byte(list.String()), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "relay.cue"), []byte(b.String()), 0o600)
+}
+
+// Run measures.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	dir, err := os.MkdirTemp("", "basaltcross-load-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	args := []string{"standin", "--quick", "--service", o.Service.String()}
+	for range o.Partners {
+		args = append(args, "--listen", "127.0.0.1:0")
+	}
+	host, err := o.start(ctx, dir, "standin", args...)
+	if err != nil {
+		return nil, err
+	}
+	defer host.stop()
+	proxy, err := o.start(ctx, dir, "proxy", append([]string{"proxy"}, host.addrs...)...)
+	if err != nil {
+		return nil, err
+	}
+	defer proxy.stop()
+	if err := o.config(dir, host.addrs); err != nil {
+		return nil, err
+	}
+	relay, err := o.start(ctx, dir, "relay", "relay", "--config", filepath.Join(dir, "relay.cue"))
+	if err != nil {
+		return nil, err
+	}
+	defer relay.stop()
+	var topics []string
+	for i := range o.Partners {
+		topics = append(topics, fmt.Sprintf("send/status/p%d", i))
+	}
+	type target struct {
+		name string
+		proc *proc
+		dial func(int) (sender, error)
+	}
+	targets := []target{
+		{"straight to the stand-in", host, func(n int) (sender, error) { return dialHTTP(host.addrs, n) }},
+		{"net/http/httputil reverse proxy", proxy, func(n int) (sender, error) { return dialHTTP(proxy.addrs[:1], n) }},
+		{"relay", relay, func(n int) (sender, error) { return dialMQTT(relay.addrs[0], min(n, o.Connections), "load", topics) }},
+	}
+	rep := &Report{}
+	for _, t := range targets { // latency at the asked rate
+		s, err := t.dial(max(o.Connections, 64))
+		if err != nil {
+			return nil, err
+		}
+		open(ctx, "warm", s, o.Rate, min(time.Second, o.Lasts))
+		rep.Results = append(rep.Results, t.proc.measured(func() Result { return open(ctx, t.name, s, o.Rate, o.Lasts) }))
+		s.close()
+	}
+	for _, t := range targets { // saturation
+		s, err := t.dial(o.Window)
+		if err != nil {
+			return nil, err
+		}
+		full(ctx, "warm", s, o.Window, min(time.Second, o.Lasts))
+		rep.Results = append(rep.Results, t.proc.measured(func() Result { return full(ctx, t.name, s, o.Window, o.Lasts) }))
+		s.close()
+	}
+	rep.AddedP99 = rep.Results[2].P99 - rep.Results[0].P99
+	rep.RelayCapacity = rep.Results[5].PerSec
+	if p := rep.Results[4].PerSec; p > 0 {
+		rep.OverProxy = rep.RelayCapacity / p
+	}
+	if o.Idle > 0 {
+		if rep.IdleMeasured, rep.IdleBytes, err = o.idle(ctx, dir); err != nil {
+			return nil, err
+		}
+	}
+	return rep, ctx.Err()
+}
+
+// idle opens connections to a relay of its own that does nothing else.
+func (o *Options) idle(ctx context.Context, dir string) (int, int64, error) {
+	relay, err := o.start(ctx, dir, "idle", "relay", "--config", filepath.Join(dir, "relay.cue"))
+	if err != nil {
+		return 0, 0, err
+	}
+	defer relay.stop()
+	before := relay.rss()
+	var conns []*mqttConn
+	defer func() {
+		for _, c := range conns {
+			_ = c.conn.Close()
+		}
+	}()
+	for i := range o.Idle {
+		c, err := newMQTT(relay.addrs[0], fmt.Sprintf("idle-%d", i))
+		if err != nil {
+			return 0, 0, err
+		}
+		conns = append(conns, c)
+	}
+	time.Sleep(time.Second) // until the last buffers are let go
+	return len(conns), (relay.rss() - before) / int64(len(conns)), nil
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "path\tasked/s\tanswered/s\tp50\tp99\tp99.9\tCPU/message\tmemory\tmissing\t")
+	for _, x := range r.Results {
+		asked := "all"
+		if x.Asked > 0 {
+			asked = fmt.Sprintf("%.0f", x.Asked)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.0f\t%v\t%v\t%v\t%v\t%.0f MB\t%d\t\n", x.Name, asked, x.PerSec, x.P50.Round(10*time.Microsecond),
+			x.P99.Round(10*time.Microsecond), x.P999.Round(10*time.Microsecond), x.CPU.Round(100*time.Nanosecond),
+			float64(x.RSS)/1e6, x.Missing)
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "the relay adds %v at p99; at saturation it carries %.2f times what the reverse proxy does\n",
+		r.AddedP99.Round(10*time.Microsecond), r.OverProxy)
+	if r.IdleMeasured > 0 {
+		fmt.Fprintf(w, "%d idle MQTT connections take %.1f kB each\n", r.IdleMeasured, float64(r.IdleBytes)/1000)
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -354,6 +354,24 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Quick listens with a server that answers every call after the service time
+// and records nothing, for measurements.
+func Quick(addr string, service time.Duration) (listening string, stop func(), err error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", nil, fmt.Errorf("standin: %w", err)
+	}
+	srv := &http.Server{ReadHeaderTimeout: 30 * time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if service > 0 {
+				time.Sleep(service)
+			}
+		})}
+	go func() { _ = srv.Serve(l) }()
+	return l.Addr().String(), func() { _ = srv.Close() }, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
