--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
@@ -144,13 +145,14 @@
 	opt   Options
 	ch    *choice.Chooser
 	led   *ledger.Ledger
-	epoch time.Time
+	clock func() time.Duration // monotonic, from 0
 
 	mu       sync.Mutex
 	inbox    []event
 	arrivals int
 	stopping bool
 	wake     chan struct{}
+	beat     atomic.Int64 // last heart beat, by Now
 
 	// Owned by Run.
 	now      time.Duration
@@ -173,13 +175,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("core: %w", err)
 	}
-	return &Core{opt: opt, ch: ch, led: ledger.New(opt.Identities, opt.Keep), epoch: time.Now(),
-		wake: make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
+	epoch := time.Now()
+	return &Core{opt: opt, ch: ch, led: ledger.New(opt.Identities, opt.Keep),
+		clock: func() time.Duration { return time.Since(epoch) },
+		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
 		outs: map[*attempt]struct{}{}, wakeAt: -1, stopAt: -1}, nil
 }
 
 // Now is the core's monotonic clock.
-func (c *Core) Now() time.Duration { return time.Since(c.epoch) }
+func (c *Core) Now() time.Duration { return c.clock() }
 
 func (c *Core) put(e event) error {
 	c.mu.Lock()
@@ -226,11 +230,14 @@
 	}
 }
 
-// stall is how late the core must wake to count as having stood still; then
-// it waits until the sockets' news of that time has come in.
+// A heart beats every beat; one that is late by stall says that the whole
+// process stood still. Then the core waits, in rounds of settle, until the
+// sockets' news of that time has come in.
 const (
+	beat   = 20 * time.Millisecond
 	stall  = 100 * time.Millisecond
 	settle = 10 * time.Millisecond
+	rounds = 20
 )
 
 // Run works until ctx ends, then stops taking, gives what is out the time
@@ -238,20 +245,20 @@
 func (c *Core) Run(ctx context.Context, grace time.Duration) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	c.beat.Store(int64(c.Now()))
+	over := make(chan struct{})
+	defer close(over)
+	go c.pulse(over)
 	done := ctx.Done()
-	last := c.Now()
 	for {
 		sleep := time.Hour
 		if at := c.nextTime(); at >= 0 {
 			sleep = max(0, at-c.Now())
 		}
 		timer.Reset(sleep)
-		before := c.Now()
-		fired := false
 		select {
 		case <-c.wake:
 		case <-timer.C:
-			fired = true
 		case <-done:
 			done = nil
 			c.mu.Lock()
@@ -259,12 +266,10 @@
 			c.mu.Unlock()
 			c.stopAt, c.draining = c.Now()+grace, true
 		}
-		c.now = c.Now()
-		if fired && c.now-before-sleep > stall || c.now-max(last, before) > sleep+stall {
+		if c.Now()-time.Duration(c.beat.Load()) > stall {
 			c.settle()
-			c.now = c.Now()
 		}
-		last = c.now
+		c.now = c.Now()
 		c.work()
 		if c.draining && len(c.msgs) == 0 {
 			return
@@ -272,12 +277,25 @@
 	}
 }
 
+func (c *Core) pulse(over <-chan struct{}) {
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case <-tick.C:
+			c.beat.Store(int64(c.Now()))
+		}
+	}
+}
+
 // settle waits, after the process stood still, until no news has come for a
 // moment: answers that lie in the kernel's buffers count as in time if they
 // came before the time-out did.
 func (c *Core) settle() {
 	seen := -1
-	for range 20 {
+	for range rounds {
 		c.mu.Lock()
 		n := len(c.inbox)
 		c.mu.Unlock()
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,234 @@
+package core
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+const ms = time.Millisecond
+
+// rig is a core without its goroutine: time and batches are the test's.
+type rig struct {
+	*Core
+	calls []*fakeCall
+	log   []string
+}
+
+type fakeCall struct {
+	Call
+	started, ended, aborted bool
+}
+
+func (f *fakeCall) Abort() (bool, bool) {
+	if f.ended {
+		return f.started, false
+	}
+	f.ended, f.aborted = true, true
+	return f.started, true
+}
+
+func (f *fakeCall) Recall() bool {
+	if f.ended || f.started {
+		return false
+	}
+	f.ended = true
+	return true
+}
+
+func (f *fakeCall) finish(o choice.Outcome, wait time.Duration) {
+	f.ended = true
+	f.End(Ending{Outcome: o, Took: 20 * ms, Wait: wait})
+}
+
+func (r *rig) Send(c Call) Attempt {
+	f := &fakeCall{Call: c, started: true}
+	r.calls = append(r.calls, f)
+	return f
+}
+
+func (r *rig) CloseIdle(string)                                   {}
+func (r *rig) Taken(int)                                          {}
+func (r *rig) Answered(int, ledger.Answer, time.Duration)         {}
+func (r *rig) Attempted(_ int, o choice.Outcome, _ time.Duration) {}
+func (r *rig) Log(text string)                                    { r.log = append(r.log, text) }
+func (r *rig) Gauge(int, int, int, int)                           {}
+func (r *rig) at(d time.Duration)                                 { r.now = d; r.work() }
+func (r *rig) hand(id string, class int, re *reply, left time.Duration) error {
+	return r.Submit(&Message{Identity: id, Class: class, Partner: 0, Key: "k", Left: left, Reply: re})
+}
+
+type reply struct {
+	taken   []error
+	answers []ledger.Answer
+}
+
+func (r *reply) Taken(err error)        { r.taken = append(r.taken, err) }
+func (r *reply) Answer(a ledger.Answer) { r.answers = append(r.answers, a) }
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{}
+	class := choice.Class{Aim: time.Second, Deadline: 6 * time.Second, Worth: 1}
+	unsafe := class
+	unsafe.Effect, unsafe.Ordered = choice.Unsafe, true
+	c, err := New(Options{Seed: 1, Apart: []bool{false}, Arrivals: 4, Identities: 8, Keep: time.Minute, Caller: r, Observer: r,
+		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 2, Tick: 5 * ms, Cancels: true,
+			Certain: true, ReportLimit: -1, MaxRetryAfter: time.Second, Classes: []choice.Class{class, unsafe},
+			Kinds: []choice.Kind{{PerCall: 1}},
+			Rules: choice.Rules{OverloadFactor: 2, Fall: time.Second, ColdFrom: 0.2, Cold: 5 * time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.clock = func() time.Duration { return c.now }
+	r.Core = c
+	r.List(choice.Listing{Whole: true, Hosts: []choice.Host{{Addr: "a", State: choice.Ready}}})
+	r.at(0)
+	return r
+}
+
+// An answer in the same batch as its time-out: the answer stands.
+func TestAnswerBeatsItsTimeOut(t *testing.T) {
+	r := newRig(t)
+	re := &reply{}
+	if err := r.hand("m", 1, re, 6*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.at(ms)
+	r.calls[0].finish(choice.Served, 0)
+	r.at(20 * time.Second) // stood still far past everything
+	if len(re.answers) != 1 || re.answers[0].Verdict != ledger.Delivered || r.calls[0].aborted {
+		t.Fatalf("answers %v, aborted %v", re.answers, r.calls[0].aborted)
+	}
+	if len(r.waits) != 0 || len(r.msgs) != 0 {
+		t.Errorf("%d timers and %d messages left", len(r.waits), len(r.msgs))
+	}
+}
+
+// A time-out whose answer is on its way from another goroutine: the answer
+// comes by the inbox, there is no second outcome.
+func TestTimeOutCrossesAnAnswer(t *testing.T) {
+	r := newRig(t)
+	re := &reply{}
+	_ = r.hand("m", 1, re, 6*time.Second)
+	r.at(ms)
+	r.calls[0].ended = true // its socket has it, its event is not here yet
+	r.at(10 * time.Second)
+	if len(re.answers) != 0 {
+		t.Fatalf("answered %v before the outcome was known", re.answers)
+	}
+	r.calls[0].finish(choice.Served, 0)
+	r.at(10*time.Second + ms)
+	if len(re.answers) != 1 || re.answers[0].Verdict != ledger.Delivered {
+		t.Fatalf("answers %v", re.answers)
+	}
+}
+
+// The hand-in of a class that must never take effect twice needs an identity;
+// a repeat joins, and after the end gets the same answer without a call.
+func TestIdentities(t *testing.T) {
+	r := newRig(t)
+	none, one, two, three := &reply{}, &reply{}, &reply{}, &reply{}
+	_ = r.hand("", 1, none, time.Second)
+	_ = r.hand("m", 1, one, time.Second)
+	_ = r.hand("m", 1, two, time.Second)
+	r.at(ms)
+	if len(none.taken) != 1 || !errors.Is(none.taken[0], ErrNoIdentity) {
+		t.Errorf("without identity: %v", none.taken)
+	}
+	r.calls[0].finish(choice.Reset, 0)
+	r.at(2 * ms)
+	_ = r.hand("m", 1, three, time.Second)
+	r.at(3 * ms)
+	if len(one.answers) != 0 || len(two.answers) != 1 || len(three.answers) != 1 || len(r.calls) != 1 {
+		t.Fatalf("answers %v %v %v, %d calls", one.answers, two.answers, three.answers, len(r.calls))
+	}
+	if two.answers[0] != three.answers[0] || two.answers[0].Verdict != ledger.Failed {
+		t.Errorf("answers %v and %v", two.answers, three.answers)
+	}
+}
+
+// At the bound of the inbox hand-ins are turned away, outcomes never.
+func TestInboxIsFull(t *testing.T) {
+	r := newRig(t)
+	re := &reply{}
+	_ = r.hand("m", 0, re, 6*time.Second)
+	r.at(ms)
+	for i := range 4 {
+		if err := r.hand(string(rune('a'+i)), 0, &reply{}, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.hand("z", 0, &reply{}, time.Second); !errors.Is(err, ErrBusy) {
+		t.Fatalf("at the bound: %v", err)
+	}
+	r.calls[0].finish(choice.Served, 0)
+	r.at(2 * ms)
+	if len(re.answers) != 1 {
+		t.Errorf("the outcome was lost: %v", re.answers)
+	}
+	if err := r.hand("z", 0, &reply{}, time.Second); err != nil {
+		t.Errorf("after the batch: %v", err)
+	}
+}
+
+// A connection that is still coming up carries no decision that news has
+// overtaken: a drain or a told wait takes it back.
+func TestAttemptsAreRecalled(t *testing.T) {
+	for _, news := range []string{"drain", "wait"} {
+		r := newRig(t)
+		_ = r.hand("m", 0, &reply{}, 6*time.Second)
+		_ = r.hand("n", 0, &reply{}, 6*time.Second)
+		r.at(ms)
+		if len(r.calls) != 2 {
+			t.Fatalf("%d calls", len(r.calls))
+		}
+		r.calls[0].started = false
+		if news == "drain" {
+			r.List(choice.Listing{Whole: true, Hosts: []choice.Host{{Addr: "a", State: choice.Draining}}})
+		} else {
+			r.calls[1].finish(choice.Refused, 2*time.Second)
+		}
+		r.at(2 * ms)
+		if !r.calls[0].ended || len(r.calls) != 2 {
+			t.Errorf("%s: recalled %v, %d calls", news, r.calls[0].ended, len(r.calls))
+		}
+	}
+}
+
+// A refusal's answer stands until the advised time; who comes after it is tried anew.
+func TestComesAgainAfterARefusal(t *testing.T) {
+	r := newRig(t)
+	one, early, late := &reply{}, &reply{}, &reply{}
+	_ = r.hand("m", 1, one, 6*time.Second)
+	r.at(ms)
+	r.calls[0].finish(choice.Refused, 3*time.Second)
+	r.at(2 * ms)
+	for now := 2 * ms; len(one.answers) == 0; now += 5 * ms {
+		if r.at(now); len(r.calls) == 2 && !r.calls[1].ended {
+			r.calls[1].finish(choice.Refused, time.Second)
+		}
+	}
+	a := one.answers[0]
+	if a.Verdict != ledger.Refused || a.After <= 0 {
+		t.Fatalf("answer %v", a)
+	}
+	ended := r.now
+	_ = r.hand("m", 1, early, time.Second)
+	r.at(ended)
+	if len(early.answers) != 1 || early.answers[0] != a {
+		t.Errorf("early: %v", early.answers)
+	}
+	n := len(r.calls)
+	r.now = ended + a.After
+	_ = r.Submit(&Message{Identity: "m", Class: 1, Left: 6 * time.Second, Reply: late})
+	for now := ended + a.After; now < ended+a.After+4*time.Second; now += 5 * ms {
+		r.at(now)
+	}
+	if len(late.answers) != 0 || len(r.calls) != n+1 {
+		t.Errorf("late: %v, %d calls", late.answers, len(r.calls)-n)
+	}
+}
--- /dev/null
+++ b/internal/partner/partner_test.go
@@ -0,0 +1,299 @@
+package partner
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/core"
+)
+
+// peer is a raw scripted server: for each connection it runs the script with
+// the connection and a reader of it.
+func peer(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); script(c, bufio.NewReader(c)) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func request(r *bufio.Reader) error {
+	q, err := http.ReadRequest(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, q.Body)
+	}
+	return err
+}
+
+func caller(t *testing.T, promises bool) *Caller {
+	t.Helper()
+	c, err := New(Options{Name: "r", Targets: []Target{{Path: "/", Promises: promises}}, Classes: []string{"status"},
+		Limits: Limits{Header: 1024, Body: 4096}, IdlePerHost: 4, IdleFor: time.Minute, Pollers: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// do makes one call and waits for its ending.
+func do(t *testing.T, c *Caller, host string, body []byte) core.Ending {
+	t.Helper()
+	ended := make(chan core.Ending, 2)
+	c.Send(core.Call{ID: "m", Host: host, Idem: "i d\"\r\n", Key: "k", Body: body, Patient: 5 * time.Second,
+		End: func(e core.Ending) { ended <- e }})
+	select {
+	case e := <-ended:
+		return e
+	case <-time.After(10 * time.Second):
+		t.Fatal("no ending")
+		return core.Ending{}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	date := time.Now().Add(10 * time.Second).UTC().Format(http.TimeFormat)
+	for _, c := range []struct {
+		name, answer string
+		promises     bool
+		want         choice.Outcome
+		wait         time.Duration // at least
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true, choice.Served, 0},
+		{"chunked", "HTTP/1.1 201 C\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nT: v\r\n\r\n", true, choice.Served, 0},
+		{"interim", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: x\r\n\r\nHTTP/1.1 204 N\r\n\r\n", true, choice.Served, 0},
+		{"to the close", "HTTP/1.0 200 OK\r\n\r\nall of it", true, choice.Served, 0},
+		{"closed at once", "", true, choice.Reset, 0},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-Le", true, choice.Reset, 0},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true, choice.Reset, 0},
+		{"half a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", true, choice.Reset, 0},
+		{"no http", "SSH-2.0-x\r\n", true, choice.Error, 0},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", true, choice.Error, 0},
+		{"length and chunked", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true, choice.Error, 0},
+		{"signed chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n", true, choice.Error, 0},
+		{"long head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2000) + "\r\n\r\n", true, choice.Error, 0},
+		{"long body", "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), true, choice.Error, 0},
+		{"endless interim", strings.Repeat("HTTP/1.1 100 C\r\n\r\n", 40), true, choice.Error, 0},
+		{"redirect", "HTTP/1.1 302 F\r\nLocation: /\r\nContent-Length: 0\r\n\r\n", true, choice.Error, 0},
+		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", true, choice.Error, 0},
+		{"refused, seconds", "HTTP/1.1 429 T\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", true, choice.Refused, 3 * time.Second},
+		{"refused, date", "HTTP/1.1 503 U\r\nRetry-After: " + date + "\r\nContent-Length: 0\r\n\r\n", true, choice.Refused, 9 * time.Second},
+		{"refused, no wait", "HTTP/1.1 429 T\r\nContent-Length: 0\r\n\r\n", true, choice.Refused, 0},
+		{"503 without wait", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", true, choice.Error, 0},
+		{"no promise", "HTTP/1.1 429 T\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", false, choice.Error, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, split := range []int{1 << 20, 1} {
+				host := peer(t, func(conn net.Conn, r *bufio.Reader) {
+					if request(r) != nil {
+						return
+					}
+					for b := []byte(c.answer); len(b) > 0; {
+						n := min(split, len(b))
+						if _, err := conn.Write(b[:n]); err != nil {
+							return
+						}
+						b = b[n:]
+					}
+					if tcp, ok := conn.(*net.TCPConn); ok {
+						_ = tcp.CloseWrite()
+					}
+					_, _ = io.Copy(io.Discard, r)
+				})
+				e := do(t, caller(t, c.promises), host, []byte("body"))
+				if e.Outcome != c.want || e.Wait < c.wait || c.wait == 0 && e.Wait != 0 {
+					t.Errorf("in pieces of %d: outcome %d, wait %v", split, e.Outcome, e.Wait)
+				}
+			}
+		})
+	}
+}
+
+// A kept connection is used again; closed in idle it is left alone; closed
+// under the request the call ends as Reset, never as NoConnection.
+func TestKeptConnections(t *testing.T) {
+	seen := make(chan string, 10)
+	how := make(chan string, 10)
+	host := peer(t, func(conn net.Conn, r *bufio.Reader) {
+		for request(r) == nil {
+			seen <- conn.RemoteAddr().String()
+			switch <-how {
+			case "answer":
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			case "answer and close":
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				return
+			case "close":
+				return
+			case "answer and more":
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n")
+			}
+		}
+	})
+	c := caller(t, true)
+	act := func(what string, want choice.Outcome) string {
+		how <- what
+		if e := do(t, c, host, nil); e.Outcome != want {
+			t.Fatalf("%s: outcome %d", what, e.Outcome)
+		}
+		return <-seen
+	}
+	first := act("answer", choice.Served)
+	if again := act("answer and close", choice.Served); again != first {
+		t.Error("the kept connection was not used")
+	}
+	for c.Connections(host) > 0 { // its end is noticed before the next use
+		time.Sleep(time.Millisecond)
+	}
+	second := act("answer", choice.Served)
+	if second == first {
+		t.Error("a closed connection was used")
+	}
+	if third := act("close", choice.Reset); third != second {
+		t.Error("the kept connection was not used")
+	}
+	fourth := act("answer and more", choice.Served)
+	if act("answer", choice.Served) == fourth {
+		t.Error("a connection with unsolicited bytes was used again")
+	}
+	c.CloseIdle(host)
+	for c.Connections(host) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A response that comes before the request was written: success is no proof.
+func TestEarlyResponse(t *testing.T) {
+	host := peer(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = r.Peek(1)
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(time.Second)
+	})
+	e := do(t, caller(t, true), host, bytes.Repeat([]byte("x"), 32<<20))
+	if e.Outcome != choice.Error {
+		t.Errorf("outcome %d", e.Outcome)
+	}
+}
+
+// Nobody listens, or the backlog is full and the handshake never ends: not a
+// byte was handed over, and Abort and Recall say so.
+func TestNoConnection(t *testing.T) {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	dead := l.Addr().String()
+	_ = l.Close()
+	c := caller(t, true)
+	if e := do(t, c, dead, nil); e.Outcome != choice.NoConnection {
+		t.Errorf("refused: outcome %d", e.Outcome)
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := syscall.Getsockname(fd)
+	host := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 2 { // fills the backlog
+		if conn, err := net.DialTimeout("tcp", host, 200*time.Millisecond); err == nil {
+			defer conn.Close()
+		}
+	}
+	ended := make(chan core.Ending, 2)
+	send := func() core.Attempt {
+		return c.Send(core.Call{Host: host, Patient: 10 * time.Second, End: func(e core.Ending) { ended <- e }})
+	}
+	if started, ok := send().Abort(); started || !ok {
+		t.Errorf("abort: started %v, ok %v", started, ok)
+	}
+	a := send()
+	if !a.Recall() || a.Recall() {
+		t.Error("recall must work once")
+	}
+	if len(ended) != 0 {
+		t.Errorf("ended %v", <-ended)
+	}
+}
+
+// A cancel crosses an answer: one of the two has it, never both.
+func TestAbortCrossesAnswer(t *testing.T) {
+	host := peer(t, func(conn net.Conn, r *bufio.Reader) {
+		for request(r) == nil {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := caller(t, true)
+	both := map[string]int{}
+	for i := range 300 {
+		ended := make(chan core.Ending, 2)
+		a := c.Send(core.Call{Host: host, Patient: time.Second, End: func(e core.Ending) { ended <- e }})
+		time.Sleep(time.Duration(i) * time.Microsecond)
+		started, ok := a.Abort()
+		switch {
+		case !ok:
+			if e := <-ended; e.Outcome != choice.Served && e.Outcome != choice.NoConnection {
+				t.Fatalf("outcome %d", e.Outcome)
+			}
+			both["answer"]++
+		case started:
+			both["cut"]++
+		default:
+			both["unsent"]++
+		}
+		if len(ended) != 0 {
+			t.Fatal("two endings")
+		}
+	}
+	t.Log(both)
+}
+
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), uint8(3))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), uint8(1))
+	f.Add([]byte("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 429 T\r\nRetry-After: 1\r\n\r\n"), uint8(7))
+	f.Fuzz(func(t *testing.T, b []byte, size uint8) {
+		limits := Limits{Header: 256, Body: 512}
+		var whole, pieces response
+		whole.reset(limits)
+		pieces.reset(limits)
+		_, err1 := whole.feed(b)
+		var err2 error
+		for rest := b; len(rest) > 0 && err2 == nil && pieces.state != finished; {
+			n := min(int(size)+1, len(rest))
+			_, err2 = pieces.feed(rest[:n])
+			rest = rest[n:]
+		}
+		// However it is cut, a response is the same.
+		if (err1 == nil) != (err2 == nil) || err1 == nil && (whole.state != pieces.state || whole.status != pieces.status) {
+			t.Fatalf("whole: %v in state %d, status %d; in pieces: %v, %d, %d", err1, whole.state, whole.status,
+				err2, pieces.state, pieces.status)
+		}
+		if cap(pieces.line) > 4096 {
+			t.Fatalf("holds %d bytes", cap(pieces.line))
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,7 @@
 	MetricsAddr net.Addr
 
 	stop context.CancelFunc
+	once sync.Once
 	done sync.WaitGroup
 }
 
@@ -187,10 +188,12 @@
 // Stop takes nothing further, lets what is out finish within the configured
 // time, answers the rest, hands the answers over and closes everything.
 func (r *Relay) Stop() {
-	r.stop()
-	r.done.Wait()
-	r.front.Close()
-	r.caller.Close()
+	r.once.Do(func() {
+		r.stop()
+		r.done.Wait()
+		r.front.Close()
+		r.caller.Close()
+	})
 }
 
 // Inspect tells what the relay holds now.
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -109,3 +109,10 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// BreakList puts a list there that cannot be read.
+func (b *Bed) BreakList() {
+	if err := os.WriteFile(b.List, []byte("endpoints: [{addr: 7"), 0o600); err != nil {
+		b.T.Fatal(err)
+	}
+}
