--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,54 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// At its bound the ledger forgets what does no harm, and never what would:
+// neither one under way nor one that must be remembered for its whole time.
+func TestBound(t *testing.T) {
+	l := New(3, time.Minute)
+	open := func(now time.Duration, name string, loose bool) (*Entry, error) {
+		return l.Open(now, name, name, loose)
+	}
+	safe, _ := open(0, "safe", true)
+	firm, _ := open(0, "firm", false)
+	_, _ = open(0, "under way", true)
+	l.End(1, safe, Answer{Verdict: Delivered})
+	l.End(1, firm, Answer{Verdict: Failed})
+	if l.End(2, firm, Answer{Verdict: Delivered}) || firm.Answer.Verdict != Failed {
+		t.Error("a second final answer was taken")
+	}
+	if _, err := open(2, "new", false); err != nil || l.Find(2, "safe") != nil {
+		t.Fatalf("the safe one makes room: %v", err)
+	}
+	if _, err := open(3, "one more", false); !errors.Is(err, ErrFull) {
+		t.Fatalf("at the bound: %v", err)
+	}
+	if l.Find(59*time.Second, "firm") == nil || l.Find(time.Minute+1, "firm") != nil {
+		t.Error("an ended one is kept for its time, and no longer")
+	}
+	if l.Len() != 2 {
+		t.Errorf("%d kept", l.Len())
+	}
+}
+
+// Ended identities leave in the order that they ended, each after its time,
+// however many there are.
+func TestExpiry(t *testing.T) {
+	l := New(1000, time.Second)
+	for i := range 5000 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		e, err := l.Open(now, fmt.Sprint(i), "", i%2 == 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.End(now, e, Answer{Verdict: Delivered})
+		if want := min(i+1, 100); l.Len() != want {
+			t.Fatalf("%d kept at %v, want %d", l.Len(), now, want)
+		}
+	}
+}
--- a/internal/mqtt/encode.go
+++ b/internal/mqtt/encode.go
@@ -61,7 +61,9 @@
 	u32(pSessionExpiry, p.SessionExpiry)
 	str(pAssignedID, p.AssignedID)
 	u16(pServerKeepAlive, p.ServerKeepAlive)
+	str(pAuthMethod, p.AuthMethod)
 	u32(pWillDelay, p.WillDelay)
+	u8(pRequestResponse, p.RequestResponse, p.RequestResponse != 0)
 	str(pResponseInfo, p.ResponseInfo)
 	str(pReasonString, p.ReasonString)
 	u16(pReceiveMaximum, p.ReceiveMaximum)
@@ -137,6 +139,9 @@
 	if p.Dup {
 		first |= 8
 	}
+	if p.Retain {
+		first |= 1
+	}
 	size := 2 + len(p.Topic) + len(p.Payload)
 	if p.QoS > 0 {
 		size += 2
