Configuration errors say what the schema wants at the path

Need: an error must name what would be right. One line for each path now: file, line, path, what is wrong, the schema's expression and its comment.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	"cuelang.org/go/cue"
 	"cuelang.org/go/cue/cuecontext"
 	cueerrors "cuelang.org/go/cue/errors"
+	"cuelang.org/go/cue/format"
 
 	"basaltcross.example/basaltcross/choice"
 )
@@ -167,17 +169,18 @@
 	if err := schema.Err(); err != nil {
 		return cue.Value{}, fmt.Errorf("config: schema: %w", err)
 	}
+	record := schema.LookupPath(cue.ParsePath(def))
 	user := ctx.CompileBytes(text, cue.Filename(name))
 	if err := user.Err(); err != nil {
-		return cue.Value{}, explain(name, err)
+		return cue.Value{}, explain(name, err, cue.Value{})
 	}
-	v := schema.LookupPath(cue.ParsePath(def)).Unify(user)
+	v := record.Unify(user)
 	if err := v.Validate(cue.Concrete(true), cue.Final()); err != nil {
-		return cue.Value{}, explain(name, err)
+		return cue.Value{}, explain(name, err, record)
 	}
 	b, err := v.MarshalJSON()
 	if err != nil {
-		return cue.Value{}, explain(name, err)
+		return cue.Value{}, explain(name, err, record)
 	}
 	if err := json.Unmarshal(b, into); err != nil {
 		return cue.Value{}, &Error{name, []string{name + ": " + err.Error()}}
@@ -185,25 +188,78 @@
 	return user, nil
 }
 
-// explain turns CUE's errors into lines of file:line: path: what is wrong (what the schema wants).
-func explain(name string, err error) error {
+// explain turns CUE's errors into one line for each path: file:line: path, what
+// is wrong, and what the schema wants there, with its comment.
+func explain(name string, err error, def cue.Value) error {
 	e := &Error{File: name}
+	seen := map[string]int{}
 	for _, c := range cueerrors.Errors(err) {
-		at := name
+		format, args := c.Msg()
+		what := fmt.Sprintf(format, args...)
+		if strings.Contains(what, "errors in empty disjunction") {
+			continue // each of them follows
+		}
+		at := ""
 		for _, p := range cueerrors.Positions(c) {
 			if p.Filename() == name {
-				at = fmt.Sprintf("%s:%d", name, p.Line())
+				at = fmt.Sprintf(":%d", p.Line())
 				break
 			}
 		}
-		format, args := c.Msg()
-		path := strings.Join(c.Path(), ".")
-		path = strings.TrimPrefix(strings.TrimPrefix(path, "#Config."), "#List.")
-		e.Lines = append(e.Lines, fmt.Sprintf("%s: %s: %s", at, path, fmt.Sprintf(format, args...)))
+		path := c.Path()
+		if len(path) > 0 && strings.HasPrefix(path[0], "#") {
+			path = path[1:]
+		}
+		where := strings.Join(path, ".")
+		if i, again := seen[where]; again && where != "" {
+			if at != "" && !strings.HasPrefix(e.Lines[i], name+":"+at[1:]) && strings.HasPrefix(e.Lines[i], name+": ") {
+				e.Lines[i] = name + at + strings.TrimPrefix(e.Lines[i], name)
+			}
+			continue
+		}
+		seen[where] = len(e.Lines)
+		line := fmt.Sprintf("%s%s: %s: %s", name, at, where, what)
+		if want := wanted(def, path); want != "" && !strings.Contains(what, "not allowed") {
+			line += "; want " + want
+		}
+		e.Lines = append(e.Lines, line)
+	}
+	if len(e.Lines) == 0 {
+		e.Lines = []string{name + ": " + err.Error()}
 	}
 	return e
 }
 
+// wanted is what the schema has at a path.
+func wanted(def cue.Value, path []string) string {
+	if !def.Exists() || len(path) == 0 {
+		return ""
+	}
+	var sel []cue.Selector
+	for _, p := range path {
+		if _, err := strconv.Atoi(p); err == nil {
+			sel = append(sel, cue.AnyIndex)
+		} else {
+			sel = append(sel, cue.Str(p).Optional())
+		}
+	}
+	v := def.LookupPath(cue.MakePath(sel...))
+	if !v.Exists() {
+		return ""
+	}
+	text, err := format.Node(v.Syntax(cue.Raw()), format.Simplify())
+	if err != nil || len(text) > 200 || strings.ContainsRune(string(text), '\n') {
+		return ""
+	}
+	want := strings.NewReplacer("#Dur", `a duration such as "250ms"`, "#Name", "a name of a-z, 0-9, '.', '_' and '-'",
+		"#Addr", "host:port").Replace(string(text))
+	for _, d := range v.Doc() {
+		want += " (" + strings.Join(strings.Fields(d.Text()), " ") + ")"
+		break
+	}
+	return want
+}
+
 // Load reads and checks a configuration file. Relative paths in it are taken
 // from its folder.
 func Load(path string) (*Config, error) {
