--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,10 +16,12 @@
 
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/limit"
 )
 
 // Message is what a front hands in.
 type Message struct {
+	Source   string // the client, for its share of the inbox
 	Identity string // who handed it in and what they call it; empty if nothing tells it apart
 	Class    int    // index in Config.Classes
 	Partner  int    // index in the relay's partners
@@ -42,7 +44,7 @@
 
 // Why a hand-in was not taken.
 var (
-	ErrBusy       = errors.New("core: inbox is full")
+	ErrBusy       = errors.New("core: inbox is full, or this client's share of it")
 	ErrStopping   = errors.New("core: relay is stopping")
 	ErrNoIdentity = errors.New("core: a class that must never take effect twice needs an identity")
 )
@@ -99,7 +101,7 @@
 	Settings   choice.Settings
 	Seed       uint64
 	Apart      []bool // by partner: its endpoints are routes apart
-	Arrivals   int    // hand-ins that wait for the core; at the bound they are turned away with ErrBusy
+	Arrivals   int    // hand-ins that wait for the core; past a client's share they are turned away with ErrBusy
 	Identities int
 	Keep       time.Duration
 	Caller     Caller
@@ -149,7 +151,7 @@
 
 	mu       sync.Mutex
 	inbox    []event
-	arrivals int
+	arrivals *limit.Share
 	stopping bool
 	wake     chan struct{}
 	beat     atomic.Int64 // last heart beat, by Now
@@ -176,7 +178,7 @@
 		return nil, fmt.Errorf("core: %w", err)
 	}
 	epoch := time.Now()
-	return &Core{opt: opt, ch: ch, led: ledger.New(opt.Identities, opt.Keep),
+	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: ledger.New(opt.Identities, opt.Keep),
 		clock: func() time.Duration { return time.Since(epoch) },
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
 		outs: map[*attempt]struct{}{}, wakeAt: -1, stopAt: -1}, nil
@@ -188,7 +190,7 @@
 func (c *Core) put(e event) error {
 	c.mu.Lock()
 	if e.arrival != nil {
-		if c.stopping || c.arrivals >= c.opt.Arrivals {
+		if c.stopping || !c.arrivals.Enter(e.arrival.Source) {
 			stopping := c.stopping
 			c.mu.Unlock()
 			if stopping {
@@ -196,7 +198,6 @@
 			}
 			return ErrBusy
 		}
-		c.arrivals++
 	}
 	c.inbox = append(c.inbox, e)
 	c.mu.Unlock()
@@ -323,7 +324,7 @@
 	c.mu.Lock()
 	events := c.inbox
 	c.inbox = c.spare[:0]
-	c.arrivals = 0
+	c.arrivals.Clear()
 	c.mu.Unlock()
 	c.batch = c.batch[:0]
 	recall := map[string]bool{}
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -621,7 +621,7 @@
 	if fl.qos > 0 {
 		pend.acks = []*flow{fl}
 	}
-	m := &core.Message{Class: class, Partner: partner, Key: p.Props.Get("key"), Left: f.opt.Lives[class],
+	m := &core.Message{Source: s.id, Class: class, Partner: partner, Key: p.Props.Get("key"), Left: f.opt.Lives[class],
 		Body: bytes.Clone(p.Payload), Reply: &reply{pend}}
 	if p.Props.HasMessageExpiry() {
 		m.Left = min(m.Left, time.Duration(p.Props.MessageExpiry)*time.Second)
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -11,7 +11,9 @@
 	"crypto/subtle"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,16 +67,18 @@
 
 // Front serves MQTT.
 type Front struct {
-	opt    Options
-	engine *nbio.Engine
-	max    int // bytes of a packet
-	addrs  []string
-	born   int64 // tells serial numbers of this run from those of earlier ones
+	opt       Options
+	engine    *nbio.Engine
+	max       int // bytes of a packet
+	addrs     []string
+	listeners []net.Listener
+	born      int64 // tells serial numbers of this run from those of earlier ones
 
 	mu       sync.Mutex
 	sessions map[string]*session
 	conns    map[*conn]struct{}
 	stopping bool
+	draining atomic.Bool
 
 	partial atomic.Int64 // bytes of half packets held
 	stop    chan struct{}
@@ -119,7 +123,9 @@
 		}
 	})
 	f.engine.OnAcceptError(func(err error) { // out of descriptors, mostly: not in a hot loop
-		opt.Observer.Logf("mqtt: accept: %v", err)
+		if !f.draining.Load() {
+			opt.Observer.Logf("mqtt: accept: %v", err)
+		}
 		time.Sleep(20 * time.Millisecond)
 	})
 	if err := f.engine.Start(); err != nil {
@@ -138,15 +144,35 @@
 	l, err := net.Listen(network, addr)
 	if err == nil {
 		f.addrs = append(f.addrs, l.Addr().String())
+		f.listeners = append(f.listeners, l)
 	}
 	return l, err
 }
 
+// Drain closes the listeners and says goodbye, with reason 0x8B, to each client
+// once it is owed nothing, so that it goes to another relay.
+func (f *Front) Drain() {
+	f.mu.Lock()
+	f.stopping = true
+	f.draining.Store(true)
+	sessions := slices.Collect(maps.Values(f.sessions))
+	listeners := f.listeners
+	f.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for _, s := range sessions {
+		s.mu.Lock()
+		s.dismiss()
+		s.mu.Unlock()
+	}
+}
+
 // Close says goodbye with reason 0x8B and ends all connections. Answers that
 // reached the front before are written first.
 func (f *Front) Close() {
+	f.Drain()
 	f.mu.Lock()
-	f.stopping = true
 	conns := make([]*conn, 0, len(f.conns))
 	for c := range f.conns {
 		conns = append(conns, c)
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -83,6 +83,15 @@
 
 var _ core.Reply = (*reply)(nil)
 
+// dismiss ends the connection of a client that is owed nothing while the relay
+// stops; under mu.
+func (s *session) dismiss() {
+	if s.conn != nil && len(s.pend) == 0 && s.front.draining.Load() {
+		s.conn.write()
+		go s.conn.end(mqtt.ServerShuttingDown, "relay stops")
+	}
+}
+
 const never = math.MaxInt64
 
 // due sets the time of the janitor's next look; under mu.
@@ -105,6 +114,7 @@
 	}
 	if err != nil {
 		delete(s.pend, p.identity)
+		defer s.dismiss()
 		for _, fl := range p.acks {
 			s.nack(fl, err)
 		}
@@ -285,5 +295,6 @@
 		delete(s.sent, a.ID)
 		delete(s.pend, p.identity)
 		s.pump()
+		s.dismiss()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -189,6 +189,7 @@
 // time, answers the rest, hands the answers over and closes everything.
 func (r *Relay) Stop() {
 	r.once.Do(func() {
+		r.front.Drain()
 		r.stop()
 		r.done.Wait()
 		r.front.Close()
