Nothing follows DISCONNECT on a connection

Cause: the goroutine that writes for the core could put a PUBREC behind the DISCONNECT of a connection that was being ended (seen once in a clean clone).

--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -26,6 +26,7 @@
 	since   atomic.Int64 // a half packet began; 0 for none
 	held    atomic.Int64 // bytes of it
 	ended   atomic.Bool
+	wmu     sync.Mutex  // held to write: nothing follows DISCONNECT (3.14)
 	polite  atomic.Bool // DISCONNECT came, the will is off
 	greeted atomic.Bool // a CONNACK of 5.0 is out
 
@@ -79,7 +80,12 @@
 func (c *conn) write() {
 	b := c.obuf
 	c.obuf, c.dirty = nil, false
-	if len(b) > 0 {
+	if len(b) == 0 {
+		return
+	}
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	if !c.ended.Load() {
 		_, _ = c.nb.Write(b)
 	}
 }
@@ -93,13 +99,16 @@
 
 // end says why, where the version has a way to, and closes.
 func (c *conn) end(code byte, reason string) {
+	c.wmu.Lock()
 	if c.ended.Swap(true) {
+		c.wmu.Unlock()
 		return
 	}
-	c.front.opt.Observer.Closed(code)
 	if c.greeted.Load() {
 		_, _ = c.nb.Write(mqtt.AppendDisconnect(nil, code, reason))
 	}
+	c.wmu.Unlock()
+	c.front.opt.Observer.Closed(code)
 	_ = c.nb.Close()
 }
 
