The test of a slow reader leaves the socket's buffers alone

Cause: with a receive buffer cut to 4 kB after connecting, loopback TCP stalls both ways once the window is shut: the client's own write timed out, and the test took that for a closed connection.

--- a/internal/mqttfront/front_test.go
+++ b/internal/mqttfront/front_test.go
@@ -357,7 +357,6 @@
 	}
 	slow := dial(t, addr)
 	slow.connect("slow", mqtt.Props{SessionExpiry: 60})
-	_ = slow.conn.(*net.TCPConn).SetReadBuffer(4096)
 	topic := fmt.Sprintf("answers/%0500d", 0)
 	slow.send(mqtt.AppendSubscribe(nil, mqtt.V5, 1, mqtt.Filter{Topic: topic}))
 	d.mu.Lock()
@@ -371,9 +370,11 @@
 			p.Props.ResponseTopic = topic
 		}))
 	}
-	if err == nil {
-		t.Errorf("%d answers are kept for a client that does not read", d.count()-before)
+	var ne net.Error
+	if err == nil || errors.As(err, &ne) && ne.Timeout() {
+		t.Errorf("%v: %d answers are kept for a client that does not read", err, d.count()-before)
 	}
+	t.Logf("%v after %d messages", err, d.count()-before)
 	good.send(mqtt.AppendEmpty(nil, mqtt.PINGREQ))
 	if kind, _ := good.next(); kind != mqtt.PINGRESP {
 		t.Errorf("the good client got packet type %d", kind)
