The HTTP/1.1 message parser serves requests too, in a package of its own

Need: the Web Push front reads requests with the same limits and framing as partner calls read responses.

--- /dev/null
+++ b/internal/http1/message.go
@@ -0,0 +1,316 @@
+// Package http1 reads HTTP/1.1 messages (RFC 9112) from whatever pieces a
+// socket gives: requests at the Web Push front, responses in partner calls. It
+// does no I/O and keeps no content.
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ErrMalformed is wrapped by every complaint about a message.
+var ErrMalformed = errors.New("malformed message")
+
+// Malformed makes such a complaint.
+func Malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
+}
+
+// Limits bound what a message may take.
+type Limits struct {
+	Header int // bytes of start line and header fields, of the trailers, and of each chunk line
+	Body   int // bytes of content
+}
+
+// most interim responses before the final one, and fields of one header.
+const (
+	mostInterim = 16
+	mostFields  = 256
+)
+
+// Framing tells how a message's content is delimited, beyond what its own
+// fields say.
+type Framing int
+
+// The framings. ByFields goes by Content-Length and Transfer-Encoding; without
+// either there is no content, but for ToClose, where it runs to the close.
+const (
+	ByFields Framing = iota
+	ToClose
+	NoContent
+	Interim // a further header follows
+)
+
+// Handler takes in the parts of a message; an error ends the parsing.
+type Handler interface {
+	Start(line string) error
+	Field(name, value string) error
+	Head() (Framing, error)
+	Content(b []byte) error // a piece; not to be kept
+}
+
+// ErrTooLong is wrapped where the content is over its limit.
+var ErrTooLong = fmt.Errorf("%w: content is over its limit", ErrMalformed)
+
+// Parser parses one message at a time.
+type Parser struct {
+	// Prefix is what a message must begin with, so that what is none is told at
+	// once; empty for anything. Reset leaves it.
+	Prefix  string
+	limits  Limits
+	state   int
+	line    []byte // head or chunk line read so far
+	length  int64  // Content-Length, -1 for none
+	left    int64  // content bytes still to come
+	body    int64  // content bytes so far
+	chunked bool
+	toClose bool
+	interim int
+	fields  int
+}
+
+// States of the parser.
+const (
+	inHead = iota
+	inBody
+	inChunkLine
+	inChunk
+	inChunkEnd
+	inTrailer
+	finished
+)
+
+// Reset begins a new message.
+func (p *Parser) Reset(l Limits) {
+	*p = Parser{Prefix: p.Prefix, limits: l, line: p.line[:0]}
+	if cap(p.line) > 4096 {
+		p.line = nil
+	}
+}
+
+// Done tells whether the message is whole.
+func (p *Parser) Done() bool { return p.state == finished }
+
+// Began tells whether any byte of the message has come.
+func (p *Parser) Began() bool { return p.state != inHead || len(p.line) > 0 || p.interim > 0 }
+
+// InContent tells whether the header is whole and content is awaited.
+func (p *Parser) InContent() bool { return p.state != inHead && p.state != finished }
+
+// AtClose tells whether a close now makes the message whole.
+func (p *Parser) AtClose() bool { return p.state == inBody && p.toClose }
+
+// Feed takes bytes and returns those that follow the end of the message.
+func (p *Parser) Feed(b []byte, h Handler) (rest []byte, err error) {
+	for len(b) > 0 && p.state != finished {
+		switch p.state {
+		case inHead:
+			if b, err = p.head(b, h); err != nil {
+				return nil, err
+			}
+		case inBody, inChunk:
+			n := int64(len(b))
+			if !p.toClose {
+				n = min(n, p.left)
+			}
+			p.left -= n
+			if p.body += n; p.body > int64(p.limits.Body) {
+				return nil, fmt.Errorf("%w of %d bytes", ErrTooLong, p.limits.Body)
+			}
+			if err = h.Content(b[:n]); err != nil {
+				return nil, err
+			}
+			b = b[n:]
+			if p.left == 0 && !p.toClose {
+				if p.state == inBody {
+					p.state = finished
+				} else {
+					p.state, p.line = inChunkEnd, p.line[:0]
+				}
+			}
+		case inChunkLine, inChunkEnd, inTrailer:
+			var line []byte
+			var whole bool
+			if line, b, whole, err = p.nextLine(b); err != nil {
+				return nil, err
+			}
+			if whole {
+				if err = p.chunk(line); err != nil {
+					return nil, err
+				}
+			}
+		}
+	}
+	return b, nil
+}
+
+// nextLine collects up to CRLF.
+func (p *Parser) nextLine(b []byte) (line, rest []byte, whole bool, err error) {
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		p.line = append(p.line, b...)
+	} else {
+		p.line, rest, whole = append(p.line, b[:i+1]...), b[i+1:], true
+	}
+	if len(p.line) > p.limits.Header {
+		return nil, nil, false, Malformed("a line of chunked content is over the limit of %d bytes", p.limits.Header)
+	}
+	if !whole {
+		return nil, nil, false, nil
+	}
+	line = p.line
+	p.line = p.line[:0]
+	if !bytes.HasSuffix(line, []byte("\r\n")) {
+		return nil, nil, false, Malformed("a line of chunked content ends without CR")
+	}
+	return line[:len(line)-2], rest, true, nil
+}
+
+func (p *Parser) chunk(line []byte) error {
+	switch p.state {
+	case inChunkEnd:
+		if len(line) > 0 {
+			return Malformed("chunk is longer than its size")
+		}
+		p.state = inChunkLine
+	case inChunkLine:
+		size, _, _ := bytes.Cut(line, []byte(";"))
+		size = bytes.TrimRight(size, " \t")
+		n, err := strconv.ParseUint(string(size), 16, 62)
+		if err != nil || size[0] == '+' {
+			return Malformed("chunk size %.20q", size)
+		}
+		p.left = int64(n)
+		if p.state = inChunk; n == 0 {
+			p.state = inTrailer
+		}
+	case inTrailer:
+		if len(line) == 0 {
+			p.state = finished
+			return nil
+		}
+		if p.fields++; p.fields > mostFields {
+			return Malformed("over %d trailer fields", mostFields)
+		}
+	}
+	return nil
+}
+
+// head collects start line and fields up to the empty line.
+func (p *Parser) head(b []byte, h Handler) (rest []byte, err error) {
+	from := max(0, len(p.line)-3)
+	before := len(p.line)
+	p.line = append(p.line, b[:min(len(b), p.limits.Header+4)]...)
+	i := bytes.Index(p.line[from:], []byte("\r\n\r\n"))
+	if i < 0 {
+		if len(p.line) > p.limits.Header {
+			return nil, Malformed("header is over the limit of %d bytes", p.limits.Header)
+		}
+		if n := len(p.Prefix); n > 0 && len(p.line) >= n && string(p.line[:n]) != p.Prefix {
+			return nil, Malformed("begins with %q", p.line[:n])
+		}
+		return nil, nil
+	}
+	end := from + i + 4
+	if end > p.limits.Header {
+		return nil, Malformed("header is over the limit of %d bytes", p.limits.Header)
+	}
+	if err := p.parse(string(p.line[:end-4]), h); err != nil {
+		return nil, err
+	}
+	p.line = p.line[:0]
+	return b[end-before:], nil
+}
+
+func (p *Parser) parse(head string, h Handler) error {
+	line, fields, _ := strings.Cut(head, "\r\n")
+	if strings.ContainsAny(line, "\r\n\x00") {
+		return Malformed("start line holds a control character")
+	}
+	if err := h.Start(line); err != nil {
+		return err
+	}
+	p.length, p.chunked, p.toClose = -1, false, false
+	for count := 0; fields != ""; count++ {
+		if count >= mostFields {
+			return Malformed("over %d header fields", mostFields)
+		}
+		line, fields, _ = strings.Cut(fields, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !Token(name) {
+			return Malformed("header line %.40q", line)
+		}
+		value = strings.Trim(value, " \t")
+		if strings.ContainsAny(value, "\r\n\x00") {
+			return Malformed("header field %.40q holds a control character", name)
+		}
+		switch {
+		case strings.EqualFold(name, "content-length"):
+			for part := range strings.SplitSeq(value, ",") {
+				part = strings.Trim(part, " \t")
+				n, err := strconv.ParseUint(part, 10, 62)
+				if err != nil || part[0] == '+' || p.length >= 0 && p.length != int64(n) {
+					return Malformed("Content-Length %.40q", value)
+				}
+				p.length = int64(n)
+			}
+		case strings.EqualFold(name, "transfer-encoding"):
+			if !strings.EqualFold(value, "chunked") || p.chunked {
+				return Malformed("Transfer-Encoding %.40q", value)
+			}
+			p.chunked = true
+		}
+		if err := h.Field(name, value); err != nil {
+			return err
+		}
+	}
+	framing, err := h.Head()
+	if err != nil {
+		return err
+	}
+	switch {
+	case framing == Interim:
+		if p.interim++; p.interim > mostInterim {
+			return Malformed("over %d interim responses", mostInterim)
+		}
+	case framing == NoContent:
+		p.state = finished
+	case p.chunked && p.length >= 0:
+		return Malformed("both Content-Length and Transfer-Encoding")
+	case p.chunked:
+		p.state = inChunkLine
+	case p.length > int64(p.limits.Body):
+		return fmt.Errorf("%w of %d bytes", ErrTooLong, p.limits.Body)
+	case p.length > 0:
+		p.state, p.left = inBody, p.length
+	case p.length < 0 && framing == ToClose:
+		p.state, p.toClose = inBody, true
+	default:
+		p.state = finished
+	}
+	return nil
+}
+
+// Token tells whether a name is one by RFC 9110, 5.6.2.
+func Token(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// Closes tells whether a Connection field asks for the close.
+func Closes(value string) bool {
+	for part := range strings.SplitSeq(value, ",") {
+		if strings.EqualFold(strings.Trim(part, " \t"), "close") {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -16,6 +16,7 @@
 	"github.com/lesismal/nbio"
 
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/http1"
 )
 
 // Target says how calls for one partner look.
@@ -30,7 +31,7 @@
 	Name        string   // of the relay, as Via tells it (RFC 9110, 7.6.3)
 	Targets     []Target // by partner
 	Classes     []string // names by class
-	Limits      Limits
+	Limits      http1.Limits
 	IdlePerHost int           // kept connections per endpoint; further ones close when their call ends
 	IdleFor     time.Duration // and each for so long
 	Pollers     int
@@ -426,7 +427,7 @@
 		k.end(nonsense, nil)
 		return
 	}
-	if cn.resp.state != finished {
+	if !cn.resp.Done() {
 		cn.mu.Unlock()
 		return
 	}
@@ -466,7 +467,7 @@
 	k := cn.call
 	cn.call = nil
 	r := &cn.resp
-	whole := k != nil && r.state == inBody && r.toEnd
+	whole := k != nil && r.AtClose()
 	final := response{status: r.status, retry: r.retry}
 	cn.mu.Unlock()
 	cn.leave()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"basaltcross.example/basaltcross/internal/config"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/directory"
+	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
 	"basaltcross.example/basaltcross/internal/partner"
@@ -108,7 +109,7 @@
 	}
 	pollers := max(1, runtime.GOMAXPROCS(0)/2)
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
-		Limits:      partner.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
+		Limits:      http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
 		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
 		Unsolicited: r.obs.Unsolicited})
 	if err != nil {
