What fronts share has a package: names, identities, the way back of answers

Need: the second front must not copy them, and the core must know of neither front. Identities carry the kind of front, so that equal names at two fronts are two messages. No change of behaviour.

--- a/internal/badday/plant.go
+++ b/internal/badday/plant.go
@@ -15,8 +15,8 @@
 	"basaltcross.example/basaltcross/internal/config"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/directory"
+	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/ledger"
-	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/relay"
 )
 
@@ -34,7 +34,7 @@
 	case "send-to-drained":
 		h.Sink = func(s directory.Sink) directory.Sink { return &deafSink{Sink: s} }
 	case "out-of-order", "no-answer", "late-answer":
-		h.Core = func(c mqttfront.Core) mqttfront.Core { return &badDoor{Core: c, name: name, cfg: cfg} }
+		h.Door = func(d front.Door) front.Door { return &badDoor{Door: d, name: name, cfg: cfg} }
 	default:
 		return h, fmt.Errorf("badday: no fault %q; there are %s", name, strings.Join(Breaks, ", "))
 	}
@@ -101,7 +101,7 @@
 
 // badDoor loses the order, or answers.
 type badDoor struct {
-	mqttfront.Core
+	front.Door
 	name string
 	cfg  *config.Config
 	n    atomic.Int64
@@ -113,7 +113,7 @@
 	} else if b.n.Add(1)%20 == 0 {
 		m.Reply = &badReply{Reply: m.Reply, late: b.name == "late-answer", after: b.cfg.Classes[m.Class].Deadline.D()}
 	}
-	return b.Core.Submit(m)
+	return b.Door.Submit(m)
 }
 
 type badReply struct {
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -14,6 +13,7 @@
 	"github.com/lesismal/nbio"
 
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/mqtt"
 )
 
@@ -55,11 +55,6 @@
 	connected
 )
 
-var (
-	errPending = errors.New("mqtt: session is owed too many answers")
-	errTopic   = errors.New("mqtt: topic names no class and partner of this relay")
-)
-
 // later queues bytes until flush; under the session's mu.
 func (c *conn) later(b []byte) {
 	if c.largest > 0 && len(b) > c.largest {
@@ -497,17 +492,11 @@
 
 // route finds class and partner of a topic send/<class>/<partner>.
 func (f *Front) route(topic string) (class, partner int, err error) {
-	rest, ok := strings.CutPrefix(topic, "send/")
+	path, ok := strings.CutPrefix(topic, "send/")
 	if !ok {
-		return 0, 0, errTopic
-	}
-	name, to, ok := strings.Cut(rest, "/")
-	class, known := f.opt.Classes[name]
-	partner, there := f.opt.Partners[to]
-	if !ok || !known || !there {
-		return 0, 0, errTopic
+		return 0, 0, front.ErrNames
 	}
-	return class, partner, nil
+	return f.opt.Names.Route(path)
 }
 
 func (c *conn) publish(first byte, body []byte) *mqtt.Error {
@@ -598,11 +587,10 @@
 	kept := s.expiry > 0 && fl.qos > 0
 	if !known {
 		if p.Props.HasCorrelation() {
-			fl.identity = fmt.Sprintf("c%d:%s%d:%s%s", len(s.user), s.user, len(s.id), s.id, p.Props.Correlation)
+			fl.identity = front.Identity('c', s.user, s.id, string(p.Props.Correlation))
 		} else {
 			s.serial++
-			fl.identity = fmt.Sprintf("f%d:%s%d:%s%d.%d", len(s.user), s.user, len(s.id), s.id,
-				s.front.born, s.serial)
+			fl.identity = front.Identity('f', s.user, s.id, fmt.Sprint(f.born), fmt.Sprint(s.serial))
 		}
 	}
 	if old := s.pend[fl.identity]; old != nil { // under way, or its answer on the way to this session
@@ -614,7 +602,7 @@
 		return
 	}
 	if len(s.pend) >= f.opt.Pending {
-		s.nack(fl, errPending)
+		s.nack(fl, front.ErrPending)
 		return
 	}
 	pend := &pending{s: s, identity: fl.identity, topic: p.Props.ResponseTopic, packet: p.ID}
@@ -630,8 +618,8 @@
 	if fl.qos > 0 {
 		pend.acks = []*flow{fl}
 	}
-	m := &core.Message{Source: s.id, Class: class, Partner: partner, Key: p.Props.Get("key"), Left: f.opt.Lives[class],
-		Body: bytes.Clone(p.Payload), Reply: &reply{pend}}
+	m := &core.Message{Source: s.id, Class: class, Partner: partner, Key: p.Props.Get("key"), Left: f.opt.Names.Lives[class],
+		Body: bytes.Clone(p.Payload), Reply: front.Reply[*pending]{Box: f.out, To: pend}}
 	if p.Props.HasMessageExpiry() {
 		m.Left = min(m.Left, time.Duration(p.Props.MessageExpiry)*time.Second)
 	}
@@ -639,7 +627,7 @@
 		m.Identity = fl.identity
 	}
 	s.pend[fl.identity] = pend
-	if err := f.opt.Core.Submit(m); err != nil {
+	if err := f.opt.Door.Submit(m); err != nil {
 		delete(s.pend, fl.identity)
 		s.nack(fl, err)
 	}
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -21,16 +21,10 @@
 	"github.com/lesismal/nbio"
 	"golang.org/x/crypto/bcrypt"
 
-	"basaltcross.example/basaltcross/internal/core"
-	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/mqtt"
 )
 
-// Core is where messages are handed in.
-type Core interface {
-	Submit(*core.Message) error
-}
-
 // Observer is told what passes.
 type Observer interface {
 	// Connections and sessions now, half packets held, answers owed to sessions.
@@ -45,13 +39,11 @@
 // Options of a Front. Every bound is per relay unless it says otherwise.
 type Options struct {
 	Listen         []string
-	Classes        map[string]int // index by name
-	Partners       map[string]int
-	Lives          []time.Duration // deadline by class
-	Body           int             // bytes of a payload at most
-	Connections    int             // at the bound new ones are closed at once
-	Sessions       int             // at the bound new ones are refused with 0x97
-	ReceiveMaximum int             // of each connection
+	Names          front.Names
+	Body           int // bytes of a payload at most
+	Connections    int // at the bound new ones are closed at once
+	Sessions       int // at the bound new ones are refused with 0x97
+	ReceiveMaximum int // of each connection
 	TopicAliases   int
 	Pending        int // answers owed to one session; at the bound nothing is taken from it
 	Partial        int64
@@ -61,7 +53,7 @@
 	WriteBuffer    int           // bytes that wait for one connection; over it, it is closed
 	Users          map[string]string
 	Pollers        int
-	Core           Core
+	Door           front.Door
 	Observer       Observer
 }
 
@@ -86,7 +78,7 @@
 	// fence orders the making of a conn before its use on a poller: the engine
 	// hands it over through the kernel, which the race detector cannot see.
 	fence atomic.Uint64
-	out   outbox
+	out   *front.Outbox[*pending]
 	auth  authenticator
 }
 
@@ -102,7 +94,7 @@
 func New(opt Options) (*Front, error) {
 	f := &Front{opt: opt, max: opt.Body + overhead, born: time.Now().UnixNano(), sessions: map[string]*session{}, conns: map[*conn]struct{}{},
 		stop: make(chan struct{})}
-	f.out.wake = make(chan struct{}, 1)
+	f.out = front.NewOutbox[*pending]()
 	f.auth = authenticator{users: opt.Users, slots: make(chan struct{}, 2), known: map[string][32]byte{}}
 	if _, err := rand.Read(f.auth.salt[:]); err != nil {
 		return nil, fmt.Errorf("mqtt: %w", err)
@@ -290,74 +282,31 @@
 	}
 }
 
-// outbox carries what the core says to the goroutine that writes it, so that
-// the core waits for no socket. It holds at most one entry for each hand-in
-// that waits to be taken and one for each answer owed.
-type outbox struct {
-	mu   sync.Mutex
-	list []said
-	wake chan struct{}
-}
-
-type said struct {
-	r      *reply
-	answer ledger.Answer // no verdict: whether it was taken
-	err    error
-}
-
-func (o *outbox) put(s said) {
-	o.mu.Lock()
-	o.list = append(o.list, s)
-	first := len(o.list) == 1
-	o.mu.Unlock()
-	if first {
-		select {
-		case o.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
+// write tells clients what the core said, each connection in one write.
 func (f *Front) write() {
 	defer f.done.Done()
-	var spare []said
 	var dirty []*conn
-	for {
-		stopping := false
-		select {
-		case <-f.out.wake:
-		case <-f.stop:
-			stopping = true
-		}
-		f.out.mu.Lock()
-		list := f.out.list
-		f.out.list = spare[:0]
-		f.out.mu.Unlock()
-		for i, s := range list {
-			p := s.r.pend
-			p.s.mu.Lock()
-			if s.answer.Verdict != 0 {
-				p.s.answered(p, s.answer)
+	f.out.Run(f.stop, func(list []front.Said[*pending]) {
+		for _, said := range list {
+			s := said.To.s
+			s.mu.Lock()
+			if said.Answer.Verdict != 0 {
+				s.answered(said.To, said.Answer)
 			} else {
-				p.s.taken(p, s.err)
+				s.taken(said.To, said.Err)
 			}
-			if c := p.s.conn; c != nil && len(c.obuf) > 0 && !c.dirty {
+			if c := s.conn; c != nil && len(c.obuf) > 0 && !c.dirty {
 				c.dirty = true
 				dirty = append(dirty, c)
 			}
-			p.s.mu.Unlock()
-			list[i] = said{}
+			s.mu.Unlock()
 		}
-		spare = list
 		for i, c := range dirty {
 			c.flush()
 			dirty[i] = nil
 		}
 		dirty = dirty[:0]
-		if stopping {
-			return
-		}
-	}
+	})
 }
 
 // authenticator checks passwords off the pollers, two at a time; a password
--- a/internal/mqttfront/front_test.go
+++ b/internal/mqttfront/front_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/crypto/bcrypt"
 
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/mqtt"
 )
@@ -39,6 +40,8 @@
 	return nil
 }
 
+func (d *door) Withdraw(string) {}
+
 func (d *door) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -52,12 +55,13 @@
 func (deaf) NotTaken(string)       {}
 func (deaf) Logf(string, ...any)   {}
 
-func front(t *testing.T, d *door, change func(*Options)) string {
+func start(t *testing.T, d *door, change func(*Options)) string {
 	t.Helper()
-	o := Options{Listen: []string{"127.0.0.1:0"}, Classes: map[string]int{"status": 0}, Partners: map[string]int{"p": 0},
-		Lives: []time.Duration{time.Minute}, Body: 4096, Connections: 100, Sessions: 100, ReceiveMaximum: 4,
+	o := Options{Listen: []string{"127.0.0.1:0"}, Body: 4096, Connections: 100, Sessions: 100, ReceiveMaximum: 4,
 		TopicAliases: 2, Pending: 8, Partial: 64 << 10, SessionExpiry: time.Minute, KeepAlive: time.Minute,
-		Handshake: 10 * time.Second, WriteBuffer: 32 << 10, Pollers: 1, Core: d, Observer: deaf{}}
+		Handshake: 10 * time.Second, WriteBuffer: 32 << 10, Pollers: 1, Door: d, Observer: deaf{},
+		Names: front.Names{Classes: map[string]int{"status": 0}, Partners: map[string]int{"p": 0},
+			Lives: []time.Duration{time.Minute}}}
 	if change != nil {
 		change(&o)
 	}
@@ -143,7 +147,7 @@
 // What the standard forbids and what is not offered: the standard's code,
 // then the connection is closed.
 func TestForbidden(t *testing.T) {
-	addr := front(t, &door{}, nil)
+	addr := start(t, &door{}, nil)
 	many := []byte{}
 	for i := range 9 {
 		many = append(many, publish(2, uint16(i+1), "")...)
@@ -199,7 +203,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := front(t, &door{}, func(o *Options) { o.Users = map[string]string{"u": string(hash)} })
+	addr := start(t, &door{}, func(o *Options) { o.Users = map[string]string{"u": string(hash)} })
 	con := func(v byte, change func(*mqtt.Connect)) []byte {
 		c := &mqtt.Connect{Version: v, ClientID: "c", Clean: true, HasUser: true, User: "u", Password: []byte("secret")}
 		if change != nil {
@@ -236,7 +240,7 @@
 
 // What a broker would offer is announced as missing and refused by code.
 func TestSubscriptions(t *testing.T) {
-	p := dial(t, front(t, &door{}, nil))
+	p := dial(t, start(t, &door{}, nil))
 	a := p.connect("c", mqtt.Props{RequestResponse: 1})
 	if a.Props.RetainAvailable != 0 || a.Props.Wildcard != 0 || a.Props.Shared != 0 || a.Props.SubIDs != 0 ||
 		a.Props.ResponseInfo != "answers/c" || a.Props.ReceiveMaximum != 4 {
@@ -259,7 +263,7 @@
 // against the client's Receive Maximum.
 func TestAnswersResume(t *testing.T) {
 	d := &door{auto: true}
-	addr := front(t, d, nil)
+	addr := start(t, d, nil)
 	props := mqtt.Props{SessionExpiry: 60, ReceiveMaximum: 1}
 	p := dial(t, addr)
 	p.connect("c", props)
@@ -307,7 +311,7 @@
 // A session is owed only so many answers; a busy core takes nothing.
 func TestNotTaken(t *testing.T) {
 	d := &door{}
-	addr := front(t, d, func(o *Options) { o.ReceiveMaximum = 100 })
+	addr := start(t, d, func(o *Options) { o.ReceiveMaximum = 100 })
 	p := dial(t, addr)
 	p.connect("c", mqtt.Props{SessionExpiry: 60})
 	for i := range 9 {
@@ -332,7 +336,7 @@
 // that does not read its answers loses its connection; others go on.
 func TestHostileClients(t *testing.T) {
 	d := &door{}
-	addr := front(t, d, func(o *Options) {
+	addr := start(t, d, func(o *Options) {
 		o.Pending, o.ReceiveMaximum, o.Body, o.Partial = 60000, 65535, 64<<10, 256<<10
 	})
 	good := dial(t, addr)
@@ -385,7 +389,7 @@
 // finished: closed. The will is handed in then, and not after a goodbye.
 func TestKeepAliveAndWill(t *testing.T) {
 	d := &door{}
-	addr := front(t, d, func(o *Options) { o.Handshake = 300 * time.Millisecond })
+	addr := start(t, d, func(o *Options) { o.Handshake = 300 * time.Millisecond })
 	will := func(id string) []byte {
 		b := mqtt.AppendConnect(nil, &mqtt.Connect{Version: mqtt.V5, ClientID: id, KeepAlive: 1, Clean: true})
 		b[9] |= 4 // a will of QoS 0
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/mqtt"
 )
@@ -74,15 +75,6 @@
 	rel  bool // PUBREC came, PUBREL is out
 }
 
-// reply is what the core knows of one hand-in.
-type reply struct{ pend *pending }
-
-func (r *reply) Taken(err error) { r.pend.s.front.out.put(said{r: r, err: err}) }
-
-func (r *reply) Answer(a ledger.Answer) { r.pend.s.front.out.put(said{r: r, answer: a}) }
-
-var _ core.Reply = (*reply)(nil)
-
 // dismiss ends the connection of a client that is owed nothing while the relay
 // stops; under mu.
 func (s *session) dismiss() {
@@ -146,9 +138,9 @@
 func (s *session) nack(fl *flow, err error) {
 	code, reason := byte(mqtt.ImplementationError), err.Error()
 	switch err {
-	case core.ErrBusy, ledger.ErrFull, errPending:
+	case core.ErrBusy, ledger.ErrFull, front.ErrPending:
 		code = mqtt.QuotaExceeded
-	case errTopic:
+	case front.ErrNames:
 		code = mqtt.TopicNameInvalid
 	}
 	s.front.opt.Observer.NotTaken(reason)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"basaltcross.example/basaltcross/internal/config"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/directory"
+	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
@@ -27,7 +28,7 @@
 type Hooks struct {
 	Caller func(core.Caller) core.Caller
 	Sink   func(directory.Sink) directory.Sink
-	Core   func(mqttfront.Core) mqttfront.Core
+	Door   func(front.Door) front.Door
 }
 
 // Relay is a running relay.
@@ -130,9 +131,9 @@
 		r.caller.Close()
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	var door mqttfront.Core = r.core
-	if hooks.Core != nil {
-		door = hooks.Core(door)
+	var door front.Door = r.core
+	if hooks.Door != nil {
+		door = hooks.Door(door)
 	}
 	var sink directory.Sink = r.core
 	if hooks.Sink != nil {
@@ -170,12 +171,12 @@
 	}
 	m := &cfg.MQTT
 	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen,
-		Classes: index(cfg.Classes, func(k config.Class) string { return k.Name }), Partners: names.Partners,
-		Lives: lives, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
+		Names: front.Names{Classes: index(cfg.Classes, func(k config.Class) string { return k.Name }),
+			Partners: names.Partners, Lives: lives}, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
 		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
 		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
 		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users, Pollers: pollers,
-		Core: door, Observer: r.obs})
+		Door: door, Observer: r.obs})
 	if err != nil {
 		return fail(err)
 	}
@@ -205,5 +206,5 @@
 }
 
 var _ directory.Sink = (*core.Core)(nil)
-var _ mqttfront.Core = (*core.Core)(nil)
+var _ front.Door = (*core.Core)(nil)
 var _ core.Caller = (*partner.Caller)(nil)
