Withdrawn messages get their final answer by the module; messages that go now or never

Need: a DELETE of a push, a newer push with the same topic and TTL 0 withdraw a message whose answer is still owed. The core used to say failed for all; the module now refuses what never ran, and fails or delivers the rest with its result. The test fails without the change.

--- a/choice/api.go
+++ b/choice/api.go
@@ -120,8 +120,12 @@
 	Report  []float64     // load report, if any
 }
 
-// Withdrawn says that nobody wants a message any more.
-type Withdrawn struct{ ID string }
+// Withdrawn says that nobody wants a message any more: it is sent no further. Where it is still owed its final
+// answer, that comes in this step, or with the result if the message is out.
+type Withdrawn struct {
+	ID   string
+	Owed bool
+}
 
 // State is an endpoint's state on the list.
 type State int
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,7 +66,11 @@
 			c.result(e)
 		case Withdrawn:
 			if m := c.msgs[e.ID]; m != nil && !m.over {
-				c.end(m)
+				if m.unwanted = true; !e.Owed {
+					c.end(m)
+				} else if m.call == nil {
+					c.final(m)
+				}
 			}
 		case Listing:
 			c.list(e)
@@ -592,7 +596,7 @@
 	switch {
 	case e.Done || m.over:
 		c.end(m)
-	case !c.repeatable(m) || m.attempts >= c.set.MaxAttempts:
+	case m.unwanted || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts:
 		c.final(m)
 	default:
 		c.queue(m)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -721,3 +721,21 @@
 		}
 	}
 }
+
+func TestWithdrawnAndOwed(t *testing.T) {
+	s := settings()
+	s.Certain = true
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	r.step(arrival("out", 0))
+	r.step(Listing{Whole: true, Hosts: []Host{{Addr: "a", Dest: 1, State: Draining}}})
+	r.step(arrival("waits", 0))
+	acts := r.step(Withdrawn{ID: "out", Owed: true}, Withdrawn{ID: "waits", Owed: true})
+	if len(acts) == 0 || acts[0] != Action(Refuse{ID: "waits"}) || slices.Contains(acts, Action(Fail{ID: "out"})) {
+		t.Fatalf("at the withdrawal: %v", acts)
+	}
+	r.step(Listing{Whole: true, Hosts: []Host{{Addr: "a", Dest: 1, State: Ready}}})
+	acts = r.step(r.end("out", "a", Reset))
+	if !slices.Contains(acts, Action(Fail{ID: "out"})) || len(sends(append(acts, r.after(time.Second)...))) > 0 {
+		t.Fatalf("with its result: %v", acts)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,7 @@
 	last     *host
 	unsure   time.Duration // time of the last unsure outcome; its key rests after it
 	over     bool          // answered or withdrawn
+	unwanted bool          // withdrawn
 }
 
 // call is one call out; sends of one turn to one host may share it.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,8 @@
 	Partner  int    // index in the relay's partners
 	Key      string // key of the order
 	Left     time.Duration
+	Now      bool   // sent at once or not at all, and not again
+	Head     []byte // further header lines for the partner, each with its CRLF
 	Body     []byte // not changed after the hand-in
 	Reply    Reply  // where "taken" and the final answer go
 }
@@ -56,6 +58,7 @@
 	Class   int
 	Partner int
 	Key     string
+	Head    []byte
 	Idem    string // idempotency key; empty where the class keeps none
 	Body    []byte
 	Patient time.Duration // time-out, from the moment of sending
@@ -168,6 +171,7 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
+	nows     []string // messages that go in this step or not at all
 	spare    []event
 }
 
@@ -216,7 +220,8 @@
 // List hands in news of the endpoint list.
 func (c *Core) List(l choice.Listing) { _ = c.put(event{listing: &l}) }
 
-// Withdraw says that nobody wants the message of an identity any more.
+// Withdraw says that nobody wants the message of an identity any more. It is
+// sent no further; its final answer says what became of it.
 func (c *Core) Withdraw(identity string) { _ = c.put(event{drop: identity}) }
 
 // Inspect runs f on the core's goroutine and waits for it.
@@ -366,8 +371,15 @@
 		c.wakeAt = -1
 		c.batch = append(c.batch, choice.Woken{})
 	}
-	if len(c.batch) > 0 {
+	for len(c.batch) > 0 {
 		c.carryOut(c.ch.Step(c.now, c.batch))
+		c.batch = c.batch[:0]
+		for _, id := range c.nows { // had their chance
+			if m := c.msgs[id]; m != nil && !m.answered {
+				c.batch = append(c.batch, choice.Withdrawn{ID: id, Owed: true})
+			}
+		}
+		c.nows = c.nows[:0]
 	}
 	c.opt.Observer.Gauge(c.owed, len(c.outs), c.led.Len(), len(events))
 }
@@ -410,6 +422,9 @@
 	c.opt.Observer.Taken(in.Class)
 	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
 		Left: m.due - c.now, Key: in.Key})
+	if in.Now {
+		c.nows = append(c.nows, m.id)
+	}
 }
 
 // answer gives a message its one final answer.
@@ -441,8 +456,7 @@
 		return
 	}
 	m := c.byEntry[e]
-	c.batch = append(c.batch, choice.Withdrawn{ID: m.id})
-	c.answer(m, ledger.Answer{Verdict: ledger.Failed})
+	c.batch = append(c.batch, choice.Withdrawn{ID: m.id, Owed: true})
 }
 
 // end takes in an attempt's outcome from its socket.
@@ -582,7 +596,7 @@
 	m.tries++
 	m.out = a
 	c.outs[a] = struct{}{}
-	call := Call{ID: m.id, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Body: m.Body,
+	call := Call{ID: m.id, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Head: m.Head, Body: m.Body,
 		Patient: s.Timeout, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
 	if c.opt.Settings.Classes[m.Class].Effect == choice.Keyed {
 		call.Idem = m.idem()
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -319,7 +319,7 @@
 	b = append(append(append(b, "POST "...), t.Path...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, host...), "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(k.Body)), 10)
-	b = append(append(b, "\r\nContent-Type: application/octet-stream\r\nVia: 1.1 "...), k.caller.opt.Name...)
+	b = append(append(b, "\r\nVia: 1.1 "...), k.caller.opt.Name...)
 	b = append(append(b, "\r\nMessage-Class: "...), k.caller.opt.Classes[k.Class]...)
 	if k.Idem != "" {
 		b = appendValue(append(b, "\r\nIdempotency-Key: \""...), k.Idem)
@@ -328,7 +328,11 @@
 	if k.Key != "" {
 		b = appendValue(append(b, "\r\nOrder-Key: "...), k.Key)
 	}
-	return append(b, "\r\n\r\n"...)
+	b = append(b, "\r\n"...)
+	if b = append(b, k.Head...); len(k.Head) == 0 {
+		b = append(b, "Content-Type: application/octet-stream\r\n"...)
+	}
+	return append(b, "\r\n"...)
 }
 
 // appendValue writes text as a field value; what may not stand in one, or in a
