--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/rand"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -15,12 +16,16 @@
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/mqtt"
+	"basaltcross.example/basaltcross/internal/secure"
 )
 
 // conn is one client's connection.
 type conn struct {
 	front   *Front
 	nb      *nbio.Conn
+	sec     *secure.Conn // nil without TLS
+	out     io.Writer
+	named   string // by a verified client certificate
 	opened  time.Time
 	last    atomic.Int64 // unix ns of the last packet
 	since   atomic.Int64 // a half packet began; 0 for none
@@ -81,7 +86,7 @@
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
 	if !c.ended.Load() {
-		_, _ = c.nb.Write(b)
+		_, _ = c.out.Write(b)
 	}
 }
 
@@ -100,7 +105,7 @@
 		return
 	}
 	if c.greeted.Load() {
-		_, _ = c.nb.Write(mqtt.AppendDisconnect(nil, code, reason))
+		_, _ = c.out.Write(mqtt.AppendDisconnect(nil, code, reason))
 	}
 	c.wmu.Unlock()
 	c.front.opt.Observer.Closed(code)
@@ -109,6 +114,28 @@
 
 // data takes in what the socket gave.
 func (c *conn) data(b []byte) {
+	if c.sec != nil {
+		c.sec.Data(b)
+		return
+	}
+	c.plain(b)
+}
+
+// ready goes on after the TLS handshake.
+func (c *conn) ready(s *secure.Conn, err error) func([]byte) {
+	c.front.opt.Observer.Handshake(err)
+	if err != nil {
+		return nil
+	}
+	if certs := s.ConnectionState().PeerCertificates; len(certs) > 0 { // verified, or the handshake had failed
+		c.mu.Lock()
+		c.named = certs[0].Subject.CommonName
+		c.mu.Unlock()
+	}
+	return c.plain
+}
+
+func (c *conn) plain(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.process(b)
@@ -195,7 +222,7 @@
 		}
 		if code != 0 {
 			p := &mqtt.Props{ReasonString: err.Text}
-			_, _ = c.nb.Write(mqtt.AppendConnack(nil, c.version, false, code, p))
+			_, _ = c.out.Write(mqtt.AppendConnack(nil, c.version, false, code, p))
 		}
 	}
 	c.end(err.Code, err.Text)
@@ -222,6 +249,9 @@
 // closed takes in the end of the connection.
 func (c *conn) closed() {
 	f := c.front
+	if c.sec != nil {
+		c.sec.End()
+	}
 	f.mu.Lock()
 	delete(f.conns, c)
 	f.mu.Unlock()
@@ -354,6 +384,10 @@
 		w.Payload = bytes.Clone(w.Payload) // it outlives the packet
 		w.Props.Correlation = bytes.Clone(w.Props.Correlation)
 	}
+	if c.named != "" { // its certificate is its user name, and stands for the password
+		in.User = c.named
+		return c.admit(in)
+	}
 	if len(c.front.opt.Users) == 0 {
 		return c.admit(in)
 	}
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -9,6 +9,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"maps"
@@ -23,6 +24,7 @@
 
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/mqtt"
+	"basaltcross.example/basaltcross/internal/secure"
 )
 
 // Observer is told what passes.
@@ -33,12 +35,17 @@
 	Closed(code byte)
 	// NotTaken counts messages turned away at the door, by reason.
 	NotTaken(reason string)
+	// Handshake counts TLS handshakes by their result.
+	Handshake(err error)
 	Logf(format string, args ...any)
 }
 
 // Options of a Front. Every bound is per relay unless it says otherwise.
 type Options struct {
-	Listen         []string
+	Listen         []string // without TLS
+	TLSListen      []string
+	TLS            *tls.Config
+	Slots          secure.Slots
 	Names          front.Names
 	Body           int // bytes of a payload at most
 	Connections    int // at the bound new ones are closed at once
@@ -60,7 +67,8 @@
 // Front serves MQTT.
 type Front struct {
 	opt       Options
-	engine    *nbio.Engine
+	engines   []*nbio.Engine
+	tlsAddrs  []string
 	max       int // bytes of a packet
 	addrs     []string
 	listeners []net.Listener
@@ -99,47 +107,69 @@
 	if _, err := rand.Read(f.auth.salt[:]); err != nil {
 		return nil, fmt.Errorf("mqtt: %w", err)
 	}
-	f.engine = nbio.NewEngine(nbio.Config{Name: "mqtt", Network: "tcp", Addrs: opt.Listen,
-		Listen: f.listen, NPoller: max(1, opt.Pollers), ReadBufferSize: 64 << 10, MaxWriteBufferSize: opt.WriteBuffer})
-	f.engine.OnOpen(f.open)
-	f.engine.OnData(func(nb *nbio.Conn, b []byte) {
+	for i, addrs := range [][]string{opt.Listen, opt.TLSListen} {
+		if len(addrs) == 0 {
+			continue
+		}
+		if err := f.serve(addrs, i == 1); err != nil {
+			for _, e := range f.engines {
+				e.Stop()
+			}
+			return nil, fmt.Errorf("mqtt: %w", err)
+		}
+	}
+	f.done.Add(2)
+	go f.write()
+	go f.janitor()
+	return f, nil
+}
+
+// serve starts an engine for listeners of one sort.
+func (f *Front) serve(addrs []string, secured bool) error {
+	e := nbio.NewEngine(nbio.Config{Name: "mqtt", Network: "tcp", Addrs: addrs, NPoller: max(1, f.opt.Pollers),
+		ReadBufferSize: 64 << 10, MaxWriteBufferSize: f.opt.WriteBuffer,
+		Listen: func(network, addr string) (net.Listener, error) {
+			l, err := net.Listen(network, addr)
+			if err != nil {
+				return nil, err
+			}
+			f.listeners = append(f.listeners, l)
+			if secured {
+				f.tlsAddrs = append(f.tlsAddrs, l.Addr().String())
+			} else {
+				f.addrs = append(f.addrs, l.Addr().String())
+			}
+			return l, nil
+		}})
+	e.OnOpen(func(nb *nbio.Conn) { f.open(nb, secured) })
+	e.OnData(func(nb *nbio.Conn, b []byte) {
 		f.fence.Load()
 		if c, ok := nb.Session().(*conn); ok {
 			c.data(b)
 		}
 	})
-	f.engine.OnClose(func(nb *nbio.Conn, err error) {
+	e.OnClose(func(nb *nbio.Conn, err error) {
 		f.fence.Load()
 		if c, ok := nb.Session().(*conn); ok {
 			c.closed()
 		}
 	})
-	f.engine.OnAcceptError(func(err error) { // out of descriptors, mostly: not in a hot loop
+	e.OnAcceptError(func(err error) { // out of descriptors, mostly: not in a hot loop
 		if !f.draining.Load() {
-			opt.Observer.Logf("mqtt: accept: %v", err)
+			f.opt.Observer.Logf("mqtt: accept: %v", err)
 		}
 		time.Sleep(20 * time.Millisecond)
 	})
-	if err := f.engine.Start(); err != nil {
-		return nil, fmt.Errorf("mqtt: %w", err)
+	if err := e.Start(); err != nil {
+		return err
 	}
-	f.done.Add(2)
-	go f.write()
-	go f.janitor()
-	return f, nil
+	f.engines = append(f.engines, e)
+	return nil
 }
 
-// Addrs are the addresses listened on.
-func (f *Front) Addrs() []string { return f.addrs }
-
-func (f *Front) listen(network, addr string) (net.Listener, error) {
-	l, err := net.Listen(network, addr)
-	if err == nil {
-		f.addrs = append(f.addrs, l.Addr().String())
-		f.listeners = append(f.listeners, l)
-	}
-	return l, err
-}
+// Addrs and TLSAddrs are the addresses listened on.
+func (f *Front) Addrs() []string    { return f.addrs }
+func (f *Front) TLSAddrs() []string { return f.tlsAddrs }
 
 // Drain closes the listeners and says goodbye, with reason 0x8B, to each client
 // once it is owed nothing, so that it goes to another relay.
@@ -175,11 +205,13 @@
 	for _, c := range conns {
 		c.end(mqtt.ServerShuttingDown, "relay stops")
 	}
-	f.engine.Stop()
+	for _, e := range f.engines {
+		e.Stop()
+	}
 }
 
-func (f *Front) open(nb *nbio.Conn) {
-	c := &conn{front: f, nb: nb}
+func (f *Front) open(nb *nbio.Conn, secured bool) {
+	c := &conn{front: f, nb: nb, out: nb}
 	now := time.Now()
 	c.opened = now
 	c.last.Store(now.UnixNano())
@@ -194,6 +226,10 @@
 		go nb.Close() // not within the poller's opening
 		return
 	}
+	if secured {
+		c.sec = secure.Server(nb, f.opt.TLS, f.opt.Slots, f.opt.Handshake, c.ready)
+		c.out = c.sec
+	}
 	nb.SetSession(c)
 	f.fence.Add(1)
 	_ = nb.SetNoDelay(true)
--- a/internal/mqttfront/front_test.go
+++ b/internal/mqttfront/front_test.go
@@ -53,6 +53,7 @@
 func (deaf) Front(int, int, int64) {}
 func (deaf) Closed(byte)           {}
 func (deaf) NotTaken(string)       {}
+func (deaf) Handshake(error)       {}
 func (deaf) Logf(string, ...any)   {}
 
 func start(t *testing.T, d *door, change func(*Options)) string {
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -17,6 +19,7 @@
 
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/secure"
 )
 
 // Target says how calls for one partner look.
@@ -24,6 +27,8 @@
 	Path     string
 	Host     string // Host field; empty for the endpoint's address
 	Promises bool   // a refusal never ran
+	// TLS makes the configuration of one connection; nil for none.
+	TLS func() *tls.Config
 }
 
 // Options of a Caller.
@@ -35,6 +40,8 @@
 	IdlePerHost int           // kept connections per endpoint; further ones close when their call ends
 	IdleFor     time.Duration // and each for so long
 	Pollers     int
+	// Failed is told of TLS handshakes that failed; may be nil.
+	Failed func(host string, err error)
 	// Unsolicited is told of bytes that came without a request; may be nil.
 	Unsolicited func(host string)
 }
@@ -64,13 +71,15 @@
 	pool *pool
 	host string
 	nb   *nbio.Conn
+	out  io.Writer
+	sec  *secure.Conn // nil without TLS
 	mu   sync.Mutex
 	call *call
 	gone atomic.Bool
 	at   time.Time // idle since
 	resp response
-	size int64        // of the request
-	sent atomic.Int64 // of it, handed to the kernel
+	// Bytes for the socket so far, and those of them that the kernel has.
+	size, sent atomic.Int64
 }
 
 // call is one attempt. Its state goes from dialing to written to ended.
@@ -92,12 +101,19 @@
 	c.engine.OnData(func(nb *nbio.Conn, data []byte) {
 		c.fence.Load()
 		if cn, ok := nb.Session().(*conn); ok {
-			cn.data(c, data)
+			if cn.sec != nil {
+				cn.sec.Data(data)
+			} else {
+				cn.data(c, data)
+			}
 		}
 	})
 	c.engine.OnClose(func(nb *nbio.Conn, err error) {
 		c.fence.Load()
 		if cn, ok := nb.Session().(*conn); ok {
+			if cn.sec != nil {
+				cn.sec.End()
+			}
 			cn.closed()
 		}
 	})
@@ -244,6 +260,10 @@
 		k.end(noConnection, nil)
 		return
 	}
+	if cfg := c.opt.Targets[k.Partner].TLS; cfg != nil {
+		k.dialTLS(ctx, raw, cfg(), p)
+		return
+	}
 	nb, err := nbio.NBConn(raw) // duplicates the descriptor and closes the first
 	if err != nil {
 		_ = raw.Close()
@@ -251,7 +271,7 @@
 		k.end(noConnection, nil)
 		return
 	}
-	cn := &conn{pool: p, host: k.Host, nb: nb}
+	cn := &conn{pool: p, host: k.Host, nb: nb, out: nb}
 	nb.SetSession(cn)
 	c.fence.Add(1)
 	if _, err := c.engine.AddConn(nb); err != nil {
@@ -263,6 +283,31 @@
 	k.write(cn)
 }
 
+// dialTLS does the handshake, within the attempt's time. A failed one carried no
+// byte of the request.
+func (k *call) dialTLS(ctx context.Context, raw net.Conn, cfg *tls.Config, p *pool) {
+	c := k.caller
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(k.Host)
+	}
+	cn := &conn{pool: p, host: k.Host}
+	err := secure.Client(ctx, raw, cfg, c.engine, func(n int) { cn.size.Add(int64(n)) },
+		func(nb *nbio.Conn, s *secure.Conn) {
+			cn.nb, cn.out, cn.sec = nb, s, s
+			nb.SetSession(cn)
+			c.fence.Add(1)
+		}, func(b []byte) { cn.data(c, b) })
+	if err != nil {
+		if c.opt.Failed != nil {
+			c.opt.Failed(k.Host, err)
+		}
+		cn.leave()
+		k.end(noConnection, nil)
+		return
+	}
+	k.write(cn)
+}
+
 func (p *pool) release() {
 	p.mu.Lock()
 	p.open--
@@ -289,14 +334,15 @@
 	}
 	cn.call = k
 	cn.resp.reset(k.caller.opt.Limits)
-	cn.size = int64(len(request))
-	cn.sent.Store(0)
+	if cn.sec == nil { // else the TLS layer counts its records
+		cn.size.Add(int64(len(request)))
+	}
 	cn.mu.Unlock()
 	k.conn = cn
 	k.wrote = true
 	k.mu.Unlock()
 	// From here on the answer may come at any moment, on the poller.
-	if n, err := cn.nb.Write(request); err != nil {
+	if n, err := cn.out.Write(request); err != nil {
 		if n <= 0 { // nothing went out before the error
 			cn.drop(k)
 			k.end(lostUnsent, nil)
@@ -439,7 +485,7 @@
 	keep := cn.resp.keep && len(rest) == 0
 	cn.call = nil
 	what := answered
-	if cn.sent.Load() < cn.size {
+	if cn.sent.Load() < cn.size.Load() {
 		what, keep = early, false
 	}
 	cn.mu.Unlock()
--- /dev/null
+++ b/internal/webpush/front.go
@@ -0,0 +1,478 @@
+// Package webpush is the relay's Web Push front: the application server's side
+// of RFC 8030 with VAPID (RFC 8292), over HTTP/1.1 and HTTP/2. What is pushed to
+// /push/<class>/<partner> is handed to the core like any message; its final
+// answer comes as a receipt. Encrypted content (RFC 8291) is carried as it is.
+package webpush
+
+import (
+	"bytes"
+	"container/list"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/net/http2"
+
+	"basaltcross.example/basaltcross/internal/front"
+	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/secure"
+)
+
+// Observer is told what passes.
+type Observer interface {
+	// Push tells connections, messages and receipt subscriptions kept now.
+	Push(connections, messages, boxes int)
+	NotTaken(reason string)
+	Handshake(err error)
+	Logf(format string, args ...any)
+}
+
+// Options of a Front.
+type Options struct {
+	Listen      []string // without TLS
+	TLSListen   []string
+	TLS         *tls.Config
+	Slots       secure.Slots
+	Names       front.Names
+	Unsafe      []bool              // by class: needs an Idempotency-Key
+	Audience    []string            // origins that tokens may be for
+	Keys        map[string][]string // resources by VAPID key; nil: any key, any resource
+	Anyone      bool                // no token is needed; on loopback only
+	Body        int
+	Header      int
+	Connections int
+	Streams     int // at once on one HTTP/2 connection
+	Messages    int // kept, ended ones included
+	Boxes       int // receipt subscriptions
+	Pending     int // receipts owed to one subscription
+	Polls       int // long polls that wait
+	Keep        time.Duration
+	Poll        time.Duration // longest wait of a long poll
+	Handshake   time.Duration // for a TLS handshake, and for the rest of a begun request
+	Idle        time.Duration // connections without a request close after it
+	WriteBuffer int
+	Pollers     int
+	Door        front.Door
+	Observer    Observer
+}
+
+// Front serves Web Push.
+type Front struct {
+	opt     Options
+	engines []*nbio.Engine
+	addrs   []string
+	tlsAt   []string
+	vapid   *vapid
+	h2      *http2.Server
+	fence   atomic.Uint64 // see mqttfront
+	out     *front.Outbox[*push]
+	stop    chan struct{}
+	done    sync.WaitGroup
+
+	conMu sync.Mutex
+	conns map[*conn]struct{}
+
+	mu         sync.Mutex
+	pushes     map[string]*push
+	byIdentity map[string]*push
+	topics     map[string]*push
+	ended      *list.List // of pushes, oldest first
+	boxes      map[string]*box
+	polls      int
+	swept      time.Time
+	calls      []func() // responses, for when mu is let go
+}
+
+// New opens the listeners.
+func New(opt Options) (*Front, error) {
+	f := &Front{opt: opt, vapid: newVAPID(opt.Audience), out: front.NewOutbox[*push](), stop: make(chan struct{}),
+		conns: map[*conn]struct{}{}, pushes: map[string]*push{}, byIdentity: map[string]*push{},
+		topics: map[string]*push{}, ended: list.New(), boxes: map[string]*box{},
+		h2: &http2.Server{MaxConcurrentStreams: uint32(opt.Streams), MaxReadFrameSize: 16 << 10, IdleTimeout: opt.Idle,
+			MaxUploadBufferPerConnection: 1 << 20, MaxUploadBufferPerStream: 256 << 10,
+			MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096}}
+	for i, addrs := range [][]string{opt.Listen, opt.TLSListen} {
+		if len(addrs) == 0 {
+			continue
+		}
+		secured := i == 1
+		e := nbio.NewEngine(nbio.Config{Name: "webpush", Network: "tcp", Addrs: addrs, NPoller: max(1, opt.Pollers),
+			ReadBufferSize: 32 << 10, MaxWriteBufferSize: opt.WriteBuffer,
+			Listen: func(network, addr string) (net.Listener, error) {
+				l, err := net.Listen(network, addr)
+				if err == nil && secured {
+					f.tlsAt = append(f.tlsAt, l.Addr().String())
+				} else if err == nil {
+					f.addrs = append(f.addrs, l.Addr().String())
+				}
+				return l, err
+			}})
+		e.OnOpen(func(nb *nbio.Conn) { f.open(nb, secured) })
+		e.OnData(func(nb *nbio.Conn, b []byte) {
+			f.fence.Load()
+			if c, ok := nb.Session().(*conn); ok {
+				c.data(b)
+			}
+		})
+		e.OnClose(func(nb *nbio.Conn, _ error) {
+			f.fence.Load()
+			if c, ok := nb.Session().(*conn); ok {
+				c.closed()
+			}
+		})
+		e.OnAcceptError(func(err error) {
+			opt.Observer.Logf("webpush: accept: %v", err)
+			time.Sleep(20 * time.Millisecond)
+		})
+		if err := e.Start(); err != nil {
+			f.stopEngines()
+			return nil, fmt.Errorf("webpush: %w", err)
+		}
+		f.engines = append(f.engines, e)
+	}
+	f.done.Add(2)
+	go func() {
+		defer f.done.Done()
+		f.out.Run(f.stop, func(list []front.Said[*push]) {
+			f.mu.Lock()
+			defer f.unlock()
+			for _, s := range list {
+				f.said(s)
+			}
+		})
+	}()
+	go f.janitor()
+	return f, nil
+}
+
+// Addrs and TLSAddrs are the addresses listened on.
+func (f *Front) Addrs() []string    { return f.addrs }
+func (f *Front) TLSAddrs() []string { return f.tlsAt }
+
+func (f *Front) stopEngines() {
+	for _, e := range f.engines {
+		e.Stop()
+	}
+}
+
+// Close ends everything; what the core said before is handed on first.
+func (f *Front) Close() {
+	close(f.stop)
+	f.done.Wait()
+	f.mu.Lock()
+	for _, p := range f.pushes {
+		release(&p.waiting)
+	}
+	for _, b := range f.boxes {
+		release(&b.waiting)
+	}
+	f.unlock()
+	f.stopEngines()
+}
+
+func (f *Front) janitor() {
+	defer f.done.Done()
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case now := <-tick.C:
+			f.mu.Lock()
+			f.sweep(now)
+			messages, boxes := len(f.pushes), len(f.boxes)
+			f.mu.Unlock()
+			f.conMu.Lock()
+			n := len(f.conns)
+			var late []*conn
+			for c := range f.conns {
+				if c.overdue(now) {
+					late = append(late, c)
+				}
+			}
+			f.conMu.Unlock()
+			for _, c := range late {
+				_ = c.nb.Close()
+			}
+			f.opt.Observer.Push(n, messages, boxes)
+		}
+	}
+}
+
+// conn is one connection.
+type conn struct {
+	front *Front
+	nb    *nbio.Conn
+	sec   *secure.Conn // nil without TLS
+	out   io.Writer
+	since atomic.Int64 // unix ns: a request began, or the connection idles since
+	busy  atomic.Int32 // 0 idles, 1 within a request, 2 answering, 3 HTTP/2
+
+	mu   sync.Mutex
+	req  h1Request
+	rest []byte // after a request that is being answered
+	shut bool
+}
+
+func (f *Front) open(nb *nbio.Conn, secured bool) {
+	c := &conn{front: f, nb: nb, out: nb}
+	c.since.Store(time.Now().UnixNano())
+	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
+	f.conMu.Lock()
+	full := len(f.conns) >= f.opt.Connections
+	if !full {
+		f.conns[c] = struct{}{}
+	}
+	f.conMu.Unlock()
+	if full {
+		go nb.Close()
+		return
+	}
+	if secured {
+		c.sec = secure.Server(nb, f.opt.TLS, f.opt.Slots, f.opt.Handshake, c.ready)
+		c.out = c.sec
+	}
+	nb.SetSession(c)
+	f.fence.Add(1)
+	_ = nb.SetNoDelay(true)
+}
+
+// ready goes on after the handshake.
+func (c *conn) ready(s *secure.Conn, err error) func([]byte) {
+	c.front.opt.Observer.Handshake(err)
+	if err != nil {
+		return nil
+	}
+	c.since.Store(time.Now().UnixNano())
+	if s.ConnectionState().NegotiatedProtocol == "h2" {
+		c.busy.Store(3)
+		c.front.h2.ServeConn(s.Conn, &http2.ServeConnOpts{Handler: http.HandlerFunc(c.front.serveHTTP),
+			BaseConfig: &http.Server{MaxHeaderBytes: c.front.opt.Header}})
+		return nil
+	}
+	return c.plain
+}
+
+func (c *conn) data(b []byte) {
+	if c.sec != nil {
+		c.sec.Data(b)
+		return
+	}
+	c.plain(b)
+}
+
+func (c *conn) closed() {
+	if c.sec != nil {
+		c.sec.End()
+	}
+	c.front.conMu.Lock()
+	delete(c.front.conns, c)
+	c.front.conMu.Unlock()
+}
+
+// overdue tells whether a connection idled too long, or its request does not end.
+func (c *conn) overdue(now time.Time) bool {
+	age := now.UnixNano() - c.since.Load()
+	switch c.busy.Load() {
+	case 0:
+		return age > int64(c.front.opt.Idle)
+	case 1:
+		return age > int64(c.front.opt.Handshake)
+	}
+	return false
+}
+
+// h1Request is one request of HTTP/1.1 while it is parsed and answered.
+type h1Request struct {
+	http1.Parser
+	method, path string
+	fields       []field
+	body         []byte
+	keep, old    bool
+	expect       bool
+	hosts        int
+}
+
+type field struct{ name, value string }
+
+func (r *h1Request) Start(line string) error {
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || !http1.Token(parts[0]) || !strings.HasPrefix(parts[1], "/") {
+		return http1.Malformed("request line %.60q", line)
+	}
+	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
+		return http1.Malformed("version %.20q", parts[2])
+	}
+	r.method, r.path = parts[0], parts[1]
+	r.old = parts[2] == "HTTP/1.0"
+	r.keep = !r.old
+	r.fields, r.body, r.expect, r.hosts = r.fields[:0], nil, false, 0
+	return nil
+}
+
+func (r *h1Request) Field(name, value string) error {
+	switch {
+	case strings.EqualFold(name, "connection"):
+		r.keep = r.keep && !http1.Closes(value)
+	case strings.EqualFold(name, "host"):
+		r.hosts++
+	case strings.EqualFold(name, "expect"):
+		r.expect = strings.EqualFold(value, "100-continue")
+	}
+	r.fields = append(r.fields, field{name, value})
+	return nil
+}
+
+func (r *h1Request) Head() (http1.Framing, error) {
+	if r.hosts != 1 && !r.old || r.hosts > 1 { // RFC 9112, 3.2
+		return 0, http1.Malformed("%d Host fields", r.hosts)
+	}
+	return http1.ByFields, nil
+}
+
+func (r *h1Request) Content(b []byte) error {
+	r.body = append(r.body, b...)
+	return nil
+}
+
+func (r *h1Request) header(name string) string {
+	for _, f := range r.fields {
+		if strings.EqualFold(f.name, name) {
+			return f.value
+		}
+	}
+	return ""
+}
+
+// plain takes in bytes of HTTP/1.1.
+func (c *conn) plain(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy.Load() == 2 { // answered first; pipelined ones wait, bounded
+		if c.rest = append(c.rest, b...); len(c.rest) > c.front.opt.Header+c.front.opt.Body {
+			_ = c.nb.Close()
+			c.rest = nil
+		}
+		return
+	}
+	c.parse(b)
+}
+
+// parse goes through requests until one must wait for its answer; under mu.
+func (c *conn) parse(b []byte) {
+	for len(b) > 0 && !c.shut {
+		if c.busy.CompareAndSwap(0, 1) {
+			c.since.Store(time.Now().UnixNano())
+		}
+		rest, err := c.req.Feed(b, &c.req)
+		if err != nil {
+			status := http.StatusBadRequest
+			if errors.Is(err, http1.ErrTooLong) {
+				status = http.StatusRequestEntityTooLarge
+			}
+			c.req.keep = false
+			c.write(say(status, "%v", err))
+			return
+		}
+		if !c.req.Done() {
+			if c.req.expect && c.req.InContent() {
+				c.req.expect = false
+				_, _ = io.WriteString(c.out, "HTTP/1.1 100 Continue\r\n\r\n")
+			}
+			return
+		}
+		c.busy.Store(2)
+		c.rest = append(c.rest[:0], rest...)
+		q := &request{method: c.req.method, path: c.req.path, header: c.req.header, body: c.req.body}
+		var when sync.Mutex
+		var now *response // it came before serve returned
+		later := false
+		c.front.serve(q, func(r response) {
+			when.Lock()
+			if !later {
+				now = &r
+				when.Unlock()
+				return
+			}
+			when.Unlock()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.write(r)
+			next := c.rest
+			c.rest = nil
+			c.parse(next)
+		})
+		when.Lock()
+		later = now == nil
+		when.Unlock()
+		if later {
+			return // the answer goes on from there
+		}
+		c.write(*now)
+		b = c.rest
+		c.rest = nil
+	}
+}
+
+// write sends a response and readies the connection for the next request; under mu.
+func (c *conn) write(r response) {
+	if c.shut {
+		return
+	}
+	b := make([]byte, 0, 256+len(r.body))
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\n", r.status, http.StatusText(r.status))
+	for _, h := range r.header {
+		b = fmt.Appendf(b, "%s: %s\r\n", h[0], h[1])
+	}
+	if r.status != http.StatusNoContent {
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(r.body)), 10), "\r\n"...)
+	}
+	if !c.req.keep {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(append(b, "\r\n"...), r.body...)
+	_, err := c.out.Write(b)
+	if !c.req.keep || err != nil {
+		c.shut = true
+		_ = c.nb.Close()
+		return
+	}
+	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
+	c.req.body = nil
+	c.since.Store(time.Now().UnixNano())
+	c.busy.Store(0)
+}
+
+// serveHTTP is the way of HTTP/2 requests.
+func (f *Front) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(io.LimitReader(r.Body, int64(f.opt.Body)+1)); err != nil {
+		return
+	}
+	if body.Len() > f.opt.Body {
+		http.Error(w, fmt.Sprintf("content is over its limit of %d bytes", f.opt.Body), http.StatusRequestEntityTooLarge)
+		return
+	}
+	done := make(chan response, 1)
+	f.serve(&request{method: r.Method, path: r.URL.RequestURI(), header: r.Header.Get, body: body.Bytes()},
+		func(r response) { done <- r })
+	select {
+	case a := <-done:
+		for _, h := range a.header {
+			w.Header().Add(h[0], h[1])
+		}
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.body)
+	case <-r.Context().Done(): // reset or gone; what was handed in goes on
+	}
+}
--- /dev/null
+++ b/internal/webpush/vapid.go
@@ -0,0 +1,124 @@
+package webpush
+
+import (
+	"crypto/ecdh"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math/big"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+)
+
+// Sender is who a VAPID token speaks for (RFC 8292).
+type Sender struct {
+	Key     string // public key, base64url of the uncompressed point
+	Subject string
+	Until   time.Time
+}
+
+// mostLife is the longest that a token may live (RFC 8292, 2).
+const mostLife = 24 * time.Hour
+
+// mostTokens bounds the tokens remembered as checked.
+const mostTokens = 4096
+
+// vapid checks tokens. What was found good is remembered until it expires, as
+// the check costs a tenth of a millisecond and senders use a token for hours.
+type vapid struct {
+	audience []string
+	mu       sync.Mutex
+	good     map[[32]byte]Sender
+}
+
+func newVAPID(audience []string) *vapid {
+	return &vapid{audience: audience, good: map[[32]byte]Sender{}}
+}
+
+var errNoToken = errors.New("Authorization: a VAPID token is needed: vapid t=TOKEN, k=KEY")
+
+// check reads an Authorization field (RFC 8292, 3).
+func (v *vapid) check(field string, now time.Time) (Sender, error) {
+	scheme, rest, _ := strings.Cut(field, " ")
+	if !strings.EqualFold(scheme, "vapid") {
+		return Sender{}, errNoToken
+	}
+	var token, key string
+	for part := range strings.SplitSeq(rest, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		value = strings.Trim(value, `"`)
+		switch name {
+		case "t":
+			token = value
+		case "k":
+			key = value
+		}
+	}
+	if token == "" || key == "" {
+		return Sender{}, errNoToken
+	}
+	sum := sha256.Sum256([]byte(field))
+	v.mu.Lock()
+	s, known := v.good[sum]
+	v.mu.Unlock()
+	if known {
+		if !now.Before(s.Until) {
+			return Sender{}, errors.New("Authorization: token is expired")
+		}
+		return s, nil
+	}
+	s, err := v.verify(token, key, now)
+	if err != nil {
+		return Sender{}, fmt.Errorf("Authorization: %w", err)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.good) >= mostTokens {
+		for old, g := range v.good {
+			if now.After(g.Until) {
+				delete(v.good, old)
+			}
+		}
+		if len(v.good) >= mostTokens {
+			clear(v.good)
+		}
+	}
+	v.good[sum] = s
+	return s, nil
+}
+
+func (v *vapid) verify(token, key string, now time.Time) (Sender, error) {
+	raw, err := base64.RawURLEncoding.DecodeString(strings.TrimRight(key, "="))
+	if err != nil {
+		return Sender{}, fmt.Errorf("k is no base64url: %w", err)
+	}
+	if _, err := ecdh.P256().NewPublicKey(raw); err != nil { // on the curve, and not its zero
+		return Sender{}, fmt.Errorf("k is no P-256 public key: %w", err)
+	}
+	public := &ecdsa.PublicKey{Curve: elliptic.P256(), X: new(big.Int).SetBytes(raw[1:33]),
+		Y: new(big.Int).SetBytes(raw[33:65])}
+	var claims jwt.RegisteredClaims
+	_, err = jwt.NewParser(jwt.WithValidMethods([]string{"ES256"}), jwt.WithExpirationRequired(),
+		jwt.WithAudience(v.audience...), jwt.WithTimeFunc(func() time.Time { return now })).
+		ParseWithClaims(token, &claims, func(*jwt.Token) (any, error) { return public, nil })
+	if err != nil {
+		return Sender{}, err
+	}
+	until := claims.ExpiresAt.Time
+	if until.After(now.Add(mostLife + time.Minute)) {
+		return Sender{}, errors.New("exp is over 24 h away")
+	}
+	if claims.Subject != "" {
+		if u, err := url.Parse(claims.Subject); err != nil || u.Scheme != "mailto" && u.Scheme != "https" {
+			return Sender{}, fmt.Errorf("sub %.60q is neither mailto: nor https:", claims.Subject)
+		}
+	}
+	return Sender{Key: base64.RawURLEncoding.EncodeToString(raw), Subject: claims.Subject, Until: until}, nil
+}
