Web Push and TLS wired: configuration, certificates replaced while running, basaltcross keys

Certificate files are checked at start (match, validity, key not open to everybody) and looked at each second; what cannot be taken is reported and the one before stays in force. Expiry is a metric and warned of ahead. Listeners without users, keys or client certificates stay on loopback.

--- a/cmd/basaltcross/relay.go
+++ b/cmd/basaltcross/relay.go
@@ -60,6 +60,16 @@
 // writeReady tells the MQTT addresses, a line each, then that of the metrics.
 func writeReady(path string, r *relay.Relay) error {
 	lines := r.Addrs()
+	for _, a := range r.TLSAddrs() {
+		lines = append(lines, "mqtts "+a)
+	}
+	plain, secured := r.PushAddrs()
+	for _, a := range plain {
+		lines = append(lines, "webpush "+a)
+	}
+	for _, a := range secured {
+		lines = append(lines, "webpushs "+a)
+	}
 	if r.MetricsAddr != nil {
 		lines = append(lines, "metrics "+r.MetricsAddr.String())
 	}
@@ -89,6 +99,9 @@
 			if err != nil {
 				return fmt.Errorf("the configuration is good, its endpoint list is not: %w", err)
 			}
+			if err := relay.CheckKeys(cfg); err != nil {
+				return fmt.Errorf("the configuration is good, its keys are not: %w", err)
+			}
 			fmt.Fprintf(c.OutOrStdout(), "%s is good: %d classes, %d partners; %s lists %d endpoints\n",
 				args[0], len(cfg.Classes), len(cfg.Partners), cfg.Directory.File, n)
 			return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,6 +63,12 @@
 		Kind string
 		Path string
 		Host string
+		TLS  *PartnerTLS
+	}
+	PartnerTLS struct{ CA, Cert, Key, Name string }
+	TLS        struct {
+		Cert, Key, ClientCA string
+		RequireClient       bool
 	}
 	Zone struct {
 		Name string
@@ -85,6 +91,8 @@
 // MQTT configures the MQTT front.
 type MQTT struct {
 	Listen         []string
+	TLSListen      []string
+	TLS            *TLS
 	Connections    int
 	Sessions       int
 	ReceiveMaximum int
@@ -98,6 +106,29 @@
 	Users          []User
 }
 
+// WebPush configures the Web Push front.
+type WebPush struct {
+	Listen    []string
+	TLSListen []string
+	TLS       *TLS
+	Audience  []string
+	Keys      []struct {
+		Key       string
+		Resources []string
+	}
+	Connections int
+	Streams     int
+	Messages    int
+	Receipts    int
+	Pending     int
+	Polls       int
+	Poll        Duration
+	Idle        Duration
+	Handshake   Duration
+	HeaderBytes int
+	WriteBuffer int
+}
+
 // Config is a checked configuration.
 type Config struct {
 	Relay struct {
@@ -138,7 +169,12 @@
 			Keep  Duration
 		}
 	}
-	MQTT         MQTT
+	MQTT    MQTT
+	WebPush WebPush
+	TLS     struct {
+		Handshakes int
+		Warn       Duration
+	}
 	PartnerCalls struct {
 		HeaderBytes int
 		BodyBytes   int
@@ -268,10 +304,26 @@
 		return nil, fmt.Errorf("config: %w", err)
 	}
 	c, err := Parse(path, text)
-	if err == nil && !filepath.IsAbs(c.Directory.File) {
-		c.Directory.File = filepath.Join(filepath.Dir(path), c.Directory.File)
+	if err != nil {
+		return nil, err
+	}
+	files := []*string{&c.Directory.File}
+	for _, t := range []*TLS{c.MQTT.TLS, c.WebPush.TLS} {
+		if t != nil {
+			files = append(files, &t.Cert, &t.Key, &t.ClientCA)
+		}
+	}
+	for _, p := range c.Partners {
+		if t := p.TLS; t != nil {
+			files = append(files, &t.CA, &t.Cert, &t.Key)
+		}
+	}
+	for _, f := range files {
+		if *f != "" && !filepath.IsAbs(*f) {
+			*f = filepath.Join(filepath.Dir(path), *f)
+		}
 	}
-	return c, err
+	return c, nil
 }
 
 // Parse checks a configuration that was read from the named file.
@@ -314,14 +366,44 @@
 			fail(fmt.Sprintf("partners[%d].kind", i), "%q is no kind; the kinds are under kinds", p.Kind)
 		}
 	}
-	if len(c.MQTT.Users) == 0 {
-		for i, l := range c.MQTT.Listen {
+	loopback := func(list string, addrs []string, without string) {
+		for i, l := range addrs {
 			host, _, _ := net.SplitHostPort(l)
 			if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
-				fail(fmt.Sprintf("mqtt.listen[%d]", i), "%q is not loopback; without mqtt.users it must be", l)
+				fail(fmt.Sprintf("%s[%d]", list, i), "%q is not loopback; without %s it must be", l, without)
 			}
 		}
 	}
+	if len(c.MQTT.Users) == 0 {
+		loopback("mqtt.listen", c.MQTT.Listen, "mqtt.users")
+		if c.MQTT.TLS == nil || !c.MQTT.TLS.RequireClient {
+			loopback("mqtt.tlsListen", c.MQTT.TLSListen, "mqtt.users or mqtt.tls.requireClient")
+		}
+	}
+	w := &c.WebPush
+	loopback("webpush.listen", w.Listen, "TLS")
+	if len(w.Keys) == 0 {
+		loopback("webpush.tlsListen", w.TLSListen, "webpush.keys")
+	} else if len(w.Audience) == 0 {
+		fail("webpush.audience", "is empty; with webpush.keys name the origins that tokens are for")
+	}
+	for _, f := range []struct {
+		name  string
+		addrs []string
+		t     *TLS
+	}{{"mqtt", c.MQTT.TLSListen, c.MQTT.TLS}, {"webpush", w.TLSListen, w.TLS}} {
+		if len(f.addrs) > 0 && f.t == nil {
+			fail(f.name+".tlsListen", "needs %s.tls with certificate and key", f.name)
+		}
+		if f.t != nil && f.t.RequireClient && f.t.ClientCA == "" {
+			fail(f.name+".tls.requireClient", "needs %s.tls.clientCA", f.name)
+		}
+	}
+	for i, p := range c.Partners {
+		if p.TLS != nil && (p.TLS.Cert == "") != (p.TLS.Key == "") {
+			fail(fmt.Sprintf("partners[%d].tls", i), "cert and key belong together")
+		}
+	}
 	if c.Relay.Index >= c.Relay.Fleet {
 		fail("relay.index", "%d must be below relay.fleet %d", c.Relay.Index, c.Relay.Fleet)
 	}
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -3,6 +3,16 @@
 #Name: string & =~"^[a-z0-9][a-z0-9._-]{0,62}$"
 #Addr: string & =~"^.+:[0-9]{1,5}$"
 
+// Certificate and key in PEM files; both are looked at each second and replaced
+// while running. The key must not be readable by everybody.
+#TLS: {
+	cert: string & !=""
+	key:  string & !=""
+	// Authorities of client certificates; the common name is the user then.
+	clientCA:      string | *""
+	requireClient: bool | *false
+}
+
 #Class: {
 	name: #Name
 	// Delivered within aim, a message earns all its worth; after the deadline nothing.
@@ -36,6 +46,14 @@
 	kind: #Name
 	path: string & =~"^/[!-~]*$" | *"/"
 	host: string & =~"^[!-~]*$" | *""
+	// Calls over TLS: authorities ("" for the system's), own certificate, and
+	// the name that the partner's certificate must have ("" for the address's).
+	tls?: {
+		ca:   string | *""
+		cert: string | *""
+		key:  string | *""
+		name: string | *""
+	}
 }
 
 #Config: {
@@ -82,6 +100,8 @@
 	}
 	mqtt: {
 		listen: [...#Addr] | *["127.0.0.1:1883"]
+		tlsListen: [...#Addr] | *[]
+		tls?: #TLS
 		connections:    int & >=1 | *20000
 		sessions:       int & >=1 | *20000
 		receiveMaximum: int & >=1 & <=65535 | *256
@@ -98,6 +118,35 @@
 		// With no users anyone may connect, on loopback only.
 		users: [...{name: string & !="", bcrypt: string & =~"^\\$2[aby]\\$"}] | *[]
 	}
+	webpush: {
+		listen: [...#Addr] | *[]
+		tlsListen: [...#Addr] | *[]
+		tls?: #TLS
+		// Origins that a VAPID token may be for ("https://relay.example:8443").
+		audience: [...string & =~"^https?://[!-~]+$"] | *[]
+		// VAPID public keys and the resources they may push to: "class/partner",
+		// "class/*", "*/partner" or "*". Without keys anyone may, on loopback only.
+		keys: [...{key: string & =~"^[A-Za-z0-9_-]{87}$", resources: [...string] | *["*"]}] | *[]
+		connections: int & >=1 | *5000
+		streams:     int & >=1 & <=10000 | *250
+		// Messages kept, ended ones included; receipt subscriptions; receipts owed
+		// to one of them; long polls that wait.
+		messages: int & >=1 | *100000
+		receipts: int & >=1 | *10000
+		pending:  int & >=1 | *4096
+		polls:    int & >=1 | *10000
+		poll:     #Dur | *"30s"
+		idle:     #Dur | *"2m"
+		handshake:   #Dur | *"10s"
+		headerBytes: int & >=1024 | *16384
+		writeBuffer: int & >=4096 | *1048576
+	}
+	tls: {
+		// Handshakes that compute at once; 0 for one a processor.
+		handshakes: int & >=0 | *0
+		// Certificates that end within this are warned of.
+		warn: #Dur | *"336h"
+	}
 	partnerCalls: {
 		headerBytes: int & >=256 | *16384
 		bodyBytes:   int & >=0 | *1048576
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -51,6 +51,9 @@
 	closed   *prometheus.CounterVec
 	lists    *prometheus.CounterVec
 	strange  prometheus.Counter
+	shakes   *prometheus.CounterVec
+	expiry   *prometheus.GaugeVec
+	warn     time.Duration
 	gauges   map[string]prometheus.Gauge
 
 	mu    sync.Mutex
@@ -107,6 +110,10 @@
 	r.notTaken = counter("messages_not_taken_total", "Messages turned away at the door.", "reason")
 	r.closed = counter("mqtt_closed_total", "Connections ended by the relay.", "code")
 	r.lists = counter("list_readings_total", "Readings of the endpoint list.", "result")
+	r.shakes = counter("tls_handshakes_total", "TLS handshakes by result.", "result")
+	r.expiry = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "basaltcross", Name: "certificate_expiry_timestamp_seconds",
+		Help: "When the certificate in force ends, Unix time."}, []string{"file"})
+	r.registry.MustRegister(r.expiry)
 	r.strange = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "basaltcross", Name: "unsolicited_bytes_total",
 		Help: "Times that a partner sent bytes without a request."})
 	r.registry.MustRegister(r.strange)
@@ -114,7 +121,9 @@
 		"messages_held": "Messages taken and not yet answered.", "attempts_out": "Calls to partners that are out.",
 		"identities": "Identities kept.", "batch_events": "Events of the core's last batch.",
 		"mqtt_connections": "MQTT connections.", "mqtt_sessions": "MQTT sessions.",
-		"mqtt_partial_bytes": "Bytes of half packets held.", "endpoints": "Endpoints of the last good list.",
+		"webpush_connections": "Web Push connections.", "webpush_messages": "Push messages kept.",
+		"webpush_receipt_subscriptions": "Receipt subscriptions kept.",
+		"mqtt_partial_bytes":            "Bytes of half packets held.", "endpoints": "Endpoints of the last good list.",
 	} {
 		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "basaltcross", Name: name, Help: help})
 		r.registry.MustRegister(g)
@@ -167,6 +176,47 @@
 	r.line(zerolog.WarnLevel, format, fmt.Sprintf(format, args...))
 }
 
+// Push is the Web Push front's observer.
+func (r *Relay) Push(connections, messages, boxes int) {
+	r.gauges["webpush_connections"].Set(float64(connections))
+	r.gauges["webpush_messages"].Set(float64(messages))
+	r.gauges["webpush_receipt_subscriptions"].Set(float64(boxes))
+}
+
+// Handshake counts TLS handshakes of clients.
+func (r *Relay) Handshake(err error) {
+	if err == nil {
+		r.shakes.WithLabelValues("ok").Inc()
+		return
+	}
+	r.shakes.WithLabelValues("failed").Inc()
+	r.line(zerolog.DebugLevel, "handshake", err.Error())
+}
+
+// HandshakeOut counts failed TLS handshakes with partners.
+func (r *Relay) HandshakeOut(host string, err error) {
+	r.shakes.WithLabelValues("failed_with_partner").Inc()
+	r.line(zerolog.WarnLevel, "partner handshake", host+": "+err.Error())
+}
+
+// Warn sets how far ahead the end of a certificate is warned of.
+func (r *Relay) Warn(ahead time.Duration) { r.warn = ahead }
+
+// Certificate tells of a certificate taken into force, or why one was not.
+func (r *Relay) Certificate(file string, expires time.Time, err error) {
+	if !expires.IsZero() {
+		r.expiry.WithLabelValues(file).Set(float64(expires.Unix()))
+	}
+	switch {
+	case err != nil:
+		r.line(zerolog.ErrorLevel, "certificate", "not taken, the one before stays in force: "+err.Error())
+	case !expires.IsZero() && time.Until(expires) < r.warn:
+		r.line(zerolog.WarnLevel, "certificate", fmt.Sprintf("%s ends at %v", file, expires.UTC()))
+	default:
+		r.line(zerolog.InfoLevel, "certificate", file+" is in force")
+	}
+}
+
 // Unsolicited counts bytes that a partner sent without a request.
 func (r *Relay) Unsolicited(host string) {
 	r.strange.Inc()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"runtime"
@@ -19,9 +21,12 @@
 	"basaltcross.example/basaltcross/internal/directory"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/keys"
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
 	"basaltcross.example/basaltcross/internal/partner"
+	"basaltcross.example/basaltcross/internal/secure"
+	"basaltcross.example/basaltcross/internal/webpush"
 )
 
 // Hooks let a test or an audit stand between the parts; nil ones do nothing.
@@ -38,6 +43,7 @@
 	core   *core.Core
 	caller *partner.Caller
 	front  *mqttfront.Front
+	push   *webpush.Front // nil where it is not configured
 	source directory.Source
 
 	// MetricsAddr is where the metrics are served, nil if nowhere.
@@ -101,18 +107,35 @@
 	}
 	r.obs = obs.NewRelay(log, classes)
 	names := names(cfg)
+	r.obs.Warn(cfg.TLS.Warn.D())
+	ring := &keys.Ring{Report: r.obs.Certificate}
+	slots := make(secure.Slots, cmp.Or(cfg.TLS.Handshakes, runtime.GOMAXPROCS(0)))
 	var targets []partner.Target
 	var apart []bool
 	for i, p := range cfg.Partners {
 		k := cfg.Kinds[names.Kinds[i]]
 		apart = append(apart, k.Apart)
-		targets = append(targets, partner.Target{Path: p.Path, Host: p.Host, Promises: k.RefusalNeverRan})
+		t := partner.Target{Path: p.Path, Host: p.Host, Promises: k.RefusalNeverRan}
+		if p.TLS != nil {
+			if t.TLS, err = clientTLS(ring, p.TLS); err != nil {
+				return nil, fmt.Errorf("relay: partner %s: %w", p.Name, err)
+			}
+		}
+		targets = append(targets, t)
+	}
+	mqttTLS, err := serverTLS(ring, cfg.MQTT.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("relay: mqtt: %w", err)
+	}
+	pushTLS, err := serverTLS(ring, cfg.WebPush.TLS, "h2", "http/1.1")
+	if err != nil {
+		return nil, fmt.Errorf("relay: webpush: %w", err)
 	}
 	pollers := max(1, runtime.GOMAXPROCS(0)/2)
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
 		Limits:      http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
 		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
-		Unsolicited: r.obs.Unsolicited})
+		Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
@@ -154,7 +177,11 @@
 			return fail(err)
 		}
 	}
-	r.done.Add(2)
+	r.done.Add(3)
+	go func() {
+		defer r.done.Done()
+		ring.Run(ctx)
+	}()
 	go func() {
 		defer r.done.Done()
 		r.core.Run(ctx, cfg.Relay.Shutdown.D())
@@ -170,9 +197,10 @@
 		users[u.Name] = u.Bcrypt
 	}
 	m := &cfg.MQTT
+	doors := front.Names{Classes: index(cfg.Classes, func(k config.Class) string { return k.Name }),
+		Partners: names.Partners, Lives: lives}
 	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen,
-		Names: front.Names{Classes: index(cfg.Classes, func(k config.Class) string { return k.Name }),
-			Partners: names.Partners, Lives: lives}, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
+		TLSListen: m.TLSListen, TLS: mqttTLS, Slots: slots, Names: doors, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
 		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
 		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
 		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users, Pollers: pollers,
@@ -180,12 +208,94 @@
 	if err != nil {
 		return fail(err)
 	}
+	if w := &cfg.WebPush; len(w.Listen)+len(w.TLSListen) > 0 {
+		o := webpush.Options{Listen: w.Listen, TLSListen: w.TLSListen, TLS: pushTLS, Slots: slots, Names: doors,
+			Audience: w.Audience, Anyone: len(w.Keys) == 0, Body: cfg.Limits.Body, Header: w.HeaderBytes,
+			Connections: w.Connections, Streams: w.Streams, Messages: w.Messages, Boxes: w.Receipts, Pending: w.Pending,
+			Polls: w.Polls, Keep: cfg.Limits.Identities.Keep.D(), Poll: w.Poll.D(), Handshake: w.Handshake.D(),
+			Idle: w.Idle.D(), WriteBuffer: w.WriteBuffer, Pollers: pollers, Door: door, Observer: r.obs}
+		for _, k := range cfg.Classes {
+			o.Unsafe = append(o.Unsafe, k.Effect == "unsafe")
+		}
+		if len(w.Keys) > 0 {
+			o.Keys = map[string][]string{}
+			for _, k := range w.Keys {
+				o.Keys[k.Key] = k.Resources
+			}
+		}
+		if r.push, err = webpush.New(o); err != nil {
+			r.front.Close()
+			return fail(err)
+		}
+		r.obs.Info(fmt.Sprintf("Web Push on %v, with TLS on %v", r.push.Addrs(), r.push.TLSAddrs()))
+	}
 	r.obs.Info(fmt.Sprintf("relay %s takes messages on %v", cfg.Relay.Name, r.front.Addrs()))
 	return r, nil
 }
 
-// Addrs are the MQTT addresses listened on.
-func (r *Relay) Addrs() []string { return r.front.Addrs() }
+// Addrs are the MQTT addresses listened on, TLSAddrs those with TLS.
+func (r *Relay) Addrs() []string    { return r.front.Addrs() }
+func (r *Relay) TLSAddrs() []string { return r.front.TLSAddrs() }
+
+// PushAddrs are the Web Push addresses listened on, without and with TLS.
+func (r *Relay) PushAddrs() (plain, secured []string) {
+	if r.push == nil {
+		return nil, nil
+	}
+	return r.push.Addrs(), r.push.TLSAddrs()
+}
+
+func serverTLS(ring *keys.Ring, t *config.TLS, protocols ...string) (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	pair, err := ring.Pair(t.Cert, t.Key)
+	if err != nil {
+		return nil, err
+	}
+	var clients *keys.Pool
+	if t.ClientCA != "" {
+		if clients, err = ring.Pool(t.ClientCA); err != nil {
+			return nil, err
+		}
+	}
+	return keys.Server(pair, clients, t.RequireClient, protocols...), nil
+}
+
+func clientTLS(ring *keys.Ring, t *config.PartnerTLS) (func() *tls.Config, error) {
+	var ca *keys.Pool
+	var own *keys.Pair
+	var err error
+	if t.CA != "" {
+		if ca, err = ring.Pool(t.CA); err != nil {
+			return nil, err
+		}
+	}
+	if t.Cert != "" {
+		if own, err = ring.Pair(t.Cert, t.Key); err != nil {
+			return nil, err
+		}
+	}
+	return keys.Client(ca, own, t.Name), nil
+}
+
+// CheckKeys reads the certificates of a configuration once.
+func CheckKeys(cfg *config.Config) error {
+	ring := &keys.Ring{}
+	for _, t := range []*config.TLS{cfg.MQTT.TLS, cfg.WebPush.TLS} {
+		if _, err := serverTLS(ring, t); err != nil {
+			return err
+		}
+	}
+	for _, p := range cfg.Partners {
+		if p.TLS != nil {
+			if _, err := clientTLS(ring, p.TLS); err != nil {
+				return fmt.Errorf("partner %s: %w", p.Name, err)
+			}
+		}
+	}
+	return nil
+}
 
 // Stop takes nothing further, lets what is out finish within the configured
 // time, answers the rest, hands the answers over and closes everything.
@@ -194,6 +304,9 @@
 		r.front.Drain()
 		r.stop()
 		r.done.Wait()
+		if r.push != nil {
+			r.push.Close()
+		}
 		r.front.Close()
 		r.caller.Close()
 	})
