--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/eclipse/paho.golang/packets"
 	"github.com/eclipse/paho.golang/paho"
 	"github.com/eclipse/paho.golang/paho/session/state"
 
@@ -43,6 +45,7 @@
 	Password string
 	Expiry   uint32 // of the session, seconds
 	Clean    bool
+	TLS      *tls.Config // nil for none
 	// On is called for each answer, on the client's own goroutine.
 	On func(Answer)
 	// Session carries unacknowledged flows from one connection to the next;
@@ -68,6 +71,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
+	if o.TLS != nil {
+		secured := tls.Client(conn, o.TLS)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("client: %w", err)
+		}
+		conn = packets.NewThreadSafeConn(secured) // paho writes a packet in pieces
+	}
 	c := &Client{conn: conn, lost: make(chan struct{})}
 	cfg := paho.ClientConfig{ClientID: o.ID, Conn: conn, PacketTimeout: 30 * time.Second,
 		OnPublishReceived: []func(paho.PublishReceived) (bool, error){func(p paho.PublishReceived) (bool, error) {
