--- a/internal/badday/day.go
+++ b/internal/badday/day.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"basaltcross.example/basaltcross/internal/keys"
 	"basaltcross.example/basaltcross/internal/standin"
 )
 
@@ -52,6 +54,7 @@
 	partners []*standin.Partner
 	relays   []*relayProc
 	senders  []*sender
+	trust    *tls.Config
 
 	mu     sync.Mutex
 	ends   []*end
@@ -76,6 +79,7 @@
 	index  int
 	config string
 	listen string
+	origin string // of its Web Push front
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	done   chan struct{}
@@ -266,6 +270,9 @@
 		defer os.RemoveAll(dir)
 		d.dir = dir
 	}
+	if err := d.makeKeys(); err != nil {
+		return nil, err
+	}
 	for i := range s.Partners {
 		limit := max(4, s.Rate*d.share(i)*roomy)
 		p := standin.NewPartner(fmt.Sprintf("p%d", i), standin.Model{Service: service, Spread: 0.5, Rate: limit,
@@ -295,6 +302,10 @@
 			return nil, err
 		}
 		r.listen = fmt.Sprintf("127.0.0.1:%d", port)
+		if port, err = freePort(); err != nil {
+			return nil, err
+		}
+		r.origin = fmt.Sprintf("https://127.0.0.1:%d", port)
 		if err := os.WriteFile(r.config, []byte(d.config(r)), 0o600); err != nil {
 			return nil, err
 		}
@@ -313,7 +324,10 @@
 	d.until = begin.Add(s.Lasts.D())
 	var clients, troubles sync.WaitGroup
 	for i := range s.Clients {
-		c := newSender(d, i)
+		c, err := newSender(d, i)
+		if err != nil {
+			return nil, err
+		}
 		d.senders = append(d.senders, c)
 		clients.Go(func() { c.run(day) })
 	}
@@ -335,6 +349,17 @@
 	return d.audit(), nil
 }
 
+// makeKeys makes an authority and the relays' certificate.
+func (d *day) makeKeys() error {
+	a, err := keys.NewAuthority("bad day", time.Hour)
+	if err != nil {
+		return err
+	}
+	d.trust = &tls.Config{RootCAs: a.Pool()}
+	_, _, err = a.Issue(d.dir, "server", time.Now().Add(-time.Minute), time.Now().Add(time.Hour), "127.0.0.1")
+	return err
+}
+
 func freePort() (int, error) {
 	p := standin.NewPartner("port", standin.Model{}, 0)
 	e, err := standin.Start("127.0.0.1:0", p, standin.NewRecorder(0))
@@ -399,9 +424,10 @@
 rules: {drainGrace: %q, fall: %q, cold: %q, coldFrom: %g, overloadFactor: %g, orderSettle: %q}
 directory: file: "list.cue"
 mqtt: {listen: [%q], sessionExpiry: "2m"}
+webpush: {tlsListen: [%q], tls: {cert: "server.pem", key: "server.key"}, audience: [%q]}
 partners: [
 `, r.name(), r.index, d.script.Relays, aim, deadline, aim, deadline, window, aim, deadline, drainGrace, fall, cold,
-		coldFrom, factor, orderSettle, r.listen)
+		coldFrom, factor, orderSettle, r.listen, strings.TrimPrefix(r.origin, "https://"), r.origin)
 	for i := range d.script.Partners {
 		fmt.Fprintf(&b, "\t{name: \"p%d\", kind: \"bank\"},\n", i)
 	}
--- a/internal/badday/sender.go
+++ b/internal/badday/sender.go
@@ -34,21 +34,42 @@
 	mu     sync.Mutex
 	hands  []*handIn
 	last   map[string]*handIn // newest hand-in by message
-	cl     *client.Client
-	stray  int // answers to nothing
+	cl     carrier
+	push   []*client.PushSession // by relay, of those that push
+	stray  int                 // answers to nothing
 	number int
 	gaps   [][2]time.Time    // not connected
 	keys   map[string]string // by message, for the audit
 }
 
+// carrier is a connection to a relay by either front.
+type carrier interface {
+	Send(context.Context, client.Message) error
+	Lost() <-chan struct{}
+	Close()
+	Cut()
+}
+
 const (
 	mostTries = 3
 	sendTime  = 8 * time.Second
 )
 
-func newSender(d *day, i int) *sender {
-	return &sender{day: d, name: fmt.Sprintf("client-%d", i), relay: i % d.script.Relays,
+// newSender makes the i-th client; each third one pushes.
+func newSender(d *day, i int) (*sender, error) {
+	s := &sender{day: d, name: fmt.Sprintf("client-%d", i), relay: i % d.script.Relays,
 		queue: make(chan *handIn, 100000), last: map[string]*handIn{}}
+	for range d.script.Relays {
+		if i%3 != 2 {
+			break
+		}
+		p, err := client.NewPushSession()
+		if err != nil {
+			return nil, err
+		}
+		s.push = append(s.push, p)
+	}
+	return s, nil
 }
 
 func (s *sender) answer(a client.Answer) {
@@ -77,10 +98,16 @@
 }
 
 // connect finds a relay that lets it in.
-func (s *sender) connect(ctx context.Context) *client.Client {
+func (s *sender) connect(ctx context.Context) carrier {
 	for ctx.Err() == nil {
+		var cl carrier
+		var err error
 		dial, cancel := context.WithTimeout(ctx, sendTime)
-		cl, err := client.Dial(dial, s.day.relays[s.relay].addr(), client.Options{ID: s.name, Expiry: 120, On: s.answer})
+		if r := s.day.relays[s.relay]; s.push != nil {
+			cl, err = client.DialPush(r.origin, s.day.trust, s.push[s.relay], s.answer)
+		} else {
+			cl, err = client.Dial(dial, r.addr(), client.Options{ID: s.name, Expiry: 120, On: s.answer})
+		}
 		cancel()
 		if err == nil {
 			return cl
--- a/internal/relay/push_test.go
+++ b/internal/relay/push_test.go
@@ -531,15 +531,15 @@
 // One script over each front: the module does the same with it.
 func TestFrontsDecideAlike(t *testing.T) {
 	type step struct{ class, id, expiry string }
-	script := []step{{"status", "1", "6"}, {"order", "2", "6"}, {"charge", "3", "6"}, {"charge", "3", "6"}, {"status", "4", "1"},
-		{"charge", "5", "6"}, {"order", "6", "6"}, {"charge", "6", "6"}}
+	script := []step{{"status", "1", "6"}, {"order", "2", "6"}, {"charge", "3", "6"}, {"charge", "3", "6"}, {"charge", "4", "6"},
+		{"status", "5", "6"}, {"charge", "6", "1"}, {"order", "7", "6"}, {"charge", "7", "6"}}
 	run := func(send func(b *pushBed, s step) string) (log []string) {
 		b := newPushBed(t, 1, standin.Model{Service: 2 * ms, Window: 10 * time.Second}, `relay: {seed: 7, attempts: 3}`)
 		b.State(b.Ends[1].Addr, "draining") // one endpoint: no chance in the choice
 		b.WriteList()
 		time.Sleep(300 * ms)
 		for i, s := range script {
-			b.Ends[0].Set([]standin.Trouble{{}, {Errors: 1}, {}, {}, {Shut: true}, {Errors: 1}, {}, {}}[i])
+			b.Ends[0].Set([]standin.Trouble{{}, {}, {}, {}, {Errors: 1}, {}, {Hang: true}, {}, {}}[i])
 			log = append(log, s.class+" "+s.id+" "+send(b, s))
 		}
 		for _, c := range b.Rec.Calls() {
