--- a/cmd/basaltcross/load.go
+++ b/cmd/basaltcross/load.go
@@ -43,6 +43,7 @@
 	f.IntVar(&o.Window, "window", 256, "messages under way at saturation")
 	f.IntVar(&o.Connections, "connections", 16, "connections of light clients")
 	f.IntVar(&o.Idle, "idle", 10000, "idle MQTT connections to measure; 0 leaves them out")
+	f.IntVar(&o.Burst, "burst", 10000, "TLS handshakes to begin at once; 0 leaves them out")
 	f.IntVar(&o.Partners, "partners", 8, "partners")
 	f.DurationVar(&o.Service, "service", 0, "service time of the stand-in")
 	f.BoolVar(&asJSON, "json", false, "print the report as JSON")
--- a/internal/badday/sender.go
+++ b/internal/badday/sender.go
@@ -36,7 +36,7 @@
 	last   map[string]*handIn // newest hand-in by message
 	cl     carrier
 	push   []*client.PushSession // by relay, of those that push
-	stray  int                 // answers to nothing
+	stray  int                   // answers to nothing
 	number int
 	gaps   [][2]time.Time    // not connected
 	keys   map[string]string // by message, for the audit
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -8,7 +8,9 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -150,10 +152,10 @@
 }
 
 // dialMQTT opens the connections; topics are published to in turn.
-func dialMQTT(addr string, count int, name string, topics []string) (*mqttSender, error) {
+func dialMQTT(addr string, trust *tls.Config, count int, name string, topics []string) (*mqttSender, error) {
 	s := &mqttSender{parts: topics}
 	for i := range count {
-		c, err := newMQTT(addr, fmt.Sprintf("%s-%d", name, i))
+		c, err := newMQTT(addr, trust, fmt.Sprintf("%s-%d", name, i))
 		if err != nil {
 			s.close()
 			return nil, err
@@ -165,12 +167,28 @@
 	return s, nil
 }
 
-// newMQTT connects and subscribes to the answers of its client id.
-func newMQTT(addr, id string) (*mqttConn, error) {
-	conn, err := net.Dial("tcp", addr)
+// dial connects, over TLS if a configuration is given.
+func dial(addr string, trust *tls.Config) (net.Conn, error) {
+	if trust != nil {
+		c, err := tls.Dial("tcp", addr, trust)
+		if err != nil {
+			return nil, fmt.Errorf("load: %w", err)
+		}
+		return c, nil
+	}
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("load: %w", err)
 	}
+	return c, nil
+}
+
+// newMQTT connects and subscribes to the answers of its client id.
+func newMQTT(addr string, trust *tls.Config, id string) (*mqttConn, error) {
+	conn, err := dial(addr, trust)
+	if err != nil {
+		return nil, err
+	}
 	c := &mqttConn{conn: conn, wake: make(chan struct{}, 1), waiting: map[uint64]func(bool){}}
 	b := mqtt.AppendConnect(nil, &mqtt.Connect{Version: mqtt.V5, Clean: true, ClientID: id,
 		Props: mqtt.Props{SessionExpiry: 60}})
@@ -300,38 +318,61 @@
 	}
 }
 
-// httpSender sends over light HTTP connections, one call at a time on each;
+// httpSender sends over light HTTP/1.1 connections, one call at a time on each;
 // calls wait for a free one.
 type httpSender struct {
 	jobs  chan httpJob
 	conns []net.Conn
+	// Of Web Push: the receipt subscription, and who waits for which message.
+	mu      sync.Mutex
+	box     string
+	ready   chan struct{}
+	waiting map[string]func(bool)
+	early   map[string]bool
 }
 
 type httpJob struct {
-	path string
-	done func(bool)
+	index uint64
+	done  func(bool)
 }
 
-func dialHTTP(addrs []string, count int) (*httpSender, error) {
-	s := &httpSender{jobs: make(chan httpJob, 1<<20)}
+func dialHTTP(addrs []string, trust *tls.Config, count int, push []string) (*httpSender, error) {
+	s := &httpSender{jobs: make(chan httpJob, 1<<20), ready: make(chan struct{}), waiting: map[string]func(bool){},
+		early: map[string]bool{}}
 	for i := range count {
 		addr := addrs[i%len(addrs)]
-		conn, err := net.Dial("tcp", addr)
+		conn, err := dial(addr, trust)
 		if err != nil {
 			s.close()
-			return nil, fmt.Errorf("load: %w", err)
+			return nil, err
 		}
 		s.conns = append(s.conns, conn)
-		go s.work(conn, addr)
+		if push != nil && i == 0 {
+			go s.receipts(conn, addr)
+			continue
+		}
+		go s.work(conn, addr, push)
 	}
 	return s, nil
 }
 
-func (s *httpSender) work(conn net.Conn, addr string) {
+// work makes calls; with push resources they are push messages, whose answer
+// comes as a receipt.
+func (s *httpSender) work(conn net.Conn, addr string, push []string) {
 	r := bufio.NewReader(conn)
-	head := fmt.Sprintf("POST /%%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", addr, len(body), body)
 	for j := range s.jobs {
-		_, err := io.WriteString(conn, fmt.Sprintf(head, j.path))
+		path, fields := "/", ""
+		if push != nil {
+			path = push[j.index%uint64(len(push))]
+			s.mu.Lock()
+			fields = "TTL: 10\r\nPrefer: respond-async\r\n"
+			if s.box != "" {
+				fields += "Push-Receipt: " + s.box + "\r\n"
+			}
+			s.mu.Unlock()
+		}
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %d\r\n\r\n%s", path, addr, fields,
+			len(body), body)
 		var resp *http.Response
 		if err == nil {
 			resp, err = http.ReadResponse(r, nil)
@@ -342,11 +383,69 @@
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
-		j.done(resp.StatusCode == http.StatusOK)
+		if push == nil || resp.StatusCode != http.StatusAccepted {
+			j.done(push == nil && resp.StatusCode == http.StatusOK)
+			continue
+		}
+		message := resp.Header.Get("Location")
+		s.mu.Lock()
+		if s.box == "" { // the first makes the subscription that all use
+			s.box, _, _ = strings.Cut(strings.TrimPrefix(resp.Header.Get("Link"), "<"), ">")
+			close(s.ready)
+		}
+		ok, early := s.early[message]
+		if early {
+			delete(s.early, message)
+		} else {
+			s.waiting[message] = j.done
+		}
+		s.mu.Unlock()
+		if early {
+			j.done(ok)
+		}
 	}
 }
 
-func (s *httpSender) send(index uint64, done func(bool)) { s.jobs <- httpJob{"", done} }
+// receipts polls.
+func (s *httpSender) receipts(conn net.Conn, addr string) {
+	<-s.ready
+	r := bufio.NewReaderSize(conn, 64<<10)
+	after := uint64(0)
+	for {
+		if _, err := fmt.Fprintf(conn, "GET %s?after=%d HTTP/1.1\r\nHost: %s\r\nPrefer: wait=5\r\n\r\n", s.box, after, addr); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return
+		}
+		var got struct {
+			Receipts []struct {
+				Seq             uint64
+				Message, Answer string
+			}
+		}
+		err = json.NewDecoder(resp.Body).Decode(&got)
+		_ = resp.Body.Close()
+		if err != nil {
+			return
+		}
+		for _, x := range got.Receipts {
+			after = x.Seq
+			s.mu.Lock()
+			done := s.waiting[x.Message]
+			if delete(s.waiting, x.Message); done == nil {
+				s.early[x.Message] = x.Answer == "delivered"
+			}
+			s.mu.Unlock()
+			if done != nil {
+				done(x.Answer == "delivered")
+			}
+		}
+	}
+}
+
+func (s *httpSender) send(index uint64, done func(bool)) { s.jobs <- httpJob{index, done} }
 
 func (s *httpSender) close() {
 	close(s.jobs)
@@ -354,3 +453,46 @@
 		_ = c.Close()
 	}
 }
+
+// handshakes opens and closes TLS connections for a time, each anew.
+func handshakes(ctx context.Context, addr string, trust *tls.Config, workers int, lasts time.Duration) (n int64) {
+	ctx, cancel := context.WithTimeout(ctx, lasts)
+	defer cancel()
+	var count atomic.Int64
+	var all sync.WaitGroup
+	for range workers {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				c, err := tls.Dial("tcp", addr, trust)
+				if err != nil {
+					continue
+				}
+				count.Add(1)
+				_ = c.Close()
+			}
+		})
+	}
+	all.Wait()
+	return count.Load()
+}
+
+// burst begins n handshakes at once and tells how many came to an end within
+// the time, and how long the last of them took.
+func burst(addr string, trust *tls.Config, n int, within time.Duration) (ok int64, took time.Duration) {
+	var count, last atomic.Int64
+	var all sync.WaitGroup
+	begin := time.Now()
+	for range n {
+		all.Go(func() {
+			c, err := tls.DialWithDialer(&net.Dialer{Timeout: within}, "tcp", addr, trust)
+			if err != nil {
+				return
+			}
+			count.Add(1)
+			last.Store(int64(time.Since(begin)))
+			_ = c.Close()
+		})
+	}
+	all.Wait()
+	return count.Load(), time.Duration(last.Load())
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"os"
@@ -12,6 +13,8 @@
 	"syscall"
 	"text/tabwriter"
 	"time"
+
+	"basaltcross.example/basaltcross/internal/keys"
 )
 
 // Options of a measurement.
@@ -22,6 +25,7 @@
 	Window      int           // messages under way at saturation
 	Connections int           // of light clients
 	Idle        int           // idle MQTT connections; 0 leaves that part out
+	Burst       int           // TLS handshakes at once; 0 leaves that part out
 	Partners    int
 	Service     time.Duration // of the stand-in
 	Log         io.Writer
@@ -30,17 +34,24 @@
 // Report is the outcome.
 type Report struct {
 	Results       []Result      `json:"results"`
-	AddedP99      time.Duration `json:"added_p99_ns"`     // relay over straight, at Rate
-	OverProxy     float64       `json:"over_proxy"`       // relay's saturation over the reverse proxy's
-	IdleBytes     int64         `json:"bytes_per_idle"`   // resident, for each idle connection
-	IdleMeasured  int           `json:"idle_connections"` // that were open
+	AddedP99      time.Duration `json:"added_p99_ns"`       // relay over straight, at Rate
+	OverProxy     float64       `json:"over_proxy"`         // relay's saturation over the reverse proxy's
+	IdleBytes     int64         `json:"bytes_per_idle"`     // resident, for each idle connection
+	IdleTLSBytes  int64         `json:"bytes_per_idle_tls"` // the same over TLS
+	IdleMeasured  int           `json:"idle_connections"`   // that were open
+	Burst         int           `json:"burst"`              // handshakes begun at once
+	BurstOK       int           `json:"burst_ok"`
+	BurstTook     time.Duration `json:"burst_ns"`
+	Handshakes    float64       `json:"handshakes_per_s"`
+	HandshakeCPU  time.Duration `json:"cpu_per_handshake_ns"` // of the relay
 	RelayCapacity float64       `json:"relay_per_s"`
 }
 
 // proc is a child process that is measured.
 type proc struct {
 	cmd   *exec.Cmd
-	addrs []string
+	addrs []string          // without a label
+	named map[string]string // the last one of each label
 }
 
 func (o *Options) start(ctx context.Context, dir, name string, args ...string) (*proc, error) {
@@ -53,7 +64,15 @@
 	}
 	for range 200 {
 		if text, err := os.ReadFile(ready); err == nil {
-			return &proc{cmd, strings.Fields(string(text))}, nil
+			p := &proc{cmd: cmd, named: map[string]string{}}
+			for line := range strings.Lines(string(text)) {
+				if label, addr, ok := strings.Cut(strings.TrimSpace(line), " "); ok {
+					p.named[label] = addr
+				} else {
+					p.addrs = append(p.addrs, label)
+				}
+			}
+			return p, nil
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
@@ -109,7 +128,9 @@
 classes: [{name: "status", aim: "2s", deadline: "10s", effect: "safe"}]
 kinds: [{name: "fast", refusalNeverRan: true}]
 limits: {arrivals: 100000, identities: {count: 1000000, keep: "5s"}}
-mqtt: {listen: ["127.0.0.1:0"], receiveMaximum: 65535, pending: 65535, connections: 30000, sessions: 30000}
+mqtt: {listen: ["127.0.0.1:0"], tlsListen: ["127.0.0.1:0"], tls: {cert: "server.pem", key: "server.key"}, handshake: "60s", receiveMaximum: 65535, pending: 65535, connections: 30000, sessions: 30000}
+webpush: {listen: ["127.0.0.1:0"], tlsListen: ["127.0.0.1:0"], tls: {cert: "server.pem", key: "server.key"},
+	pending: 100000, messages: 400000}
 partnerCalls: idlePerHost: 1024
 directory: file: "list.cue"
 log: level: "error"
@@ -149,6 +170,14 @@
 		return nil, err
 	}
 	defer proxy.stop()
+	authority, err := keys.NewAuthority("load", time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	if _, _, err := authority.Issue(dir, "server", time.Now().Add(-time.Minute), time.Now().Add(time.Hour), "127.0.0.1"); err != nil {
+		return nil, err
+	}
+	trust := &tls.Config{RootCAs: authority.Pool()}
 	if err := o.config(dir, host.addrs); err != nil {
 		return nil, err
 	}
@@ -157,9 +186,20 @@
 		return nil, err
 	}
 	defer relay.stop()
-	var topics []string
+	var topics, resources []string
 	for i := range o.Partners {
 		topics = append(topics, fmt.Sprintf("send/status/p%d", i))
+		resources = append(resources, fmt.Sprintf("/push/status/p%d", i))
+	}
+	overMQTT := func(label string, trust *tls.Config) func(int) (sender, error) {
+		addr := relay.addrs[0]
+		if label != "" {
+			addr = relay.named[label]
+		}
+		return func(n int) (sender, error) { return dialMQTT(addr, trust, min(n, o.Connections), "load", topics) }
+	}
+	overPush := func(label string, trust *tls.Config) func(int) (sender, error) {
+		return func(n int) (sender, error) { return dialHTTP([]string{relay.named[label]}, trust, n, resources) }
 	}
 	type target struct {
 		name string
@@ -167,9 +207,12 @@
 		dial func(int) (sender, error)
 	}
 	targets := []target{
-		{"straight to the stand-in", host, func(n int) (sender, error) { return dialHTTP(host.addrs, n) }},
-		{"net/http/httputil reverse proxy", proxy, func(n int) (sender, error) { return dialHTTP(proxy.addrs[:1], n) }},
-		{"relay", relay, func(n int) (sender, error) { return dialMQTT(relay.addrs[0], min(n, o.Connections), "load", topics) }},
+		{"straight to the stand-in", host, func(n int) (sender, error) { return dialHTTP(host.addrs, nil, n, nil) }},
+		{"net/http/httputil reverse proxy", proxy, func(n int) (sender, error) { return dialHTTP(proxy.addrs[:1], nil, n, nil) }},
+		{"relay, MQTT", relay, overMQTT("", nil)},
+		{"relay, MQTT over TLS", relay, overMQTT("mqtts", trust)},
+		{"relay, Web Push", relay, overPush("webpush", nil)},
+		{"relay, Web Push over TLS", relay, overPush("webpushs", trust)},
 	}
 	rep := &Report{}
 	for _, t := range targets { // latency at the asked rate
@@ -191,12 +234,25 @@
 		s.close()
 	}
 	rep.AddedP99 = rep.Results[2].P99 - rep.Results[0].P99
-	rep.RelayCapacity = rep.Results[5].PerSec
-	if p := rep.Results[4].PerSec; p > 0 {
+	saturated := rep.Results[len(targets):]
+	rep.RelayCapacity = saturated[2].PerSec
+	if p := saturated[1].PerSec; p > 0 {
 		rep.OverProxy = rep.RelayCapacity / p
 	}
+	before := relay.cpu()
+	if n := handshakes(ctx, relay.named["mqtts"], trust, 32, o.Lasts); n > 0 {
+		rep.Handshakes = float64(n) / o.Lasts.Seconds()
+		rep.HandshakeCPU = (relay.cpu() - before) / time.Duration(n)
+	}
+	if o.Burst > 0 {
+		n, took := burst(relay.named["mqtts"], trust, o.Burst, 60*time.Second)
+		rep.Burst, rep.BurstOK, rep.BurstTook = o.Burst, int(n), took
+	}
 	if o.Idle > 0 {
-		if rep.IdleMeasured, rep.IdleBytes, err = o.idle(ctx, dir); err != nil {
+		if rep.IdleMeasured, rep.IdleBytes, err = o.idle(ctx, dir, nil); err != nil {
+			return nil, err
+		}
+		if _, rep.IdleTLSBytes, err = o.idle(ctx, dir, trust); err != nil {
 			return nil, err
 		}
 	}
@@ -204,12 +260,20 @@
 }
 
 // idle opens connections to a relay of its own that does nothing else.
-func (o *Options) idle(ctx context.Context, dir string) (int, int64, error) {
-	relay, err := o.start(ctx, dir, "idle", "relay", "--config", filepath.Join(dir, "relay.cue"))
+func (o *Options) idle(ctx context.Context, dir string, trust *tls.Config) (int, int64, error) {
+	name := "idle"
+	if trust != nil {
+		name = "idle-tls"
+	}
+	relay, err := o.start(ctx, dir, name, "relay", "--config", filepath.Join(dir, "relay.cue"))
 	if err != nil {
 		return 0, 0, err
 	}
 	defer relay.stop()
+	addr := relay.addrs[0]
+	if trust != nil {
+		addr = relay.named["mqtts"]
+	}
 	before := relay.rss()
 	var conns []*mqttConn
 	defer func() {
@@ -218,7 +282,7 @@
 		}
 	}()
 	for i := range o.Idle {
-		c, err := newMQTT(relay.addrs[0], fmt.Sprintf("idle-%d", i))
+		c, err := newMQTT(addr, trust, fmt.Sprintf("idle-%d", i))
 		if err != nil {
 			return 0, 0, err
 		}
@@ -244,7 +308,14 @@
 	_ = t.Flush()
 	fmt.Fprintf(w, "the relay adds %v at p99; at saturation it carries %.2f times what the reverse proxy does\n",
 		r.AddedP99.Round(10*time.Microsecond), r.OverProxy)
+	fmt.Fprintf(w, "%.0f full TLS handshakes a second, %v of the relay's CPU each\n", r.Handshakes,
+		r.HandshakeCPU.Round(time.Microsecond))
+	if r.Burst > 0 {
+		fmt.Fprintf(w, "%d handshakes at once: %d done, the last after %v\n", r.Burst, r.BurstOK,
+			r.BurstTook.Round(time.Millisecond))
+	}
 	if r.IdleMeasured > 0 {
-		fmt.Fprintf(w, "%d idle MQTT connections take %.1f kB each\n", r.IdleMeasured, float64(r.IdleBytes)/1000)
+		fmt.Fprintf(w, "%d idle MQTT connections take %.1f kB each, over TLS %.1f kB\n", r.IdleMeasured,
+			float64(r.IdleBytes)/1000, float64(r.IdleTLSBytes)/1000)
 	}
 }
