Zone budgets: a book of reservations, passages told to the module, counters of bytes

Need: crossing zones costs money, and a budget must not stop a charge that could be answered in time. The book decides without I/O what each class may send across now, by worth, and settles by the bytes that passed; the module learns it as Passage events, closes zones to classes, refuses at once what no zone will carry in time and says when to come back. Over random schedules (rapid) the growth within any window stays within budget, overdraft and what exchanges were larger than reserved. Not wired yet.

--- a/choice/api.go
+++ b/choice/api.go
@@ -154,6 +154,14 @@
 	Hosts  []Host
 }
 
+// Passage says how many more sends of a class may go to a zone, after which it is closed to them; Urgent of them
+// also when less than a quarter of the message's time is left and Sends are used up. The next Passage replaces it.
+type Passage struct {
+	Class, Zone   int
+	Sends, Urgent int           // below 0 for any number
+	Again         time.Duration // once closed, it stays so until then at least, on the clock of Step
+}
+
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
@@ -167,6 +175,7 @@
 func (Listing) event()   {}
 func (Woken) event()     {}
 func (Stop) event()      {}
+func (Passage) event()   {}
 
 // An Action is something the relay must do. The types below are the actions.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,6 +76,11 @@
 			c.list(e)
 		case Stop:
 			c.stopped = true
+		case Passage:
+			if c.passages == nil {
+				c.passages = map[[2]int]*Passage{}
+			}
+			c.passages[[2]int{e.Class, e.Zone}] = &e
 		}
 	}
 	if c.askAt >= 0 && now >= c.askAt {
@@ -662,19 +667,28 @@
 func (c *Chooser) final(m *message) {
 	harmless := m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone
 	if !m.ran || harmless && !c.set.Certain {
-		c.act(Refuse{m.ID, c.back(m.dest)})
+		c.act(Refuse{m.ID, c.back(m)})
 	} else {
 		c.act(Fail{m.ID})
 	}
 	c.end(m)
 }
 
-// back tells how long a client should stay away: until a wait, a pause or a trial of its destination is over.
-func (c *Chooser) back(d *dest) time.Duration {
-	wait := c.set.MaxRetryAfter
+// back tells how long a client should stay away: until a wait, a pause or a trial of its destination is over,
+// and a zone of it is open.
+func (c *Chooser) back(m *message) time.Duration {
+	wait, d := c.set.MaxRetryAfter, m.dest
 	for _, u := range d.units {
 		wait = min(wait, max(u.waitUntil, u.pauseUntil, d.pauseUntil, u.trialAt)-c.now)
 	}
+	if len(c.passages) > 0 && len(d.hosts) > 0 {
+		opens := time.Duration(math.MaxInt64)
+		for _, h := range d.hosts {
+			again, _ := c.passes(m, h.Zone)
+			opens = min(opens, again)
+		}
+		wait = min(max(wait, opens-c.now), c.set.MaxRetryAfter)
+	}
 	return max(0, wait)
 }
 
@@ -724,7 +738,7 @@
 	for _, d := range c.live {
 		for i := len(d.waiting) - 1; i >= 0; i-- {
 			m := d.waiting[i]
-			if c.stopped || m.due-c.now <= margin*c.set.Tick+c.nap || !c.repeatable(m) {
+			if c.stopped || c.barred(m) || m.due-c.now <= margin*c.set.Tick+c.nap || !c.repeatable(m) {
 				c.final(m)
 			}
 		}
@@ -890,6 +904,9 @@
 func (c *Chooser) send(m *message, k *call) {
 	d := m.dest
 	m.timeout = c.timeout(m, k.host.unit)
+	if p := c.passages[[2]int{m.Class, k.host.Zone}]; p != nil {
+		p.Sends, p.Urgent = p.Sends-min(1, max(p.Sends, 0)), p.Urgent-min(1, max(p.Urgent, 0))
+	}
 	d.waiting = remove(d.waiting, m)
 	m.attempts++
 	m.call = k
@@ -897,8 +914,32 @@
 	c.act(Send{m.ID, k.host.Addr, m.timeout})
 }
 
+// passes tells whether a zone is open to a message; if not, it comes with the time until when. The last
+// quarter of its time makes a message urgent.
+func (c *Chooser) passes(m *message, zone int) (time.Duration, bool) {
+	p := c.passages[[2]int{m.Class, zone}]
+	if p == nil || p.Sends != 0 || p.Urgent != 0 && m.due-c.now < m.class.Deadline/4 {
+		return 0, true
+	}
+	return p.Again, false
+}
+
+// barred tells whether all endpoints of a message's destination lie in zones that stay closed past its time.
+func (c *Chooser) barred(m *message) bool {
+	if len(c.passages) == 0 || len(m.dest.hosts) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(m.dest.hosts, func(h *host) bool {
+		again, open := c.passes(m, h.Zone)
+		return h.State == Ready && (open || again < m.due || c.passages[[2]int{m.Class, h.Zone}].Urgent != 0)
+	})
+}
+
 // fits tells whether a message may go to a host now, room in its unit apart.
 func (c *Chooser) fits(m *message, h *host) bool {
+	if _, open := c.passes(m, h.Zone); !open {
+		return false
+	}
 	if h.State != Ready || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
 		return false
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -739,3 +739,37 @@
 		t.Fatalf("with its result: %v", acts)
 	}
 }
+
+func TestPassagesBetweenZones(t *testing.T) {
+	far := func(class, sends, urgent int, again time.Duration) Passage {
+		return Passage{Class: class, Zone: 1, Sends: sends, Urgent: urgent, Again: again}
+	}
+	r := newRig(t, settings(), ready("far", 1, 0, 1))
+	r.step(far(0, 1, 0, r.now+500*ms))
+	if n := len(sends(r.step(arrival("a", 0), arrival("b", 0)))); n != 1 {
+		t.Errorf("%d sends within a passage of one", n)
+	}
+	if n := len(sends(r.after(time.Second))); n != 0 {
+		t.Errorf("%d sends without a further passage", n)
+	}
+	if n := len(sends(r.step(far(0, -1, 0, 0)))); n != 1 {
+		t.Errorf("%d sends once it is open", n)
+	}
+	// Every endpoint lies across a zone that stays closed: refused at once, with advice.
+	s := settings()
+	s.MaxRetryAfter = 30 * time.Second
+	r = newRig(t, s, ready("far", 1, 0, 1))
+	acts := r.step(far(0, 0, 0, r.now+20*time.Second), arrival("c", 0))
+	if !slices.Contains(acts, Action(Refuse{ID: "c", After: 20 * time.Second})) {
+		t.Errorf("barred past its time: %v", acts)
+	}
+	// One in this zone is used meanwhile; an urgent message crosses.
+	r = newRig(t, settings(), ready("far", 1, 0, 1), ready("near", 2, 0, 0))
+	r.step(far(2, 0, 1, r.now+time.Hour), arrival("d", 2))
+	if n := len(sends(r.after(7 * time.Second))); n != 0 {
+		t.Errorf("%d sends before it is urgent", n)
+	}
+	if n := len(sends(r.after(time.Second))); n != 1 {
+		t.Errorf("%d sends of an urgent message", n)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -141,8 +141,10 @@
 	keep    time.Duration // longest that an idle connection is trusted
 	pool    table         // of all destinations together, for those that have few samples yet
 	stopped bool
-	askAt   time.Duration // ask for list changes then; below 0 for never
-	acts    []Action
+	// passages by class and zone; what is not there is open.
+	passages map[[2]int]*Passage
+	askAt    time.Duration // ask for list changes then; below 0 for never
+	acts     []Action
 }
 
 // remove deletes one element.
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,132 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func settings() Settings {
+	return Settings{Bytes: 60000, Window: 10 * time.Second, Burst: 0.5, Held: 0.4, First: 1000, Classes: []Class{
+		{Worth: 1}, {Worth: 2, Limit: 20000}, {Worth: 5, Overdraft: 8000}}}
+}
+
+// Over any window, wherever it begins, what passed and what is reserved grow by
+// at most the budget, the overdraft, and what exchanges were larger than
+// reserved; whatever the schedule of sends, sizes, ends and clock steps.
+func TestBudgetIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := settings()
+		fleet := rapid.IntRange(1, 3).Draw(t, "fleet")
+		b, err := New(s, fleet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		larger := rapid.SampledFrom([]float64{1, 1, 3}).Draw(t, "larger")
+		type mark struct {
+			at   time.Duration
+			used float64 // passed and reserved since the beginning
+		}
+		var marks []mark
+		var out []Grant
+		now := time.Duration(0)
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(-50, 900).Draw(t, "ms")) * time.Millisecond
+			for _, p := range b.Passages(now, []int{1, 2}) {
+				for range rapid.IntRange(0, p.Sends+p.Urgent).Draw(t, "sends") {
+					out = append(out, b.Reserve(now, p.Class, p.Zone))
+				}
+			}
+			marks = append(marks, mark{b.now, b.Spent + b.Reserved})
+			for len(out) > 0 && rapid.Bool().Draw(t, "ends") {
+				g := out[0]
+				out = out[1:]
+				b.Settle(now, g, int64(rapid.Float64Range(0, g.bytes*larger).Draw(t, "passed")), rapid.Bool().Draw(t, "whole"))
+			}
+			marks = append(marks, mark{b.now, b.Spent + b.Reserved})
+		}
+		if larger == 1 && b.Beyond > 0 {
+			t.Fatalf("beyond %v", b.Beyond)
+		}
+		bound := (s.Bytes+8000)/float64(fleet) + b.Beyond + 1
+		for i, from := range marks {
+			for _, to := range marks[i:] {
+				if to.at-from.at <= s.Window && to.used-from.used > bound {
+					t.Fatalf("%.0f bytes from %v to %v, bound %.0f", to.used-from.used, from.at, to.at, bound)
+				}
+			}
+		}
+	})
+}
+
+// A spent budget stops the cheap class first, then the next; the one that must
+// not be stopped goes on into its overdraft, which later traffic pays back.
+func TestWhoIsStopped(t *testing.T) {
+	b, _ := New(settings(), 1)
+	passage := func(now time.Duration, class int) Passage {
+		for _, p := range b.Passages(now, []int{1}) {
+			if p.Class == class {
+				return p
+			}
+		}
+		return Passage{}
+	}
+	var stopped [3]float64
+	for range 60 { // thousand-byte sends of the worthiest class, far into its overdraft
+		for class := range 3 {
+			if p := passage(0, class); p.Sends == 0 && stopped[class] == 0 {
+				stopped[class] = b.Have(0)
+			}
+		}
+		if passage(0, 2).Sends > 0 {
+			b.Settle(0, b.Reserve(0, 2, 0), 1000, true)
+		}
+	}
+	if !(stopped[0] > stopped[1] && stopped[1] > 0 && stopped[2] < -6000 && stopped[2] >= -8000) {
+		t.Fatalf("stopped at %v", stopped)
+	}
+	p := passage(0, 0)
+	if p.Sends+p.Urgent != 0 || p.Again < 4*time.Second {
+		t.Errorf("the cheap class: %+v", p)
+	}
+	if q := passage(p.Again/2, 0); q.Sends != 0 {
+		t.Errorf("long before the time told: %+v", q)
+	}
+	if q := passage(p.Again, 0); q.Sends == 0 {
+		t.Errorf("at the time told: %+v", q)
+	}
+	if b.Overdrawn < 6000 || b.Overdrawn > 8000 {
+		t.Errorf("overdrawn by %v", b.Overdrawn)
+	}
+}
+
+// Answers grow: the estimate follows within some exchanges. A budget lowered
+// below what is spent, and a fleet that changes, give nothing away.
+func TestSizesAndChanges(t *testing.T) {
+	b, _ := New(settings(), 2)
+	for range 30 {
+		b.Settle(time.Hour, b.Reserve(time.Hour, 0, 7), 5000, true)
+	}
+	if e := b.Estimate(0, 7); e < 5000 || e > 8000 {
+		t.Errorf("estimate %v after thirty of 5000", e)
+	}
+	e := b.Estimate(0, 7)
+	b.Settle(time.Hour, b.Reserve(time.Hour, 0, 7), 10, false)
+	if b.Estimate(0, 7) != e {
+		t.Error("an exchange that was cut off shrank the estimate")
+	}
+	at := 2 * time.Hour
+	full := b.Have(at)
+	b.Lower(at, 6000)
+	if have := b.Have(at); have > 1500 || full != 15000 {
+		t.Errorf("%v before, %v after it was lowered", full, have)
+	}
+	b.Lower(at, 60000)
+	if b.Fleet(at, 10); b.Have(at) > 1500 {
+		t.Errorf("raised anew it holds %v at once", b.Have(at))
+	}
+	if b.Have(at-time.Hour) > b.Have(at) {
+		t.Error("a clock that runs backwards fills it")
+	}
+}
