Zone traffic counted to the byte and kept within the budget in the running relay; basaltcross zones

Need: crossing zones costs money. Bytes are counted where they pass, by class, partner and zone; what no class can be charged with (TLS handshakes, idle connections) has a line of its own. The core books sends that cross and settles them by the bytes that passed; passages go to the module with each batch. /zones and basaltcross zones report by class, zone and minute.

--- a/internal/badday/audit.go
+++ b/internal/badday/audit.go
@@ -140,6 +140,11 @@
 			}
 		}
 		due := h.at.Add(h.left)
+		for _, s := range d.relays[h.relay].stalls {
+			if h.at.After(s[0].Add(-answerSlack)) && h.at.Before(s[1]) { // it lay in the kernel: taken only then
+				due = s[1].Add(h.left)
+			}
+		}
 		for _, s := range d.relays[h.relay].stalls {
 			if !due.Before(s[0].Add(-answerSlack)) && due.Before(s[1]) { // it stood still when the time was up
 				due = s[1]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,8 @@
 		Window    Duration
 		SameZone  bool
 		Ordered   bool
+		Overdraft float64
+		Crossing  float64
 	}
 	Kind struct {
 		Name            string
@@ -133,6 +135,7 @@
 type Config struct {
 	Relay struct {
 		Name          string
+		Zone          string
 		Index         int
 		Fleet         int
 		Seed          uint64
@@ -169,6 +172,13 @@
 			Keep  Duration
 		}
 	}
+	Budget *struct {
+		Bytes  float64
+		Window Duration
+		Burst  float64
+		Held   float64
+		First  float64
+	}
 	MQTT    MQTT
 	WebPush WebPush
 	TLS     struct {
@@ -351,7 +361,7 @@
 		}
 		return seen
 	}
-	unique("zones", len(c.Zones), func(i int) string { return c.Zones[i].Name })
+	zones := unique("zones", len(c.Zones), func(i int) string { return c.Zones[i].Name })
 	unique("classes", len(c.Classes), func(i int) string { return c.Classes[i].Name })
 	kinds := unique("kinds", len(c.Kinds), func(i int) string { return c.Kinds[i].Name })
 	unique("partners", len(c.Partners), func(i int) string { return c.Partners[i].Name })
@@ -366,6 +376,9 @@
 			fail(fmt.Sprintf("partners[%d].kind", i), "%q is no kind; the kinds are under kinds", p.Kind)
 		}
 	}
+	if c.Relay.Zone != "" && !zones[c.Relay.Zone] {
+		fail("relay.zone", "%q is no zone; the zones are under zones", c.Relay.Zone)
+	}
 	loopback := func(list string, addrs []string, without string) {
 		for i, l := range addrs {
 			host, _, _ := net.SplitHostPort(l)
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -26,6 +26,10 @@
 	window:   #Dur | *"0s"
 	sameZone: bool | *false
 	ordered:  bool | *false
+	// Of the budget for crossing zones, bytes of the installation: what this class
+	// may draw past an empty budget, and a limit of its own over the window (0: none).
+	overdraft: number & >=0 | *0
+	crossing:  number & >=0 | *0
 	if effect == "keyed" {
 		window: !="0s"
 	}
@@ -59,6 +63,8 @@
 #Config: {
 	relay: {
 		name:  #Name | *"relay-1"
+		// The zone that this relay is in; "" for the first of zones.
+		zone:  string | *""
 		index: int & >=0 | *0
 		fleet: int & >=1 | *1
 		seed:  int & >=0 | *0
@@ -89,6 +95,16 @@
 		cold:           #Dur | *"10s"
 		orderSettle:    #Dur | *"0s"
 	}
+	// Budget for traffic to endpoints of other zones, of the whole installation.
+	budget?: {
+		bytes:  number & >0
+		window: #Dur | *"60s"
+		// Share of bytes that may go at once; share of that held for worthier classes.
+		burst: number & >0 & <=1 | *0.25
+		held:  number & >=0 & <1 | *0.3
+		// Size of an exchange before any was seen.
+		first: number & >0 | *2048
+	}
 	limits: {
 		body:      int & >=1 & <=268435455 | *262144
 		arrivals:  int & >=1 | *4096
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,8 @@
 	Class   int
 	Partner int
 	Key     string
+	Zone    int           // of the endpoint, as the list has it now
+	Passed  *atomic.Int64 // counts the attempt's bytes on the socket, both ways
 	Head    []byte
 	Idem    string // idempotency key; empty where the class keeps none
 	Body    []byte
@@ -99,8 +101,16 @@
 	Gauge(held, out, identities, inbox int)
 }
 
+// Toll tells which zones are open to a class, and books what crosses.
+type Toll interface {
+	Passages(now time.Duration) []choice.Passage
+	// Sent returns what settles a send by the bytes that passed, nil for none.
+	Sent(now time.Duration, class, partner, zone int) func(now time.Duration, passed int64, whole bool)
+}
+
 // Options of a Core.
 type Options struct {
+	Toll       Toll // nil: all zones are open
 	Settings   choice.Settings
 	Seed       uint64
 	Apart      []bool // by partner: its endpoints are routes apart
@@ -131,6 +141,8 @@
 	sent    time.Duration
 	end     time.Duration // time-out
 	sock    Attempt
+	passed  atomic.Int64
+	settle  func(now time.Duration, passed int64, whole bool)
 	place   int // in the heap, -1 if not there
 }
 
@@ -165,6 +177,7 @@
 	byEntry  map[*ledger.Entry]*message
 	waits    timers
 	outs     map[*attempt]struct{}
+	zones    map[string]int // by endpoint
 	wakeAt   time.Duration
 	next     uint64
 	owed     int
@@ -185,7 +198,7 @@
 	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: ledger.New(opt.Identities, opt.Keep),
 		clock: func() time.Duration { return time.Since(epoch) },
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
-		outs: map[*attempt]struct{}{}, wakeAt: -1, stopAt: -1}, nil
+		outs: map[*attempt]struct{}{}, zones: map[string]int{}, wakeAt: -1, stopAt: -1}, nil
 }
 
 // Now is the core's monotonic clock.
@@ -371,6 +384,11 @@
 		c.wakeAt = -1
 		c.batch = append(c.batch, choice.Woken{})
 	}
+	if c.opt.Toll != nil {
+		for _, p := range c.opt.Toll.Passages(c.now) {
+			c.batch = append(c.batch, p)
+		}
+	}
 	for len(c.batch) > 0 {
 		c.carryOut(c.ch.Step(c.now, c.batch))
 		c.batch = c.batch[:0]
@@ -467,6 +485,10 @@
 	}
 	m.out = nil
 	delete(c.outs, a)
+	if a.settle != nil {
+		whole := e.Outcome == choice.Served || e.Outcome == choice.Error || e.Outcome == choice.Refused
+		a.settle(c.now, a.passed.Load(), whole)
+	}
 	if a.place >= 0 {
 		heap.Remove(&c.waits, a.place)
 	}
@@ -504,7 +526,11 @@
 		return
 	}
 	ready := map[string]bool{}
+	if l.Whole {
+		clear(c.zones)
+	}
 	for _, h := range l.Hosts {
+		c.zones[h.Addr] = h.Zone
 		if h.State == choice.Ready {
 			ready[h.Addr] = true
 		} else {
@@ -596,7 +622,11 @@
 	m.tries++
 	m.out = a
 	c.outs[a] = struct{}{}
-	call := Call{ID: m.id, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Head: m.Head, Body: m.Body,
+	zone := c.zones[s.Host]
+	if c.opt.Toll != nil {
+		a.settle = c.opt.Toll.Sent(c.now, m.Class, m.Partner, zone)
+	}
+	call := Call{ID: m.id, Zone: zone, Passed: &a.passed, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Head: m.Head, Body: m.Body,
 		Patient: s.Timeout, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
 	if c.opt.Settings.Classes[m.Class].Effect == choice.Keyed {
 		call.Idem = m.idem()
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/zone"
 )
 
 // Logger writes structured lines: JSON, or for people.
@@ -54,6 +56,7 @@
 	shakes   *prometheus.CounterVec
 	expiry   *prometheus.GaugeVec
 	warn     time.Duration
+	report   func() any
 	gauges   map[string]prometheus.Gauge
 
 	mu    sync.Mutex
@@ -275,6 +278,14 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/zones", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if r.report == nil {
+			http.NotFound(w, nil)
+		} else if err := json.NewEncoder(w).Encode(r.report()); err != nil {
+			r.Logf("report: %v", err)
+		}
+	})
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -283,3 +294,43 @@
 	go func() { _ = s.Serve(l) }()
 	return l.Addr(), nil
 }
+
+// Zones registers the counters of traffic between zones, and serves their
+// report at /zones.
+func (r *Relay) Zones(t *zone.Table, zones []string, report func() any) {
+	r.report = report
+	r.registry.MustRegister(&zoneCollector{t, r.classes, zones,
+		prometheus.NewDesc("basaltcross_zone_bytes_total", "Bytes between this relay and endpoints, by their zone.",
+			[]string{"class", "zone", "direction"}, nil),
+		prometheus.NewDesc("basaltcross_zone_calls_total", "Attempts by zone of the endpoint.", []string{"class", "zone"}, nil)})
+}
+
+type zoneCollector struct {
+	table          *zone.Table
+	classes, zones []string
+	bytes, calls   *prometheus.Desc
+}
+
+func (z *zoneCollector) Describe(ch chan<- *prometheus.Desc) { ch <- z.bytes; ch <- z.calls }
+
+func (z *zoneCollector) Collect(ch chan<- prometheus.Metric) {
+	sum := map[[2]int]zone.Traffic{}
+	z.table.Each(func(class, _, to int, x zone.Traffic) {
+		s := sum[[2]int{class, to}]
+		sum[[2]int{class, to}] = zone.Traffic{Out: s.Out + x.Out, In: s.In + x.In, Calls: s.Calls + x.Calls}
+	})
+	for k, x := range sum {
+		class := "none"
+		if k[0] >= 0 {
+			class = z.classes[k[0]]
+		}
+		c := func(d *prometheus.Desc, v int64, labels ...string) {
+			ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+		}
+		c(z.bytes, x.Out, class, z.zones[k[1]], "out")
+		c(z.bytes, x.In, class, z.zones[k[1]], "in")
+		if k[0] >= 0 {
+			c(z.calls, x.Calls, class, z.zones[k[1]])
+		}
+	}
+}
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -20,6 +20,7 @@
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/secure"
+	"basaltcross.example/basaltcross/internal/zone"
 )
 
 // Target says how calls for one partner look.
@@ -40,6 +41,8 @@
 	IdlePerHost int           // kept connections per endpoint; further ones close when their call ends
 	IdleFor     time.Duration // and each for so long
 	Pollers     int
+	// Traffic counts bytes by class, partner and zone; may be nil.
+	Traffic *zone.Table
 	// Failed is told of TLS handshakes that failed; may be nil.
 	Failed func(host string, err error)
 	// Unsolicited is told of bytes that came without a request; may be nil.
@@ -80,6 +83,50 @@
 	resp response
 	// Bytes for the socket so far, and those of them that the kernel has.
 	size, sent atomic.Int64
+	bill       atomic.Pointer[bill]
+	home       bill // of what no class is charged with
+}
+
+// bill says who is charged with a connection's bytes.
+type bill struct {
+	class, partner, zone int
+	passed               *atomic.Int64
+}
+
+// count books bytes of a connection: to the call that it carries, else to none.
+func (c *Caller) count(cn *conn, n int, out bool) {
+	b := cn.bill.Load()
+	if b == nil {
+		b = &cn.home
+	} else if b.passed != nil {
+		b.passed.Add(int64(n))
+	}
+	if t := c.opt.Traffic; t != nil && out {
+		t.Out(b.class, b.partner, b.zone, n)
+	} else if t != nil {
+		t.In(b.class, b.partner, b.zone, n)
+	}
+}
+
+// counted counts the bytes of a TLS handshake.
+type counted struct {
+	net.Conn
+	c  *Caller
+	cn *conn
+}
+
+func (k counted) Unwrap() net.Conn { return k.Conn }
+
+func (k counted) Read(b []byte) (int, error) {
+	n, err := k.Conn.Read(b)
+	k.c.count(k.cn, n, false)
+	return n, err
+}
+
+func (k counted) Write(b []byte) (int, error) {
+	n, err := k.Conn.Write(b)
+	k.c.count(k.cn, n, true)
+	return n, err
 }
 
 // call is one attempt. Its state goes from dialing to written to ended.
@@ -101,6 +148,7 @@
 	c.engine.OnData(func(nb *nbio.Conn, data []byte) {
 		c.fence.Load()
 		if cn, ok := nb.Session().(*conn); ok {
+			c.count(cn, len(data), false)
 			if cn.sec != nil {
 				cn.sec.Data(data)
 			} else {
@@ -120,6 +168,7 @@
 	c.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
 		if cn, ok := nb.Session().(*conn); ok && n > 0 {
 			cn.sent.Add(int64(n))
+			c.count(cn, n, true)
 		}
 	})
 	if err := c.engine.Start(); err != nil {
@@ -271,7 +320,7 @@
 		k.end(noConnection, nil)
 		return
 	}
-	cn := &conn{pool: p, host: k.Host, nb: nb, out: nb}
+	cn := &conn{pool: p, host: k.Host, nb: nb, out: nb, home: k.home()}
 	nb.SetSession(cn)
 	c.fence.Add(1)
 	if _, err := c.engine.AddConn(nb); err != nil {
@@ -290,8 +339,8 @@
 	if cfg.ServerName == "" {
 		cfg.ServerName, _, _ = net.SplitHostPort(k.Host)
 	}
-	cn := &conn{pool: p, host: k.Host}
-	err := secure.Client(ctx, raw, cfg, c.engine, func(n int) { cn.size.Add(int64(n)) },
+	cn := &conn{pool: p, host: k.Host, home: k.home()}
+	err := secure.Client(ctx, counted{raw, c, cn}, cfg, c.engine, func(n int) { cn.size.Add(int64(n)) },
 		func(nb *nbio.Conn, s *secure.Conn) {
 			cn.nb, cn.out, cn.sec = nb, s, s
 			nb.SetSession(cn)
@@ -308,6 +357,8 @@
 	k.write(cn)
 }
 
+func (k *call) home() bill { return bill{class: -1, partner: k.Partner, zone: k.Zone} }
+
 func (p *pool) release() {
 	p.mu.Lock()
 	p.open--
@@ -340,6 +391,10 @@
 	cn.mu.Unlock()
 	k.conn = cn
 	k.wrote = true
+	cn.bill.Store(&bill{k.Class, k.Partner, k.Zone, k.Passed})
+	if t := k.caller.opt.Traffic; t != nil {
+		t.Call(k.Class, k.Partner, k.Zone)
+	}
 	k.mu.Unlock()
 	// From here on the answer may come at any moment, on the poller.
 	if n, err := cn.out.Write(request); err != nil {
@@ -482,6 +537,7 @@
 		return
 	}
 	r := response{status: cn.resp.status, retry: cn.resp.retry}
+	cn.bill.Store(nil)
 	keep := cn.resp.keep && len(rest) == 0
 	cn.call = nil
 	what := answered
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 
+	"basaltcross.example/basaltcross/internal/budget"
 	"basaltcross.example/basaltcross/internal/config"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/directory"
@@ -27,6 +29,7 @@
 	"basaltcross.example/basaltcross/internal/partner"
 	"basaltcross.example/basaltcross/internal/secure"
 	"basaltcross.example/basaltcross/internal/webpush"
+	"basaltcross.example/basaltcross/internal/zone"
 )
 
 // Hooks let a test or an audit stand between the parts; nil ones do nothing.
@@ -44,6 +47,7 @@
 	caller *partner.Caller
 	front  *mqttfront.Front
 	push   *webpush.Front // nil where it is not configured
+	zones  *zone.Reporter
 	source directory.Source
 
 	// MetricsAddr is where the metrics are served, nil if nowhere.
@@ -131,11 +135,32 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: webpush: %w", err)
 	}
+	var zones, partners []string
+	for _, z := range cfg.Zones {
+		zones = append(zones, z.Name)
+	}
+	for _, p := range cfg.Partners {
+		partners = append(partners, p.Name)
+	}
+	own := max(0, slices.Index(zones, cfg.Relay.Zone))
+	traffic := zone.NewTable(len(classes), len(partners), len(zones))
+	var toll *zone.Toll
+	if b := cfg.Budget; b != nil {
+		set := budget.Settings{Bytes: b.Bytes, Window: b.Window.D(), Burst: b.Burst, Held: b.Held, First: b.First}
+		for _, k := range cfg.Classes {
+			set.Classes = append(set.Classes, budget.Class{Worth: k.Worth, Overdraft: k.Overdraft, Limit: k.Crossing})
+		}
+		book, err := budget.New(set, cfg.Relay.Fleet)
+		if err != nil {
+			return nil, fmt.Errorf("relay: %w", err)
+		}
+		toll = zone.NewToll(book, own, len(zones))
+	}
 	pollers := max(1, runtime.GOMAXPROCS(0)/2)
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
 		Limits:      http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
 		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
-		Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut})
+		Traffic: traffic, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
@@ -147,13 +172,20 @@
 	if seed == 0 {
 		seed = uint64(time.Now().UnixNano())
 	}
-	r.core, err = core.New(core.Options{Settings: cfg.Settings(), Seed: seed, Apart: apart,
+	opt := core.Options{Settings: cfg.Settings(), Seed: seed, Apart: apart,
 		Arrivals: cfg.Limits.Arrivals, Identities: cfg.Limits.Identities.Count,
-		Keep: cfg.Limits.Identities.Keep.D(), Caller: caller, Observer: r.obs})
+		Keep: cfg.Limits.Identities.Keep.D(), Caller: caller, Observer: r.obs}
+	if toll != nil {
+		opt.Toll = toll
+	}
+	r.core, err = core.New(opt)
 	if err != nil {
 		r.caller.Close()
 		return nil, fmt.Errorf("relay: %w", err)
 	}
+	r.zones = &zone.Reporter{Relay: cfg.Relay.Name, Classes: classes, Partners: partners, Zones: zones, Own: own,
+		Table: traffic, Toll: toll, Now: r.core.Now}
+	r.obs.Zones(traffic, zones, func() any { return r.zones.Report() })
 	var door front.Door = r.core
 	if hooks.Door != nil {
 		door = hooks.Door(door)
@@ -177,7 +209,11 @@
 			return fail(err)
 		}
 	}
-	r.done.Add(3)
+	r.done.Add(4)
+	go func() {
+		defer r.done.Done()
+		r.zones.Run(ctx)
+	}()
 	go func() {
 		defer r.done.Done()
 		ring.Run(ctx)
@@ -312,6 +348,9 @@
 	})
 }
 
+// Zones is the report on traffic between zones.
+func (r *Relay) Zones() zone.Report { return r.zones.Report() }
+
 // Inspect tells what the relay holds now.
 func (r *Relay) Inspect(ctx context.Context) (held, out int, err error) {
 	err = r.core.Inspect(ctx, func(h, o int) { held, out = h, o })
--- a/internal/secure/secure.go
+++ b/internal/secure/secure.go
@@ -235,7 +235,8 @@
 // swap is a connection whose inside is exchanged after the handshake.
 type swap struct{ net.Conn }
 
-// Client does the handshake on a connected socket, then hands it to the engine.
+// Client does the handshake on a connected socket, then hands it to the engine;
+// a wrapped socket that has an Unwrap is unwrapped for that.
 // made is called with the engine's connection before any data can come.
 func Client(ctx context.Context, raw net.Conn, cfg *tls.Config, engine *nbio.Engine, wrote func(int),
 	made func(*nbio.Conn, *Conn), got func([]byte)) error {
@@ -245,6 +246,9 @@
 		_ = raw.Close()
 		return err
 	}
+	if w, ok := raw.(interface{ Unwrap() net.Conn }); ok {
+		raw = w.Unwrap()
+	}
 	nb, err := nbio.NBConn(raw)
 	if err != nil {
 		_ = raw.Close()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -221,15 +221,36 @@
 
 // Start listens on an address; "127.0.0.1:0" takes a free port.
 func Start(addr string, p *Partner, rec *Recorder) (*Endpoint, error) {
+	return StartWrapped(addr, p, rec, nil)
+}
+
+// StartWrapped is Start with every connection wrapped, to meter it.
+func StartWrapped(addr string, p *Partner, rec *Recorder, wrap func(net.Conn) net.Conn) (*Endpoint, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("standin: %w", err)
 	}
+	if wrap != nil {
+		l = wrapped{l, wrap}
+	}
 	e := &Endpoint{Addr: l.Addr().String(), Partner: p, rec: rec, cut: make(chan struct{}), begun: time.Now()}
 	e.serve(l)
 	return e, nil
 }
 
+type wrapped struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (w wrapped) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return w.wrap(c), nil
+}
+
 func (e *Endpoint) serve(l net.Listener) {
 	e.srv = &http.Server{Handler: e, ReadHeaderTimeout: 30 * time.Second,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
@@ -301,7 +322,10 @@
 	if first && t.Handshake > 0 {
 		sleep(r.Context(), t.Handshake)
 	}
-	silent := func() { <-r.Context().Done() }
+	silent := func() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler) // lest the server writes an answer after all
+	}
 	cutOff := func() {
 		if h, ok := w.(http.Hijacker); ok {
 			if conn, _, err := h.Hijack(); err == nil {
--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -47,10 +48,19 @@
 	Partners []*standin.Partner
 	Ends     []*standin.Endpoint
 	states   map[string]string
+	zones    []string
 }
 
 // New starts so many partners with two endpoints each, and a relay over them.
 func New(t testing.TB, partners int, model standin.Model, extra string, hooks relay.Hooks) *Bed {
+	t.Helper()
+	return NewMetered(t, partners, model, extra, hooks, func(int) (string, func(net.Conn) net.Conn) { return "", nil })
+}
+
+// NewMetered is New with a zone for each endpoint by its number, and its
+// connections wrapped.
+func NewMetered(t testing.TB, partners int, model standin.Model, extra string, hooks relay.Hooks,
+	of func(i int) (zone string, wrap func(net.Conn) net.Conn)) *Bed {
 	t.Helper()
 	b := &Bed{T: t, Rec: standin.NewRecorder(1 << 20), List: filepath.Join(t.TempDir(), "list.cue"),
 		states: map[string]string{}}
@@ -58,7 +68,9 @@
 		p := standin.NewPartner(fmt.Sprintf("p%d", i), model, uint64(i+1))
 		b.Partners = append(b.Partners, p)
 		for range 2 {
-			e, err := standin.Start("127.0.0.1:0", p, b.Rec)
+			zone, wrap := of(len(b.Ends))
+			b.zones = append(b.zones, zone)
+			e, err := standin.StartWrapped("127.0.0.1:0", p, b.Rec, wrap)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -86,12 +98,19 @@
 func (b *Bed) WriteList() {
 	var text bytes.Buffer
 	text.WriteString("endpoints: [\n")
-	for _, e := range b.Ends {
+	for i, e := range b.Ends {
+		if b.states[e.Addr] == "gone" {
+			continue
+		}
+		zone := ""
+		if b.zones[i] != "" {
+			zone = fmt.Sprintf(", zone: %q", b.zones[i])
+		}
 		state := b.states[e.Addr]
 		if state == "" {
 			state = "ready"
 		}
-		fmt.Fprintf(&text, "{addr: %q, partner: %q, state: %q},\n", e.Addr, e.Partner.Name, state)
+		fmt.Fprintf(&text, "{addr: %q, partner: %q, state: %q%s},\n", e.Addr, e.Partner.Name, state, zone)
 	}
 	text.WriteString("]\n")
 	tmp := b.List + ".new"
--- /dev/null
+++ b/internal/zone/report.go
@@ -0,0 +1,139 @@
+package zone
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+// Row is traffic of one class with one zone, in all or within a minute.
+type Row struct {
+	Minute  *time.Time `json:"minute,omitempty"`
+	Class   string     `json:"class"` // "none" for what no class is charged with
+	Partner string     `json:"partner,omitempty"`
+	Zone    string     `json:"zone"`
+	Crosses bool       `json:"crosses"`
+	Traffic
+}
+
+// Report is what a relay knows of its traffic between zones.
+type Report struct {
+	Relay   string    `json:"relay"`
+	Zone    string    `json:"zone"`
+	At      time.Time `json:"at"`
+	Totals  []Row     `json:"totals"`  // since the relay's start, by class, partner and zone
+	Minutes []Row     `json:"minutes"` // by class and zone, the oldest first
+	Budget  *State    `json:"budget,omitempty"`
+}
+
+// Reporter makes reports and keeps the minutes.
+type Reporter struct {
+	Relay                    string
+	Classes, Partners, Zones []string
+	Own                      int
+	Table                    *Table
+	Toll                     *Toll // nil without a budget
+	Now                      func() time.Duration
+
+	mu      sync.Mutex
+	history *History
+}
+
+// keptMinutes is a day.
+const keptMinutes = 24 * 60
+
+// Run marks the minutes until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	r.mu.Lock()
+	r.history = NewHistory(r.Table, keptMinutes)
+	r.mu.Unlock()
+	from := time.Now()
+	for {
+		next := from.Truncate(time.Minute).Add(time.Minute)
+		t := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+			r.mu.Lock()
+			r.history.Mark(from)
+			r.mu.Unlock()
+			from = next
+		}
+	}
+}
+
+func (r *Reporter) class(i int) string {
+	if i < 0 {
+		return "none"
+	}
+	return r.Classes[i]
+}
+
+// Report is the state now.
+func (r *Reporter) Report() Report {
+	out := Report{Relay: r.Relay, Zone: r.Zones[r.Own], At: time.Now(), Totals: []Row{}, Minutes: []Row{}}
+	r.Table.Each(func(class, partner, zone int, x Traffic) {
+		out.Totals = append(out.Totals, Row{Class: r.class(class), Partner: r.Partners[partner], Zone: r.Zones[zone],
+			Crosses: zone != r.Own, Traffic: x})
+	})
+	r.mu.Lock()
+	if r.history != nil {
+		for _, m := range r.history.Rows() {
+			out.Minutes = append(out.Minutes, Row{Minute: &m.From, Class: r.class(m.Class), Zone: r.Zones[m.Zone],
+				Crosses: m.Zone != r.Own, Traffic: m.Traffic})
+		}
+	}
+	r.mu.Unlock()
+	if r.Toll != nil {
+		s := r.Toll.State(r.Now())
+		out.Budget = &s
+	}
+	return out
+}
+
+// Print writes a report as tables: by class and zone, then by minute.
+func (r *Report) Print(w io.Writer, minutes bool) {
+	fmt.Fprintf(w, "%s in zone %s at %s\n", r.Relay, r.Zone, r.At.Format(time.RFC3339))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	line := func(x Row, first string) {
+		mark := ""
+		if x.Crosses {
+			mark = "crosses"
+		}
+		fmt.Fprintf(t, "%s%s\t%s\t%d\t%d\t%d\t%s\t\n", first, x.Class, x.Zone, x.Calls, x.Out, x.In, mark)
+	}
+	fmt.Fprintln(t, "class\tzone\tcalls\tbytes out\tbytes in\t\t")
+	sum := map[[2]string]Row{}
+	for _, x := range r.Totals {
+		k := [2]string{x.Class, x.Zone}
+		s := sum[k]
+		s.Class, s.Zone, s.Crosses = x.Class, x.Zone, x.Crosses
+		s.Traffic = Traffic{s.Out + x.Out, s.In + x.In, s.Calls + x.Calls}
+		sum[k] = s
+	}
+	var rows []Row
+	for _, x := range sum {
+		rows = append(rows, x)
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Zone, b.Zone)) })
+	for _, x := range rows {
+		line(x, "")
+	}
+	if minutes {
+		for _, x := range r.Minutes {
+			line(x, x.Minute.Format("15:04")+" ")
+		}
+	}
+	_ = t.Flush()
+	if b := r.Budget; b != nil {
+		fmt.Fprintf(w, "budget: %.0f bytes left, %.0f reserved, %.0f spent, %.0f overdrawn, %.0f beyond reservations\n",
+			b.Have, b.Reserved, b.Spent, b.Overdrawn, b.Beyond)
+	}
+}
