--- /dev/null
+++ b/cmd/basaltcross/model.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"basaltcross.example/basaltcross/internal/fleet"
+)
+
+func modelCommand() *cobra.Command {
+	s := fleet.Settings{}
+	var seeds int
+	var each []float64
+	var record, plot string
+	c := &cobra.Command{Use: "model", Short: "Model a fleet with zone budgets in simulated time", Args: cobra.NoArgs,
+		Long: "Runs many relays with the program's own core, decision module and budgets against modelled partners, from\n" +
+			"one seed, and compares budgets with none and with a cap that does not look at zones.\nLeft out: " + fleet.Limits + ".",
+		RunE: func(c *cobra.Command, _ []string) error {
+			// What all traffic would be over a window, both ways: budgets are shares of it.
+			all := s.Rate * 1000 * s.Window.Seconds()
+			var budgets []float64
+			for _, e := range each {
+				budgets = append(budgets, e*all)
+			}
+			begin := time.Now()
+			results, err := fleet.Sweep(s, budgets, []fleet.How{fleet.Budget, fleet.None, fleet.Blind}, seeds)
+			if err != nil {
+				return err
+			}
+			lines := fleet.Lines(results)
+			fmt.Fprintf(c.OutOrStdout(), "%d relays, %d endpoints, %d zones, %.0f messages a second for %v, %d seeds: %d runs in %v\n",
+				s.Relays, 2*s.Partners, s.Zones, s.Rate, s.Lasts, seeds, len(results), time.Since(begin).Round(100*time.Millisecond))
+			fleet.Print(c.OutOrStdout(), lines)
+			if record != "" {
+				if err := fleet.Write(record, results); err != nil {
+					return err
+				}
+			}
+			if plot != "" {
+				return fleet.Plot(plot, lines, fmt.Sprintf("%d relays, %d endpoints, uneven %.1f", s.Relays, 2*s.Partners, s.Uneven))
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.Uint64Var(&s.Seed, "seed", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 5, "runs of each kind, for the error bars")
+	f.IntVar(&s.Relays, "relays", 30, "relays")
+	f.IntVar(&s.Partners, "partners", 50, "partners, each with two endpoints in two zones")
+	f.IntVar(&s.Zones, "zones", 3, "zones")
+	f.Float64Var(&s.Rate, "rate", 300, "messages a second of all relays")
+	f.DurationVar(&s.Lasts, "for", 30*time.Second, "simulated time of arrivals")
+	f.DurationVar(&s.Window, "window", 10*time.Second, "window of the budget")
+	f.Float64SliceVar(&each, "budgets", []float64{0.02, 0.05, 0.1, 0.2, 0.4}, "budgets, as shares of what all traffic takes")
+	f.Float64Var(&s.Overdraft, "overdraft", 0.5, "of the at-most-once class, as a share of the budget")
+	f.Float64Var(&s.Uneven, "uneven", 0.5, "0 for even load, 1 for twice the mean at one end and none at the other")
+	f.Float64Var(&s.Outage, "outage", 0.3, "part of the partners whose first endpoint is gone in the middle third")
+	f.Float64Var(&s.Die, "die", 0, "part of the relays that die at half the time")
+	f.DurationVar(&s.Late, "late", 2*time.Second, "until the others learn of it")
+	f.StringVar(&record, "record", "", "write the runs to this file (parquet)")
+	f.StringVar(&plot, "plot", "", "draw worth against bytes to this file (.svg, .png)")
+	return c
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -110,9 +110,12 @@
 
 // Options of a Core.
 type Options struct {
-	Toll       Toll // nil: all zones are open
-	Settings   choice.Settings
-	Seed       uint64
+	Toll     Toll // nil: all zones are open
+	Settings choice.Settings
+	Seed     uint64
+	// Clock is the monotonic time; nil for the machine's. With a clock of its own
+	// a core is driven by Step instead of Run.
+	Clock      func() time.Duration
 	Apart      []bool // by partner: its endpoints are routes apart
 	Arrivals   int    // hand-ins that wait for the core; past a client's share they are turned away with ErrBusy
 	Identities int
@@ -194,9 +197,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("core: %w", err)
 	}
-	epoch := time.Now()
+	clock := opt.Clock
+	if clock == nil {
+		epoch := time.Now()
+		clock = func() time.Duration { return time.Since(epoch) }
+	}
 	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: ledger.New(opt.Identities, opt.Keep),
-		clock: func() time.Duration { return time.Since(epoch) },
+		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
 		outs: map[*attempt]struct{}{}, zones: map[string]int{}, wakeAt: -1, stopAt: -1}, nil
 }
@@ -296,6 +303,14 @@
 	}
 }
 
+// Step does once what Run does over and over, for a model that keeps its own
+// time, and tells when it is to be done again at the latest; below 0 for never.
+func (c *Core) Step() (next time.Duration) {
+	c.now = c.Now()
+	c.work()
+	return c.nextTime()
+}
+
 func (c *Core) pulse(over <-chan struct{}) {
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func small(how How, bytes float64) Settings {
+	return Settings{Seed: 5, How: how, Bytes: bytes, Window: 5 * time.Second, Relays: 6, Partners: 6, Zones: 3, Rate: 120,
+		Lasts: 12 * time.Second, Outage: 0.5, Uneven: 0.5, Overdraft: 1}
+}
+
+// One seed gives one run. A budget holds over any window of the installation,
+// charges are delivered as without one, and cheap traffic pays; a cap that does
+// not look at zones costs more worth for the same bytes.
+func TestBudgetInAFleet(t *testing.T) {
+	run := func(s Settings) Result {
+		t.Helper()
+		r, err := Run(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	free := run(small(None, 1))
+	if again := run(small(None, 1)); again != free {
+		t.Fatalf("the same seed: %+v and %+v", free, again)
+	}
+	const bytes = 60000
+	kept, blind := run(small(Budget, bytes)), run(small(Blind, bytes))
+	if free.Worst < 1.5*bytes {
+		t.Fatalf("the budget of %v would not bind: %.0f crossed in the worst window", float64(bytes), free.Worst)
+	}
+	if kept.Worst > bytes+kept.Over+6*(request+response) {
+		t.Errorf("%.0f crossed in the worst window, overdrawn %.0f", kept.Worst, kept.Over)
+	}
+	if kept.Charge < 0.97*free.Charge {
+		t.Errorf("charges: %.0f of %.0f, without a budget %.0f", kept.Charge, kept.ChargeAsked, free.Charge)
+	}
+	if kept.Delivered >= free.Delivered || kept.Delivered <= blind.Delivered {
+		t.Errorf("worth delivered %.0f, without a budget %.0f, zone-blind %.0f", kept.Delivered, free.Delivered, blind.Delivered)
+	}
+	t.Logf("worth of %.0f: free %.0f, budget %.0f, blind %.0f; worst window %.0f, %.0f, %.0f", free.Asked, free.Delivered,
+		kept.Delivered, blind.Delivered, free.Worst, kept.Worst, blind.Worst)
+}
