A common purse in place of passages: the module counts tolls against what is left

Cause: room dealt out to every class and zone beforehand lay idle where there was no demand. The module now knows what is left, what an exchange costs each class and to which floor it may draw, and counts its own sends: nothing is split, and no mix of sends within a step passes the levels. A relay's part holds one exchange at least.

--- a/choice/api.go
+++ b/choice/api.go
@@ -154,12 +154,20 @@
 	Hosts  []Host
 }
 
-// Passage says how many more sends of a class may go to a zone, after which it is closed to them; Urgent of them
-// also when less than a quarter of the message's time is left and Sends are used up. The next Passage replaces it.
-type Passage struct {
-	Class, Zone   int
-	Sends, Urgent int           // below 0 for any number
-	Again         time.Duration // once closed, it stays so until then at least, on the clock of Step
+// Tolls say what crossing to other zones costs from now on; the next ones replace them. A message may go to a
+// zone other than Home while what is Left would stay at its class's floor or above; each send takes its cost.
+type Tolls struct {
+	Home  int
+	Left  float64
+	Class []Toll
+}
+
+// Toll is what crossing costs one class.
+type Toll struct {
+	Cost, Floor float64
+	Urgent      float64       // the floor for a message with less than a quarter of its time left
+	Own         float64       // left of the class's own allowance
+	Again       time.Duration // where it is closed: until then at least, on the clock of Step
 }
 
 // Woken is the wake-up that a Wake action asked for.
@@ -175,7 +183,7 @@
 func (Listing) event()   {}
 func (Woken) event()     {}
 func (Stop) event()      {}
-func (Passage) event()   {}
+func (Tolls) event()     {}
 
 // An Action is something the relay must do. The types below are the actions.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,11 +76,8 @@
 			c.list(e)
 		case Stop:
 			c.stopped = true
-		case Passage:
-			if c.passages == nil {
-				c.passages = map[[2]int]*Passage{}
-			}
-			c.passages[[2]int{e.Class, e.Zone}] = &e
+		case Tolls:
+			c.tolls = &e
 		}
 	}
 	if c.askAt >= 0 && now >= c.askAt {
@@ -681,7 +678,7 @@
 	for _, u := range d.units {
 		wait = min(wait, max(u.waitUntil, u.pauseUntil, d.pauseUntil, u.trialAt)-c.now)
 	}
-	if len(c.passages) > 0 && len(d.hosts) > 0 {
+	if c.tolls != nil && len(d.hosts) > 0 {
 		opens := time.Duration(math.MaxInt64)
 		for _, h := range d.hosts {
 			again, _ := c.passes(m, h.Zone)
@@ -904,8 +901,9 @@
 func (c *Chooser) send(m *message, k *call) {
 	d := m.dest
 	m.timeout = c.timeout(m, k.host.unit)
-	if p := c.passages[[2]int{m.Class, k.host.Zone}]; p != nil {
-		p.Sends, p.Urgent = p.Sends-min(1, max(p.Sends, 0)), p.Urgent-min(1, max(p.Urgent, 0))
+	if c.tolls != nil && k.host.Zone != c.tolls.Home {
+		t := &c.tolls.Class[m.Class]
+		c.tolls.Left, t.Own = c.tolls.Left-t.Cost, t.Own-t.Cost
 	}
 	d.waiting = remove(d.waiting, m)
 	m.attempts++
@@ -917,21 +915,28 @@
 // passes tells whether a zone is open to a message; if not, it comes with the time until when. The last
 // quarter of its time makes a message urgent.
 func (c *Chooser) passes(m *message, zone int) (time.Duration, bool) {
-	p := c.passages[[2]int{m.Class, zone}]
-	if p == nil || p.Sends != 0 || p.Urgent != 0 && m.due-c.now < m.class.Deadline/4 {
+	if c.tolls == nil || zone == c.tolls.Home {
 		return 0, true
 	}
-	return p.Again, false
+	t := &c.tolls.Class[m.Class]
+	floor := t.Floor
+	if m.due-c.now < m.class.Deadline/4 {
+		floor = t.Urgent
+	}
+	return t.Again, c.tolls.Left-t.Cost >= floor && t.Own >= t.Cost
 }
 
 // barred tells whether all endpoints of a message's destination lie in zones that stay closed past its time.
 func (c *Chooser) barred(m *message) bool {
-	if len(c.passages) == 0 || len(m.dest.hosts) == 0 {
+	if c.tolls == nil || len(m.dest.hosts) == 0 {
 		return false
 	}
+	if t := &c.tolls.Class[m.Class]; c.tolls.Left-t.Cost >= t.Urgent {
+		return false // it crosses once it is urgent
+	}
 	return !slices.ContainsFunc(m.dest.hosts, func(h *host) bool {
 		again, open := c.passes(m, h.Zone)
-		return h.State == Ready && (open || again < m.due || c.passages[[2]int{m.Class, h.Zone}].Urgent != 0)
+		return h.State == Ready && (open || again < m.due)
 	})
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -141,10 +141,9 @@
 	keep    time.Duration // longest that an idle connection is trusted
 	pool    table         // of all destinations together, for those that have few samples yet
 	stopped bool
-	// passages by class and zone; what is not there is open.
-	passages map[[2]int]*Passage
-	askAt    time.Duration // ask for list changes then; below 0 for never
-	acts     []Action
+	tolls   *Tolls        // nil: all zones are open
+	askAt   time.Duration // ask for list changes then; below 0 for never
+	acts    []Action
 }
 
 // remove deletes one element.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -51,8 +51,10 @@
 	at         time.Duration
 }
 
-func newBucket(bytes, burst float64, window time.Duration) bucket {
-	size := bytes * burst
+// newBucket holds the burst, but one exchange at least where the budget has it:
+// the part of one relay out of many may be small.
+func newBucket(bytes, burst, least float64, window time.Duration) bucket {
+	size := math.Max(bytes*burst, math.Min(bytes, least))
 	return bucket{size: size, rate: (bytes - size) / window.Seconds(), have: size}
 }
 
@@ -140,7 +142,7 @@
 	n := float64(fleet)
 	resize := func(k *bucket, bytes float64) {
 		was := *k
-		*k = newBucket(bytes/n, b.set.Burst, b.set.Window)
+		*k = newBucket(bytes/n, b.set.Burst, b.set.First, b.set.Window)
 		if k.at = b.now; was.size > 0 {
 			k.have = math.Min(was.have, k.size)
 		}
@@ -203,70 +205,27 @@
 	return b.large[class]
 }
 
-// Passage tells how many exchanges of a class may begin to cross to a zone now,
-// and when the next may if none. Urgent ones, short of time, may go below the
-// floor of their class.
-type Passage struct {
-	Class, Zone   int
-	Sends, Urgent int
-	Again         time.Duration // where Sends is 0; math.MaxInt64 for never
+// Toll is what a class may do now: an exchange takes Cost, and the bucket may not
+// sink below Floor by it, for one short of time not below Urgent; nor Own below 0.
+type Toll struct {
+	Cost, Floor, Urgent, Own float64
+	Again                    time.Duration // when Floor lets one pass; math.MaxInt64 for never
 }
 
-// most sends told for one class and zone at once: enough for any one step.
-const most = 64
-
-// Passages share out what the bucket holds among classes and the zones that are
-// not this relay's, one send each in turn, the worthiest class first. All of
-// them together never pass the bucket's levels, whatever is sent.
-func (b *Book) Passages(now time.Duration, zones []int) []Passage {
+// Tolls tell what the bucket holds and what each class may draw.
+func (b *Book) Tolls(now time.Duration) (left float64, classes []Toll) {
 	b.tick(now)
-	order := make([]int, len(b.set.Classes))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(b.set.Classes[y].Worth, b.set.Classes[x].Worth) })
-	var out []Passage
-	for _, class := range order {
-		for _, z := range zones {
-			out = append(out, Passage{Class: class, Zone: z})
-		}
-	}
-	have := b.all.have
-	own := make([]float64, len(b.own))
-	for i := range own {
-		if own[i] = math.Inf(1); b.set.Classes[i].Limit > 0 {
-			own[i] = b.own[i].have
-		}
-	}
-	deal := func(floor func(int) float64, to func(*Passage) *int) {
-		for given := true; given; {
-			given = false
-			for i := range out {
-				p := &out[i]
-				each, n := b.large[p.Class], to(p)
-				if *n < most && have-each >= floor(p.Class) && own[p.Class] >= each {
-					have, own[p.Class] = have-each, own[p.Class]-each
-					*n++
-					given = true
-				}
-			}
-		}
-	}
-	deal(b.lowest, func(p *Passage) *int { return &p.Sends })
-	deal(func(class int) float64 { return math.Min(0, b.lowest(class)) }, func(p *Passage) *int { return &p.Urgent })
-	first := 0.0 // what a round deals up to here
-	for i := range out {
-		p := &out[i]
-		each := b.large[p.Class]
-		if first += each; p.Sends > 0 {
-			continue
-		}
-		p.Again = b.all.until(b.now, b.lowest(p.Class)+first)
-		if b.set.Classes[p.Class].Limit > 0 {
-			p.Again = max(p.Again, b.own[p.Class].until(b.now, each))
+	for i, c := range b.set.Classes {
+		t := Toll{Cost: b.large[i], Floor: b.lowest(i), Own: math.Inf(1)}
+		t.Urgent = math.Min(0, t.Floor)
+		t.Again = b.all.until(b.now, t.Floor+t.Cost)
+		if c.Limit > 0 {
+			t.Own = b.own[i].have
+			t.Again = max(t.Again, b.own[i].until(b.now, t.Cost))
 		}
+		classes = append(classes, t)
 	}
-	return out
+	return b.all.have, classes
 }
 
 // lowest is the level to which a class may draw the bucket.
@@ -277,8 +236,8 @@
 	return b.floor[class]
 }
 
-// Reserve books a send that the decision module made within its passage. It
-// never refuses: the passage had the room, and what is sent is sent.
+// Reserve books a send that the decision module made by the tolls. It never
+// refuses: there was room, and what is sent is sent.
 func (b *Book) Reserve(now time.Duration, class, partner int) Grant {
 	b.tick(now)
 	g := Grant{class: class, partner: partner, bytes: b.large[class]}
@@ -314,8 +273,8 @@
 		b.sizes[k] = s
 	}
 	s.add(n)
-	// The passage counts in the largest partner's exchanges: no mix of partners
-	// within one step passes more than it told.
+	// Tolls count in the largest partner's exchanges: no mix of partners within
+	// one step takes more than was told.
 	b.large[g.class] = 0
 	for k, s := range b.sizes {
 		if k[0] == g.class {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,7 +103,8 @@
 
 // Toll tells which zones are open to a class, and books what crosses.
 type Toll interface {
-	Passages(now time.Duration) []choice.Passage
+	// Tolls are news for the module; false if there is none.
+	Tolls(now time.Duration) (choice.Tolls, bool)
 	// Sent returns what settles a send by the bytes that passed, nil for none.
 	Sent(now time.Duration, class, partner, zone int) func(now time.Duration, passed int64, whole bool)
 }
@@ -400,8 +401,8 @@
 		c.batch = append(c.batch, choice.Woken{})
 	}
 	if c.opt.Toll != nil {
-		for _, p := range c.opt.Toll.Passages(c.now) {
-			c.batch = append(c.batch, p)
+		if news, ok := c.opt.Toll.Tolls(c.now); ok {
+			c.batch = append(c.batch, news)
 		}
 	}
 	for len(c.batch) > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -191,7 +191,7 @@
 			if s.How == Blind {
 				own = -1
 			}
-			r.toll = zone.NewToll(book, own, s.Zones)
+			r.toll = zone.NewToll(book, own)
 			opt.Toll = r.toll
 		}
 		var err error
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -154,7 +154,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("relay: %w", err)
 		}
-		toll = zone.NewToll(book, own, len(zones))
+		toll = zone.NewToll(book, own)
 	}
 	pollers := max(1, runtime.GOMAXPROCS(0)/2)
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
--- a/internal/zone/toll.go
+++ b/internal/zone/toll.go
@@ -8,52 +8,40 @@
 	"basaltcross.example/basaltcross/internal/budget"
 )
 
-// Toll stands between the core and the budget: it turns what the book allows
-// into the module's passages, and books sends that cross. Its methods are safe
+// Toll stands between the core and the budget: it tells the module what
+// the book allows, and books sends that cross. Its methods are safe
 // for concurrent use, so that a report may look while the core runs.
 type Toll struct {
-	own   int
-	zones []int // the others
+	own int
 
 	mu    sync.Mutex
 	book  *budget.Book
-	told  map[[2]int]choice.Passage
 	dirty bool          // something was booked since
 	at    time.Duration // last told
 }
 
-// refresh is how often the passages are told anew while nothing is booked.
+// refresh is how often the tolls are told anew while nothing is booked.
 const refresh = 20 * time.Millisecond
 
-// NewToll makes one for a relay in zone own out of so many zones.
-func NewToll(book *budget.Book, own, zones int) *Toll {
-	t := &Toll{own: own, book: book, told: map[[2]int]choice.Passage{}, dirty: true}
-	for z := range zones {
-		if z != own {
-			t.zones = append(t.zones, z)
-		}
-	}
-	return t
+// NewToll makes one for a relay in zone own; below 0 all zones cost.
+func NewToll(book *budget.Book, own int) *Toll {
+	return &Toll{own: own, book: book, dirty: true}
 }
 
-// Passages are those that changed since the last call.
-func (t *Toll) Passages(now time.Duration) []choice.Passage {
+// Tolls are what the module is to know now; ok is false if it knows.
+func (t *Toll) Tolls(now time.Duration) (out choice.Tolls, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.dirty && now-t.at < refresh {
-		return nil
+		return out, false
 	}
 	t.dirty, t.at = false, now
-	var out []choice.Passage
-	for _, p := range t.book.Passages(now, t.zones) {
-		q := choice.Passage{Class: p.Class, Zone: p.Zone, Sends: p.Sends, Urgent: p.Urgent, Again: p.Again}
-		k := [2]int{p.Class, p.Zone}
-		if old, ok := t.told[k]; !ok || old != q {
-			t.told[k] = q
-			out = append(out, q)
-		}
+	left, classes := t.book.Tolls(now)
+	out = choice.Tolls{Home: t.own, Left: left, Class: make([]choice.Toll, 0, len(classes))}
+	for _, k := range classes {
+		out.Class = append(out.Class, choice.Toll(k))
 	}
-	return out
+	return out, true
 }
 
 // Sent books a send to a zone and returns what settles it by the bytes that
@@ -65,9 +53,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.book.Reserve(now, class, partner)
-	// The module has counted this send off its passage: tell it anew.
 	t.dirty = true
-	delete(t.told, [2]int{class, to})
 	return func(now time.Duration, passed int64, whole bool) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
