--- a/cmd/basaltcross/model.go
+++ b/cmd/basaltcross/model.go
@@ -25,7 +25,7 @@
 				budgets = append(budgets, e*all)
 			}
 			begin := time.Now()
-			results, err := fleet.Sweep(s, budgets, []fleet.How{fleet.Budget, fleet.None, fleet.Blind}, seeds)
+			results, err := fleet.Sweep(s, budgets, []fleet.How{fleet.Budget, fleet.Ideal, fleet.None, fleet.Blind}, seeds)
 			if err != nil {
 				return err
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,10 +25,12 @@
 // How crossing zones is limited.
 type How string
 
-// The ways compared: the budget, none, and a cap of the same size on all
-// traffic that does not look at zones.
+// The ways compared: the budget, shared evenly; the ideal, one purse for all
+// relays that each sees at once; no budget; and a cap of the same size, shared
+// evenly, on all traffic whatever its zone.
 const (
 	Budget How = "budget"
+	Ideal  How = "ideal"
 	None   How = "no budget"
 	Blind  How = "zone-blind cap"
 )
@@ -166,6 +168,7 @@
 			list = append(list, choice.Host{Addr: addr, Dest: p, Zone: z, State: choice.Ready})
 		}
 	}
+	var purse *budget.Book
 	for i := range s.Relays {
 		r := &relay{w: w, index: i, zone: i % s.Zones}
 		opt := core.Options{Seed: s.Seed + uint64(i), Apart: make([]bool, s.Partners), Arrivals: 1 << 20, Identities: 1 << 20,
@@ -184,6 +187,12 @@
 				set.Classes = append(set.Classes, k)
 			}
 			book, err := budget.New(set, s.Relays)
+			if s.How == Ideal {
+				if purse == nil {
+					purse, err = budget.New(set, 1)
+				}
+				book = purse
+			}
 			if err != nil {
 				return w.result, err
 			}
@@ -209,7 +218,7 @@
 		e.do()
 	}
 	for _, r := range w.relays {
-		if r.toll != nil {
+		if r.toll != nil && (s.How != Ideal || r.index == 0) {
 			w.result.Over += r.toll.State(w.now).Overdrawn
 		}
 	}
@@ -251,7 +260,7 @@
 			}
 			w.after(s.Late, func() {
 				for _, r := range w.relays[dying:] {
-					if r.toll != nil {
+					if r.toll != nil && s.How != Ideal {
 						r.toll.Fleet(w.now, s.Relays-dying)
 					}
 				}
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -147,8 +147,9 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "MB crossed", "worth delivered, % of asked"
 	p.Legend.Top, p.Legend.Left = false, false
-	colors := []color.Color{color.RGBA{0x1f, 0x77, 0xb4, 255}, color.RGBA{0x2c, 0xa0, 0x2c, 255}, color.RGBA{0xd6, 0x27, 0x28, 255}}
-	for i, how := range []How{Budget, None, Blind} {
+	colors := []color.Color{color.RGBA{0x1f, 0x77, 0xb4, 255}, color.RGBA{0xff, 0x7f, 0x0e, 255},
+		color.RGBA{0x2c, 0xa0, 0x2c, 255}, color.RGBA{0xd6, 0x27, 0x28, 255}}
+	for i, how := range []How{Budget, Ideal, None, Blind} {
 		var b bars
 		for _, l := range lines {
 			if l.How == how {
--- /dev/null
+++ b/internal/zone/zone_test.go
@@ -0,0 +1,40 @@
+package zone
+
+import (
+	"testing"
+	"time"
+)
+
+// Minutes are what was added within each; the oldest go at the bound.
+func TestHistory(t *testing.T) {
+	table := NewTable(2, 3, 2)
+	h := NewHistory(table, 2)
+	begin := time.Now()
+	for m := range 4 {
+		table.Out(0, 1, 1, 100*(m+1))
+		table.In(0, 2, 1, 10)
+		table.Out(-1, 0, 5, 7) // a zone that the configuration lacks counts as the first
+		h.Mark(begin.Add(time.Duration(m) * time.Minute))
+	}
+	rows := h.Rows()
+	if len(rows) != 4 {
+		t.Fatalf("%d rows of two minutes", len(rows))
+	}
+	for i, want := range []Minute{{Class: -1, Zone: 0, Traffic: Traffic{Out: 7}}, {Class: 0, Zone: 1, Traffic: Traffic{Out: 300, In: 10}},
+		{Class: -1, Zone: 0, Traffic: Traffic{Out: 7}}, {Class: 0, Zone: 1, Traffic: Traffic{Out: 400, In: 10}}} {
+		want.From = begin.Add(time.Duration(2+i/2) * time.Minute)
+		if rows[i] != want {
+			t.Errorf("row %d: %+v, want %+v", i, rows[i], want)
+		}
+	}
+}
+
+// The cost of accounting: what one chunk of bytes costs, all processors counting at once.
+func BenchmarkCount(b *testing.B) {
+	table := NewTable(3, 470, 3)
+	b.RunParallel(func(p *testing.PB) {
+		for i := 0; p.Next(); i++ {
+			table.Out(i%3, i%470, i%3, 600)
+		}
+	})
+}
