--- a/cmd/basaltcross/model.go
+++ b/cmd/basaltcross/model.go
@@ -14,6 +14,7 @@
 	var seeds int
 	var each []float64
 	var record, plot string
+	var check bool
 	c := &cobra.Command{Use: "model", Short: "Model a fleet with zone budgets in simulated time", Args: cobra.NoArgs,
 		Long: "Runs many relays with the program's own core, decision module and budgets against modelled partners, from\n" +
 			"one seed, and compares budgets with none and with a cap that does not look at zones.\nLeft out: " + fleet.Limits + ".",
@@ -24,6 +25,14 @@
 			for _, e := range each {
 				budgets = append(budgets, e*all)
 			}
+			if check {
+				s.How, s.Bytes = fleet.Budget, budgets[len(budgets)/2]
+				sockets, model, err := fleet.Calibrate(c.Context(), s)
+				if err == nil {
+					fleet.PrintCalibration(c.OutOrStdout(), sockets, model)
+				}
+				return err
+			}
 			begin := time.Now()
 			results, err := fleet.Sweep(s, budgets, []fleet.How{fleet.Budget, fleet.Ideal, fleet.None, fleet.Blind}, seeds)
 			if err != nil {
@@ -58,6 +67,7 @@
 	f.Float64Var(&s.Outage, "outage", 0.3, "part of the partners whose first endpoint is gone in the middle third")
 	f.Float64Var(&s.Die, "die", 0, "part of the relays that die at half the time")
 	f.DurationVar(&s.Late, "late", 2*time.Second, "until the others learn of it")
+	f.BoolVar(&check, "check", false, "play the middle budget on sockets too, and tell how far the model is off")
 	f.StringVar(&record, "record", "", "write the runs to this file (parquet)")
 	f.StringVar(&plot, "plot", "", "draw worth against bytes to this file (.svg, .png)")
 	return c
--- a/cmd/basaltcross/zones.go
+++ b/cmd/basaltcross/zones.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -17,7 +18,8 @@
 	var from string
 	var minutes, asJSON bool
 	c := &cobra.Command{Use: "zones", Short: "Report traffic between zones by class, zone and minute", Args: cobra.NoArgs,
-		Long: "Asks a running relay's metrics listener, or reads a report that --json wrote before.",
+		Long: "Asks a running relay's metrics listener, or reads a report that --json wrote before, or the relay's\n" +
+			"file of minutes (zoneRecords).",
 		RunE: func(c *cobra.Command, _ []string) error {
 			var r zone.Report
 			if err := fetchReport(from, &r); err != nil {
@@ -36,9 +38,19 @@
 }
 
 func fetchReport(from string, r *zone.Report) error {
-	if f, err := os.Open(from); err == nil {
-		defer f.Close()
-		return json.NewDecoder(f).Decode(r)
+	if text, err := os.ReadFile(from); err == nil {
+		if json.Unmarshal(text, r) == nil && r.Relay != "" {
+			return nil
+		}
+		rows, broken, err := zone.Read(bytes.NewReader(text))
+		if err != nil {
+			return fmt.Errorf("zones: %s: %w", from, err)
+		}
+		*r = zone.Report{Relay: from, At: time.Now(), Totals: rows, Minutes: rows}
+		if broken > 0 {
+			fmt.Fprintf(os.Stderr, "%s: %d lines are not whole and left out\n", from, broken)
+		}
+		return nil
 	}
 	if !strings.Contains(from, "://") {
 		from = "http://" + from
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -144,6 +144,7 @@
 		Attempts      int
 		Tick          Duration
 		Cancels       bool
+		Accounting    bool
 		ListedRates   bool
 		MaxRetryAfter Duration
 		ConnIdle      Duration
@@ -172,7 +173,8 @@
 			Keep  Duration
 		}
 	}
-	Budget *struct {
+	ZoneRecords string
+	Budget      *struct {
 		Bytes  float64
 		Window Duration
 		Burst  float64
@@ -317,7 +319,7 @@
 	if err != nil {
 		return nil, err
 	}
-	files := []*string{&c.Directory.File}
+	files := []*string{&c.Directory.File, &c.ZoneRecords}
 	for _, t := range []*TLS{c.MQTT.TLS, c.WebPush.TLS} {
 		if t != nil {
 			files = append(files, &t.Cert, &t.Key, &t.ClientCA)
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -74,6 +74,8 @@
 		attempts:    int & >=1 & <=64 | *6
 		tick:        #Dur | *"5ms"
 		cancels:     bool | *true
+		// Count bytes by class, partner and zone.
+		accounting: bool | *true
 		listedRates: bool | *false
 		// The longest wait that clients are advised; 0s tells none.
 		maxRetryAfter: #Dur | *"10s"
@@ -95,6 +97,8 @@
 		cold:           #Dur | *"10s"
 		orderSettle:    #Dur | *"0s"
 	}
+	// File for traffic by class, zone and minute, JSON lines; 16 MB and one before.
+	zoneRecords: string | *""
 	// Budget for traffic to endpoints of other zones, of the whole installation.
 	budget?: {
 		bytes:  number & >0
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -121,10 +121,10 @@
 	return r
 }
 
-func (o *Options) config(dir string, ends []string) error {
+func (o *Options) config(dir, name string, accounting bool, ends []string) error {
 	var b, list strings.Builder
 	// Room for the load: the figures are of this machine, not of a deployment.
-	fmt.Fprintf(&b, `relay: {workers: %d, held: 100000, attempts: 4}
+	fmt.Fprintf(&b, `relay: {workers: %d, accounting: %v, held: 100000, attempts: 4}
 classes: [{name: "status", aim: "2s", deadline: "10s", effect: "safe"}]
 kinds: [{name: "fast", refusalNeverRan: true}]
 limits: {arrivals: 100000, identities: {count: 1000000, keep: "5s"}}
@@ -135,7 +135,7 @@
 directory: file: "list.cue"
 log: level: "error"
 partners: [
-`, max(64, o.Window))
+`, max(64, o.Window), accounting)
 	list.WriteString("endpoints: [\n")
 	for i, e := range ends {
 		fmt.Fprintf(&b, "\t{name: \"p%d\", kind: \"fast\"},\n", i)
@@ -146,7 +146,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "list.cue"), []byte(list.String()), 0o600); err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(dir, "relay.cue"), []byte(b.String()), 0o600)
+	return os.WriteFile(filepath.Join(dir, name), []byte(b.String()), 0o600)
 }
 
 // Run measures.
@@ -178,9 +178,17 @@
 		return nil, err
 	}
 	trust := &tls.Config{RootCAs: authority.Pool()}
-	if err := o.config(dir, host.addrs); err != nil {
+	if err := o.config(dir, "relay.cue", true, host.addrs); err != nil {
 		return nil, err
 	}
+	if err := o.config(dir, "uncounted.cue", false, host.addrs); err != nil {
+		return nil, err
+	}
+	uncounted, err := o.start(ctx, dir, "uncounted", "relay", "--config", filepath.Join(dir, "uncounted.cue"))
+	if err != nil {
+		return nil, err
+	}
+	defer uncounted.stop()
 	relay, err := o.start(ctx, dir, "relay", "relay", "--config", filepath.Join(dir, "relay.cue"))
 	if err != nil {
 		return nil, err
@@ -210,6 +218,9 @@
 		{"straight to the stand-in", host, func(n int) (sender, error) { return dialHTTP(host.addrs, nil, n, nil) }},
 		{"net/http/httputil reverse proxy", proxy, func(n int) (sender, error) { return dialHTTP(proxy.addrs[:1], nil, n, nil) }},
 		{"relay, MQTT", relay, overMQTT("", nil)},
+		{"relay, MQTT, accounting off", uncounted, func(n int) (sender, error) {
+			return dialMQTT(uncounted.addrs[0], nil, min(n, o.Connections), "load", topics)
+		}},
 		{"relay, MQTT over TLS", relay, overMQTT("mqtts", trust)},
 		{"relay, Web Push", relay, overPush("webpush", nil)},
 		{"relay, Web Push over TLS", relay, overPush("webpushs", trust)},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -144,6 +144,10 @@
 	}
 	own := max(0, slices.Index(zones, cfg.Relay.Zone))
 	traffic := zone.NewTable(len(classes), len(partners), len(zones))
+	counted := traffic
+	if !cfg.Relay.Accounting {
+		counted = nil
+	}
 	var toll *zone.Toll
 	if b := cfg.Budget; b != nil {
 		set := budget.Settings{Bytes: b.Bytes, Window: b.Window.D(), Burst: b.Burst, Held: b.Held, First: b.First}
@@ -160,7 +164,7 @@
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
 		Limits:      http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
 		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
-		Traffic: traffic, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut})
+		Traffic: counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
@@ -184,7 +188,8 @@
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r.zones = &zone.Reporter{Relay: cfg.Relay.Name, Classes: classes, Partners: partners, Zones: zones, Own: own,
-		Table: traffic, Toll: toll, Now: r.core.Now}
+		Table: traffic, Toll: toll, Now: r.core.Now, File: cfg.ZoneRecords,
+		Failed: func(err error) { r.obs.Logf("zone records: %v", err) }}
 	r.obs.Zones(traffic, zones, func() any { return r.zones.Report() })
 	var door front.Door = r.core
 	if hooks.Door != nil {
--- a/internal/zone/report.go
+++ b/internal/zone/report.go
@@ -1,10 +1,15 @@
 package zone
 
 import (
+	"bufio"
+	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"sync"
 	"text/tabwriter"
@@ -39,11 +44,18 @@
 	Table                    *Table
 	Toll                     *Toll // nil without a budget
 	Now                      func() time.Duration
+	// File takes each minute's rows as JSON lines; "" for none. Past MostFile bytes
+	// it is renamed to File.1, which replaces the one before.
+	File   string
+	Failed func(error) // told of a file that can't be written
 
 	mu      sync.Mutex
 	history *History
 }
 
+// MostFile bounds the file of minutes: there are two of them at most.
+const MostFile = 16 << 20
+
 // keptMinutes is a day.
 const keptMinutes = 24 * 60
 
@@ -63,12 +75,61 @@
 		case <-t.C:
 			r.mu.Lock()
 			r.history.Mark(from)
+			rows := r.history.Last()
 			r.mu.Unlock()
+			if err := r.keep(rows); err != nil && r.Failed != nil {
+				r.Failed(err)
+			}
 			from = next
 		}
 	}
 }
 
+// keep appends the rows of a minute to the file, in one write.
+func (r *Reporter) keep(rows []Minute) error {
+	if r.File == "" || len(rows) == 0 {
+		return nil
+	}
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	for _, m := range rows {
+		if err := enc.Encode(r.row(m)); err != nil {
+			return fmt.Errorf("zone: %w", err)
+		}
+	}
+	if st, err := os.Stat(r.File); err == nil && st.Size()+int64(b.Len()) > MostFile {
+		if err := os.Rename(r.File, r.File+".1"); err != nil {
+			return fmt.Errorf("zone: %w", err)
+		}
+	}
+	f, err := os.OpenFile(r.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return fmt.Errorf("zone: %w", err)
+	}
+	_, err = f.Write(b.Bytes())
+	return errors.Join(err, f.Close())
+}
+
+func (r *Reporter) row(m Minute) Row {
+	return Row{Minute: &m.From, Class: r.class(m.Class), Zone: r.Zones[m.Zone], Crosses: m.Zone != r.Own, Traffic: m.Traffic}
+}
+
+// Read reads a file of minutes. Lines that are not whole, as a crash may leave
+// one, are counted and left out.
+func Read(in io.Reader) (rows []Row, broken int, err error) {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var x Row
+		if json.Unmarshal(lines.Bytes(), &x) != nil || x.Minute == nil {
+			broken++
+			continue
+		}
+		rows = append(rows, x)
+	}
+	return rows, broken, lines.Err()
+}
+
 func (r *Reporter) class(i int) string {
 	if i < 0 {
 		return "none"
@@ -86,8 +147,7 @@
 	r.mu.Lock()
 	if r.history != nil {
 		for _, m := range r.history.Rows() {
-			out.Minutes = append(out.Minutes, Row{Minute: &m.From, Class: r.class(m.Class), Zone: r.Zones[m.Zone],
-				Crosses: m.Zone != r.Own, Traffic: m.Traffic})
+			out.Minutes = append(out.Minutes, r.row(m))
 		}
 	}
 	r.mu.Unlock()
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -112,5 +112,13 @@
 	}
 }
 
+// Last are the rows of the minute marked last.
+func (h *History) Last() []Minute {
+	if len(h.mins) == 0 {
+		return nil
+	}
+	return append([]Minute(nil), h.rows[len(h.rows)-h.mins[len(h.mins)-1]:]...)
+}
+
 // Rows are the minutes kept, oldest first.
 func (h *History) Rows() []Minute { return append([]Minute(nil), h.rows...) }
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -1,6 +1,8 @@
 package zone
 
 import (
+	"bytes"
+	"os"
 	"testing"
 	"time"
 )
@@ -29,6 +31,31 @@
 	}
 }
 
+// Minutes on disk survive a torn line and stay within their bound.
+func TestFile(t *testing.T) {
+	r := &Reporter{Classes: []string{"c"}, Partners: []string{"p"}, Zones: []string{"near", "far"}, File: t.TempDir() + "/z"}
+	m := Minute{From: time.Now().Truncate(time.Minute), Class: 0, Zone: 1, Traffic: Traffic{Out: 5, In: 6, Calls: 1}}
+	for range 2 {
+		if err := r.keep([]Minute{m}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, _ := os.ReadFile(r.File)
+	rows, broken, err := Read(bytes.NewReader(text[:len(text)-9]))
+	if err != nil || broken != 1 || len(rows) != 1 || rows[0].Zone != "far" || rows[0].Traffic != m.Traffic || !rows[0].Crosses {
+		t.Errorf("%+v, %d broken, %v", rows, broken, err)
+	}
+	if err := os.Truncate(r.File, MostFile); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.keep([]Minute{m}); err != nil {
+		t.Fatal(err)
+	}
+	if st, err := os.Stat(r.File); err != nil || st.Size() > 1000 {
+		t.Errorf("not rotated at its bound: %v %v", st, err)
+	}
+}
+
 // The cost of accounting: what one chunk of bytes costs, all processors counting at once.
 func BenchmarkCount(b *testing.B) {
 	table := NewTable(3, 470, 3)
