--- a/cmd/basaltcross/model.go
+++ b/cmd/basaltcross/model.go
@@ -65,6 +65,7 @@
 	f.Float64Var(&s.Overdraft, "overdraft", 0.5, "of the at-most-once class, as a share of the budget")
 	f.Float64Var(&s.Uneven, "uneven", 0.5, "0 for even load, 1 for twice the mean at one end and none at the other")
 	f.Float64Var(&s.Outage, "outage", 0.3, "part of the partners whose first endpoint is gone in the middle third")
+	f.BoolVar(&s.Silent, "silent", false, "the first zone takes calls and never answers in the middle third")
 	f.Float64Var(&s.Die, "die", 0, "part of the relays that die at half the time")
 	f.DurationVar(&s.Late, "late", 2*time.Second, "until the others learn of it")
 	f.BoolVar(&check, "check", false, "play the middle budget on sockets too, and tell how far the model is off")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,9 @@
 	// Near endpoints of a part of the partners are gone from a third of the run
 	// to two thirds, so that their traffic must cross.
 	Outage float64
+	// Silent makes the first zone take calls and never answer in the middle third;
+	// it returns with a quarter of its slots.
+	Silent bool
 	// Die is the part of the relays that die at half the time; the others learn
 	// of it Late after.
 	Die  float64
@@ -137,6 +140,7 @@
 	zone int
 	free []time.Duration // when each slot is free
 	gone bool
+	mute bool // takes calls and never answers
 }
 
 type relay struct {
@@ -253,6 +257,10 @@
 		w.after(s.Lasts/3, func() { w.outage(true) })
 		w.after(2*s.Lasts/3, func() { w.outage(false) })
 	}
+	if s.Silent {
+		w.after(s.Lasts/3, func() { w.silence(true) })
+		w.after(2*s.Lasts/3, func() { w.silence(false) })
+	}
 	if dying := int(s.Die * float64(s.Relays)); dying > 0 {
 		w.after(s.Lasts/2, func() {
 			for _, r := range w.relays[:dying] {
@@ -269,6 +277,23 @@
 	}
 }
 
+// silence begins or ends that of the first zone; it returns cold.
+func (w *World) silence(on bool) {
+	for _, h := range w.hosts {
+		if h.zone != 0 {
+			continue
+		}
+		if h.mute = on; !on {
+			for i := range h.free {
+				h.free[i] = w.now
+				if i%4 != 0 {
+					h.free[i] += 5 * time.Second
+				}
+			}
+		}
+	}
+}
+
 func (w *World) outage(on bool) {
 	for p := range int(w.set.Outage * float64(w.set.Partners)) {
 		w.hosts[fmt.Sprintf("p%d-0", p)].gone = on
@@ -384,6 +409,9 @@
 	}
 	c.Passed.Add(request)
 	w.cross(r, h, request)
+	if h.mute {
+		return a
+	}
 	first := 0
 	for i, f := range h.free {
 		if f < h.free[first] {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -43,3 +43,29 @@
 	t.Logf("worth of %.0f: free %.0f, budget %.0f, blind %.0f; worst window %.0f, %.0f, %.0f", free.Asked, free.Delivered,
 		kept.Delivered, blind.Delivered, free.Worst, kept.Worst, blind.Worst)
 }
+
+// A whole zone goes silent and returns cold: all its traffic wants to cross.
+// The budget holds, and charges that may cross are not paid for with cheap ones.
+func TestZoneGoesSilent(t *testing.T) {
+	const bytes = 60000
+	s := small(Budget, bytes)
+	s.Outage, s.Silent, s.Uneven = 0, true, 0
+	kept, err := Run(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.How = None
+	free, err := Run(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if free.Worst < 1.5*bytes || kept.Worst > bytes+kept.Over+6*(request+response) {
+		t.Errorf("worst window %.0f, without a budget %.0f; overdrawn %.0f", kept.Worst, free.Worst, kept.Over)
+	}
+	if kept.Charge < 0.95*free.Charge || kept.Delivered < 0.6*free.Delivered {
+		t.Errorf("charges %.0f and worth %.0f, without a budget %.0f and %.0f", kept.Charge, kept.Delivered, free.Charge,
+			free.Delivered)
+	}
+	t.Logf("worth %.0f of %.0f, free %.0f; charges %.0f of %.0f, free %.0f; worst window %.0f, free %.0f", kept.Delivered,
+		kept.Asked, free.Delivered, kept.Charge, kept.ChargeAsked, free.Charge, kept.Worst, free.Worst)
+}
