Address order and races decided in a module of their own

Need: a dead first address must not cost an attempt. By RFC 8305, adapted: connect times, failures and hangs per address, family health over all endpoints, trials raced beside the best. Rapid and unit tests; not wired yet.

--- /dev/null
+++ b/internal/addr/addr_test.go
@@ -0,0 +1,140 @@
+package addr
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func parse(t interface{ Fatal(...any) }, list ...string) (out []Address) {
+	for _, s := range list {
+		a, err := Parse(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+func TestParse(t *testing.T) {
+	for s, want := range map[string]string{"[::1]:80": "[::1]:80 ipv6", "[::ffff:127.0.0.1]:80": "127.0.0.1:80 ipv4",
+		"unix:/run/x": "unix:/run/x unix", "bank.example:80": "bank.example:80 name", "unix:x": "", "1.2.3.4": "", "a b:1": ""} {
+		a, err := Parse(s)
+		if got := fmt.Sprintf("%v %v", a, a.Family); (err != nil) != (want == "") || err == nil && got != want {
+			t.Errorf("%s: %s, %v", s, got, err)
+		}
+	}
+}
+
+// A dead first address is left after one failure, raced beside the good one
+// when its time has come, and first again once it connects.
+func TestDeadFirst(t *testing.T) {
+	a := parse(t, "127.0.0.1:1", "[::1]:1", "127.0.0.1:1")
+	b := NewBook("e", &Families{}, a)
+	p := b.Plan(0, time.Second, Address{})
+	if len(p) != 2 || p[0].Family != IPv6 || p[1].After != usualDelay {
+		t.Fatalf("at first: %+v", p)
+	}
+	v6, v4 := p[0].Address, p[1].Address
+	b.Failed(0, v6)
+	b.Connected(v4, 2*ms)
+	if p = b.Plan(500*ms, time.Second, Address{}); p[0].Address != v4 || p[1].After != leastDelay {
+		t.Errorf("after its failure: %+v", p)
+	}
+	if p = b.Plan(2*time.Second, time.Second, Address{}); p[0].Address != v4 || p[1].Address != v6 || p[1].After != 0 {
+		t.Errorf("due for a trial: %+v", p)
+	}
+	if p = b.Plan(2*time.Second, time.Second, Address{}); p[1].After == 0 {
+		t.Error("two trials at once")
+	}
+	b.Connected(v6, ms)
+	if p = b.Plan(3*time.Second, time.Second, Address{}); p[0].Address != v6 {
+		t.Errorf("back: %+v", p)
+	}
+	b.Hung(4*time.Second, v6)
+	if p = b.Plan(4*time.Second, time.Second, Address{}); p[0].Address != v4 {
+		t.Errorf("after it hung: %+v", p)
+	}
+	if p = b.Plan(time.Hour, time.Second, v4); p[0].Address != v6 {
+		t.Errorf("a further try: %+v", p)
+	}
+}
+
+// A family that is dead everywhere is learned at three endpoints, not at each.
+func TestDeadFamily(t *testing.T) {
+	f := &Families{}
+	for i := range 30 {
+		b := NewBook(fmt.Sprint(i), f, parse(t, "[::1]:1", "127.0.0.1:1"))
+		p := b.Plan(0, time.Second, Address{})
+		if i >= 25 && p[0].Family != IPv4 {
+			t.Fatalf("endpoint %d: %+v", i, p)
+		}
+		for _, s := range p {
+			if s.Family == IPv6 {
+				b.Failed(0, s.Address)
+			}
+		}
+	}
+	one := NewBook("x", f, parse(t, "[::1]:1"))
+	one.Connected(parse(t, "[::1]:1")[0], ms)
+	if f.Broken(IPv6) {
+		t.Error("broken although it connects")
+	}
+}
+
+// Whatever happens: a plan names each address at most once, begins one at once,
+// its moments never fall but for a trial, and none comes later than half of the
+// attempt's time.
+func TestPlans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := parse(t, "127.0.0.1:1", "127.0.0.2:1", "[::1]:1", "[::2]:1", "unix:/a", "name:1")
+		b := NewBook("e", &Families{}, all)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * ms
+			a := rapid.SampledFrom(all).Draw(t, "address")
+			took := time.Duration(rapid.IntRange(0, 4000).Draw(t, "took")) * ms
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				b.Connected(a, took)
+			case 1:
+				b.Failed(now, a)
+			case 2:
+				b.Hung(now, a)
+			case 3:
+				b.Left(now, a, took)
+			case 4:
+				b.Answered(a)
+			case 5:
+				b.Set(all[rapid.IntRange(0, 4).Draw(t, "from"):])
+			}
+			within := time.Duration(rapid.IntRange(1, 5000).Draw(t, "within")) * ms
+			p := b.Plan(now, within, a)
+			if len(p) == 0 || p[0].After != 0 {
+				t.Fatalf("begins nothing at once: %+v", p)
+			}
+			seen, last, trials := map[Address]bool{}, time.Duration(0), 0
+			for i, s := range p {
+				if seen[s.Address] || s.After > within/2 {
+					t.Fatalf("%+v within %v", p, within)
+				}
+				seen[s.Address] = true
+				if i > 0 && s.After == 0 {
+					trials++
+				} else if s.After < last {
+					t.Fatalf("moments fall: %+v", p)
+				} else {
+					last = s.After
+				}
+			}
+			if trials > 1 {
+				t.Fatalf("%d trials: %+v", trials, p)
+			}
+		}
+	})
+}
