Endpoints with several addresses: raced connections, never raced requests

Need: a dead first address costs a whole attempt, and a charge may have one only. The list gives an endpoint its addresses (IPv4, IPv6, Unix sockets, names); connections race by the book's plan, the first that is up carries the request, losers close unused. What took a call and did not answer is left for the next try, and its idle connections go.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,11 +82,12 @@
 	}
 	// Endpoint is one entry of an endpoint list.
 	Endpoint struct {
-		Addr    string  `json:"addr"`
-		Partner string  `json:"partner"`
-		Zone    string  `json:"zone"`
-		Rate    float64 `json:"rate"`
-		State   string  `json:"state"`
+		Addr    string   `json:"addr"`
+		Addrs   []string `json:"addrs"`
+		Partner string   `json:"partner"`
+		Zone    string   `json:"zone"`
+		Rate    float64  `json:"rate"`
+		State   string   `json:"state"`
 	}
 )
 
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -187,6 +187,9 @@
 // The endpoint list.
 #Endpoint: {
 	addr:    #Addr
+	// Its addresses where it has several: host:port, [ipv6]:port, unix:/path. Then
+	// addr is its name only.
+	addrs: [...string] | *[]
 	partner: #Name
 	zone:    #Name | *"default"
 	rate:    number & >=0 | *0
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,7 @@
 	"github.com/fsnotify/fsnotify"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/config"
 )
 
@@ -61,6 +62,21 @@
 	return hosts, nil
 }
 
+// Addresses are those of the endpoints that list several.
+func Addresses(list []config.Endpoint) (map[string][]addr.Address, error) {
+	out := map[string][]addr.Address{}
+	for i, e := range list {
+		for j, s := range e.Addrs {
+			a, err := addr.Parse(s)
+			if err != nil {
+				return nil, fmt.Errorf("endpoints[%d].addrs[%d]: %w", i, j, err)
+			}
+			out[e.Addr] = append(out[e.Addr], a)
+		}
+	}
+	return out, nil
+}
+
 // File follows a list file. It is to be replaced by renaming a new one over
 // it; a write in place works too once it is whole.
 type File struct {
@@ -69,6 +85,8 @@
 	Most  int // bytes read at most; a larger file counts as broken
 	// Report is told of each reading: the endpoints it gave, or what was wrong.
 	Report func(endpoints int, err error)
+	// Addresses takes those of each list before the list goes to the sink; may be nil.
+	Addresses func(map[string][]addr.Address)
 
 	mu    sync.Mutex
 	count int
@@ -89,7 +107,23 @@
 }
 
 // Load reads the file once.
-func (f *File) Load() ([]choice.Host, error) {
+func (f *File) Load() ([]choice.Host, map[string][]addr.Address, error) {
+	list, err := f.load()
+	if err != nil {
+		return nil, nil, err
+	}
+	hosts, err := f.Names.Hosts(list)
+	if err != nil {
+		return nil, nil, fmt.Errorf("directory: %s: %w", f.Path, err)
+	}
+	addrs, err := Addresses(list)
+	if err != nil {
+		return nil, nil, fmt.Errorf("directory: %s: %w", f.Path, err)
+	}
+	return hosts, addrs, nil
+}
+
+func (f *File) load() ([]config.Endpoint, error) {
 	st, err := os.Stat(f.Path)
 	if err != nil {
 		return nil, fmt.Errorf("directory: %w", err)
@@ -105,11 +139,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("directory: %w", err)
 	}
-	hosts, err := f.Names.Hosts(list)
-	if err != nil {
-		return nil, fmt.Errorf("directory: %s: %w", f.Path, err)
-	}
-	return hosts, nil
+	return list, nil
 }
 
 // Run reads the file, hands its list on, and does so again at each change. It
@@ -130,13 +160,16 @@
 		if st, err := os.Stat(f.Path); err == nil {
 			stamp = st
 		}
-		hosts, err := f.Load()
+		hosts, addrs, err := f.Load()
 		if err != nil {
 			f.Report(0, err)
 			to.List(choice.Listing{Failed: true})
 			return
 		}
 		f.Report(len(hosts), nil)
+		if f.Addresses != nil {
+			f.Addresses(addrs)
+		}
 		if last == nil || !slices.Equal(hosts, last) {
 			last = hosts
 			f.mu.Lock()
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -56,7 +56,8 @@
 	shakes   *prometheus.CounterVec
 	expiry   *prometheus.GaugeVec
 	warn     time.Duration
-	report   func() any
+	reports  map[string]func() any // by path
+	dialed   *prometheus.CounterVec
 	gauges   map[string]prometheus.Gauge
 
 	mu    sync.Mutex
@@ -113,6 +114,7 @@
 	r.notTaken = counter("messages_not_taken_total", "Messages turned away at the door.", "reason")
 	r.closed = counter("mqtt_closed_total", "Connections ended by the relay.", "code")
 	r.lists = counter("list_readings_total", "Readings of the endpoint list.", "result")
+	r.dialed = counter("connections_total", "Connections begun to endpoints with several addresses.", "family", "result")
 	r.shakes = counter("tls_handshakes_total", "TLS handshakes by result.", "result")
 	r.expiry = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "basaltcross", Name: "certificate_expiry_timestamp_seconds",
 		Help: "When the certificate in force ends, Unix time."}, []string{"file"})
@@ -278,11 +280,16 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("/zones", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("/", func(w http.ResponseWriter, q *http.Request) {
+		r.mu.Lock()
+		report := r.reports[q.URL.Path]
+		r.mu.Unlock()
+		if report == nil {
+			http.NotFound(w, q)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
-		if r.report == nil {
-			http.NotFound(w, nil)
-		} else if err := json.NewEncoder(w).Encode(r.report()); err != nil {
+		if err := json.NewEncoder(w).Encode(report()); err != nil {
 			r.Logf("report: %v", err)
 		}
 	})
@@ -295,10 +302,23 @@
 	return l.Addr(), nil
 }
 
+// Serves answers a path of the metrics listener with a report as JSON.
+func (r *Relay) Serves(path string, report func() any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reports == nil {
+		r.reports = map[string]func() any{}
+	}
+	r.reports[path] = report
+}
+
+// Dialed counts connections to endpoints with several addresses.
+func (r *Relay) Dialed(family, result string) { r.dialed.WithLabelValues(family, result).Inc() }
+
 // Zones registers the counters of traffic between zones, and serves their
 // report at /zones.
 func (r *Relay) Zones(t *zone.Table, zones []string, report func() any) {
-	r.report = report
+	r.Serves("/zones", report)
 	r.registry.MustRegister(&zoneCollector{t, r.classes, zones,
 		prometheus.NewDesc("basaltcross_zone_bytes_total", "Bytes between this relay and endpoints, by their zone.",
 			[]string{"class", "zone", "direction"}, nil),
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -17,6 +17,7 @@
 
 	"github.com/lesismal/nbio"
 
+	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/secure"
@@ -43,6 +44,9 @@
 	Pollers     int
 	// Traffic counts bytes by class, partner and zone; may be nil.
 	Traffic *zone.Table
+	// Dialed counts connections by family and what became of them: won, lost
+	// (closed unused), failed, left; may be nil.
+	Dialed func(family, result string)
 	// Failed is told of TLS handshakes that failed; may be nil.
 	Failed func(host string, err error)
 	// Unsolicited is told of bytes that came without a request; may be nil.
@@ -55,6 +59,9 @@
 	engine *nbio.Engine
 	mu     sync.Mutex
 	pools  map[string]*pool
+	books  map[string]*addr.Book // of endpoints with addresses of their own
+	fams   addr.Families
+	epoch  time.Time
 	stop   chan struct{}
 	done   sync.WaitGroup
 	// fence orders the making of a conn before its use on a poller: the engine
@@ -76,6 +83,8 @@
 	nb   *nbio.Conn
 	out  io.Writer
 	sec  *secure.Conn // nil without TLS
+	addr addr.Address
+	book *addr.Book // nil where the endpoint has one address
 	mu   sync.Mutex
 	call *call
 	gone atomic.Bool
@@ -143,7 +152,8 @@
 
 // New starts the pollers.
 func New(opt Options) (*Caller, error) {
-	c := &Caller{opt: opt, pools: map[string]*pool{}, stop: make(chan struct{})}
+	c := &Caller{opt: opt, pools: map[string]*pool{}, books: map[string]*addr.Book{},
+		epoch: time.Now(), stop: make(chan struct{})}
 	c.engine = nbio.NewEngine(nbio.Config{Name: "partner", NPoller: max(1, opt.Pollers), ReadBufferSize: 16 << 10})
 	c.engine.OnData(func(nb *nbio.Conn, data []byte) {
 		c.fence.Load()
@@ -303,14 +313,15 @@
 func (k *call) dial(ctx context.Context, p *pool) {
 	defer k.cancel()
 	c := k.caller
-	raw, err := new(net.Dialer).DialContext(ctx, "tcp", k.Host)
+	book := c.book(k.Host)
+	raw, at, err := c.race(ctx, k, book)
 	if err != nil {
 		p.release()
 		k.end(noConnection, nil)
 		return
 	}
 	if cfg := c.opt.Targets[k.Partner].TLS; cfg != nil {
-		k.dialTLS(ctx, raw, cfg(), p)
+		k.dialTLS(ctx, raw, cfg(), p, at, book)
 		return
 	}
 	nb, err := nbio.NBConn(raw) // duplicates the descriptor and closes the first
@@ -320,7 +331,7 @@
 		k.end(noConnection, nil)
 		return
 	}
-	cn := &conn{pool: p, host: k.Host, nb: nb, out: nb, home: k.home()}
+	cn := &conn{pool: p, host: k.Host, nb: nb, out: nb, home: k.home(), addr: at, book: book}
 	nb.SetSession(cn)
 	c.fence.Add(1)
 	if _, err := c.engine.AddConn(nb); err != nil {
@@ -334,12 +345,13 @@
 
 // dialTLS does the handshake, within the attempt's time. A failed one carried no
 // byte of the request.
-func (k *call) dialTLS(ctx context.Context, raw net.Conn, cfg *tls.Config, p *pool) {
+func (k *call) dialTLS(ctx context.Context, raw net.Conn, cfg *tls.Config, p *pool, at addr.Address,
+	book *addr.Book) {
 	c := k.caller
 	if cfg.ServerName == "" {
 		cfg.ServerName, _, _ = net.SplitHostPort(k.Host)
 	}
-	cn := &conn{pool: p, host: k.Host, home: k.home()}
+	cn := &conn{pool: p, host: k.Host, home: k.home(), addr: at, book: book}
 	err := secure.Client(ctx, counted{raw, c, cn}, cfg, c.engine, func(n int) { cn.size.Add(int64(n)) },
 		func(nb *nbio.Conn, s *secure.Conn) {
 			cn.nb, cn.out, cn.sec = nb, s, s
@@ -347,6 +359,9 @@
 			c.fence.Add(1)
 		}, func(b []byte) { cn.data(c, b) })
 	if err != nil {
+		if book != nil {
+			book.Failed(c.now(), at)
+		}
 		if c.opt.Failed != nil {
 			c.opt.Failed(k.Host, err)
 		}
@@ -397,7 +412,14 @@
 	}
 	k.mu.Unlock()
 	// From here on the answer may come at any moment, on the poller.
-	if n, err := cn.out.Write(request); err != nil {
+	before := cn.sent.Load()
+	n, err := cn.out.Write(request)
+	if err == nil && cn.addr.Family == addr.Unix && cn.sec == nil {
+		if done := int(cn.sent.Load() - before); done < len(request) {
+			go cn.rests(k, request[done:])
+		}
+	}
+	if err != nil {
 		if n <= 0 { // nothing went out before the error
 			cn.drop(k)
 			k.end(lostUnsent, nil)
@@ -480,6 +502,7 @@
 	k.mu.Unlock()
 	if cn != nil {
 		cn.drop(k)
+		cn.hung(k.caller)
 	} else if cancel != nil {
 		cancel()
 	}
@@ -538,6 +561,9 @@
 	}
 	r := response{status: cn.resp.status, retry: cn.resp.retry}
 	cn.bill.Store(nil)
+	if cn.book != nil {
+		cn.book.Answered(cn.addr)
+	}
 	keep := cn.resp.keep && len(rest) == 0
 	cn.call = nil
 	what := answered
@@ -582,6 +608,7 @@
 	case whole: // content that runs to the close is whole by it
 		k.end(answered, &final)
 	default:
+		cn.hung(k.caller)
 		k.end(lost, nil)
 	}
 }
--- /dev/null
+++ b/internal/relay/addr_test.go
@@ -0,0 +1,166 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/internal/client"
+	"basaltcross.example/basaltcross/internal/config"
+	"basaltcross.example/basaltcross/internal/relay"
+	"basaltcross.example/basaltcross/internal/standin"
+	"basaltcross.example/basaltcross/internal/testutil"
+)
+
+// severalAddresses is a relay with one endpoint at the addresses given.
+func severalAddresses(t *testing.T, addrs ...string) *relay.Relay {
+	t.Helper()
+	list := filepath.Join(t.TempDir(), "list.cue")
+	text := fmt.Sprintf("endpoints: [{addr: \"bank:1\", partner: \"p0\", addrs: [\"%s\"]}]\n", strings.Join(addrs, `", "`))
+	if err := os.WriteFile(list, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse("test.cue", []byte(testutil.Config(list, 1, `partnerCalls: idlePerHost: 4`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := relay.Start(cfg, zerolog.Nop(), relay.Hooks{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop)
+	return r
+}
+
+// deadPort is an address that refuses connections.
+func deadPort(t *testing.T, at string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Addresses of each family, each broken in its way: no two attempts of one
+// message ever overlap, no charge goes out twice, and what can be delivered by a
+// good address is.
+func TestAddressesBroken(t *testing.T) {
+	rec := standin.NewRecorder(1 << 20)
+	p := standin.NewPartner("p0", standin.Model{Service: 3 * ms, Window: 10 * time.Second}, 1)
+	var ends []*standin.Endpoint
+	sock := filepath.Join(t.TempDir(), "s")
+	for _, at := range []string{"unix:" + sock, "[::1]:0", "127.0.0.1:0", "127.0.0.2:0"} {
+		e, err := standin.Start(at, p, rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		ends = append(ends, e)
+	}
+	r := severalAddresses(t, deadPort(t, "127.0.0.1:0"), ends[1].Addr, "unix:"+sock, ends[2].Addr, ends[3].Addr, ends[2].Addr)
+	in := newInbox()
+	c, err := client.Dial(testutil.Context(t), r.Addrs()[0], client.Options{ID: "c", Expiry: 600, On: in.on})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const n = 1500
+	for i := range n {
+		switch i {
+		case 200: // accepts and hangs
+			ends[0].Set(standin.Trouble{Hang: true})
+		case 400: // reads the request and resets
+			ends[0].Set(standin.Trouble{})
+			ends[1].Set(standin.Trouble{Reap: time.Nanosecond})
+			ends[0].Close()
+			_ = os.WriteFile(sock, nil, 0o600) // no socket any more
+		case 700: // gone
+			ends[1].Close()
+		case 1000:
+			ends[1].Set(standin.Trouble{})
+			if err := ends[1].Reopen(); err != nil {
+				t.Fatal(err)
+			}
+			ends[2].Close()
+		}
+		size := 100
+		if i%50 == 0 {
+			size = 200_000 // more than a Unix socket takes at once
+		}
+		id := fmt.Sprintf("%d ", i)
+		if err := c.Send(testutil.Context(t), client.Message{ID: fmt.Sprint(i), Class: []string{"status", "order", "charge"}[i%3],
+			Partner: "p0", Body: append([]byte(id), make([]byte, size)...)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	count := map[string]int{}
+	for id, a := range in.wait(t, n) {
+		if count[a[0].Answer]++; len(a) != 1 {
+			t.Errorf("%s: %v", id, a)
+		}
+	}
+	r.Stop()
+	calls := map[string][]standin.Call{}
+	families := map[string]int{}
+	for _, k := range rec.Calls() {
+		id, _, _ := strings.Cut(k.Body, " ")
+		calls[id] = append(calls[id], k)
+		families[k.Endpoint]++
+	}
+	for id, l := range calls {
+		slices.SortFunc(l, func(a, b standin.Call) int { return a.Start.Compare(b.Start) })
+		for i := 1; i < len(l); i++ {
+			if l[0].Class == "charge" {
+				t.Errorf("charge %s went out %d times", id, len(l))
+			}
+			end := l[i-1].End
+			if !l[i-1].Left.IsZero() && l[i-1].Left.Before(end) {
+				end = l[i-1].Left
+			}
+			if l[i].Start.Add(50 * ms).Before(end) {
+				t.Errorf("%s: two attempts at once, %v", id, end.Sub(l[i].Start))
+			}
+		}
+	}
+	t.Logf("answers %v, calls by address %v", count, families)
+	if count["delivered"] < n*9/10 {
+		t.Errorf("answers %v", count)
+	}
+}
+
+// A dead first address costs the connection-attempt delay at most, once; after
+// that nothing that can be seen.
+func TestDeadAddressCosts(t *testing.T) {
+	rec := standin.NewRecorder(1 << 20)
+	e, err := standin.Start("127.0.0.1:0", standin.NewPartner("p0", standin.Model{Service: ms}, 1), rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	r := severalAddresses(t, deadPort(t, "[::1]:0"), "unix:/nonexistent/socket", e.Addr)
+	in := newInbox()
+	c, err := client.Dial(testutil.Context(t), r.Addrs()[0], client.Options{ID: "c", Expiry: 600, On: in.on})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range 20 {
+		if err := c.Send(testutil.Context(t), client.Message{ID: fmt.Sprint(i), Class: "charge", Partner: "p0"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for id, a := range in.wait(t, 20) {
+		if a[0].Answer != "delivered" {
+			t.Errorf("%s: %s", id, a[0].Answer)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,7 +93,7 @@
 // CheckList reads the endpoint list of a configuration once and counts its endpoints.
 func CheckList(cfg *config.Config) (int, error) {
 	f := directory.File{Path: cfg.Directory.File, Names: names(cfg), Most: cfg.Limits.ListBytes}
-	hosts, err := f.Load()
+	hosts, _, err := f.Load()
 	return len(hosts), err
 }
 
@@ -164,7 +164,8 @@
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
 		Limits:      http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
 		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
-		Traffic: counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut})
+		Traffic: counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut,
+		Dialed: r.obs.Dialed})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
@@ -190,6 +191,7 @@
 	r.zones = &zone.Reporter{Relay: cfg.Relay.Name, Classes: classes, Partners: partners, Zones: zones, Own: own,
 		Table: traffic, Toll: toll, Now: r.core.Now, File: cfg.ZoneRecords,
 		Failed: func(err error) { r.obs.Logf("zone records: %v", err) }}
+	r.obs.Serves("/addresses", func() any { return r.caller.Known() })
 	r.obs.Zones(traffic, zones, func() any { return r.zones.Report() })
 	var door front.Door = r.core
 	if hooks.Door != nil {
@@ -201,7 +203,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	source := &directory.File{Path: cfg.Directory.File, Names: names, Most: cfg.Limits.ListBytes, Report: r.obs.Listed}
+	source := &directory.File{Path: cfg.Directory.File, Names: names, Most: cfg.Limits.ListBytes, Report: r.obs.Listed,
+		Addresses: r.caller.Addresses}
 	r.source = source
 	fail := func(err error) (*Relay, error) {
 		cancel()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -226,7 +226,11 @@
 
 // StartWrapped is Start with every connection wrapped, to meter it.
 func StartWrapped(addr string, p *Partner, rec *Recorder, wrap func(net.Conn) net.Conn) (*Endpoint, error) {
-	l, err := net.Listen("tcp", addr)
+	network, at := "tcp", addr
+	if path, ok := strings.CutPrefix(addr, "unix:"); ok {
+		network, at = "unix", path
+	}
+	l, err := net.Listen(network, at)
 	if err != nil {
 		return nil, fmt.Errorf("standin: %w", err)
 	}
