--- /dev/null
+++ b/cmd/basaltcross/addresses.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"basaltcross.example/basaltcross/internal/addr"
+)
+
+func addressesCommand() *cobra.Command {
+	var from string
+	c := &cobra.Command{Use: "addresses", Short: "What a running relay knows of its endpoints' addresses", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if !strings.Contains(from, "://") {
+				from = "http://" + from
+			}
+			resp, err := (&http.Client{Timeout: 10 * time.Second}).Get(from + "/addresses")
+			if err != nil {
+				return fmt.Errorf("addresses: %w", err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("addresses: %s answers %s", from, resp.Status)
+			}
+			var known map[string][]addr.Known
+			if err := json.NewDecoder(resp.Body).Decode(&known); err != nil {
+				return fmt.Errorf("addresses: %w", err)
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(t, "endpoint\taddress\tfamily\tconnect\tfailed\thung\tleft alone for")
+			for _, host := range slices.Sorted(maps.Keys(known)) {
+				for _, k := range known[host] {
+					fmt.Fprintf(t, "%s\t%s\t%s\t%v\t%d\t%d\t%v\n", host, k.Address, k.Family, k.Connect.Round(time.Microsecond),
+						k.Fails, k.Hung, k.Until.Round(time.Millisecond))
+				}
+			}
+			return t.Flush()
+		}}
+	c.Flags().StringVar(&from, "from", "127.0.0.1:9300", "address of the relay's metrics listener")
+	return c
+}
--- a/internal/addr/addr.go
+++ b/internal/addr/addr.go
@@ -275,14 +275,15 @@
 }
 
 // Left takes in a connection that was called off, undecided, after a time: an
-// address that did not connect in many times its usual failed.
+// address that had its head start and did not connect in it failed. If it was
+// only slow, its trial beside the best, which costs no time, tells soon.
 func (b *Book) Left(now time.Duration, a Address, after time.Duration) {
 	b.mu.Lock()
 	s := b.find(a)
 	slow := false
 	if s != nil {
 		s.trying = false
-		slow = after > 4*b.delay(s)
+		slow = after >= b.delay(s)
 	}
 	b.mu.Unlock()
 	if slow {
--- a/internal/badday/day.go
+++ b/internal/badday/day.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -67,10 +68,9 @@
 // end is one endpoint with its place on the list.
 type end struct {
 	*standin.Endpoint
-	state   string
-	told    time.Time // the list said draining or gone from then on
-	trouble standin.Trouble
-	closed  bool
+	state  string
+	told   time.Time         // the list said draining or gone from then on
+	second *standin.Endpoint // a second address of the same endpoint, nil for none
 }
 
 // relayProc is one relay process.
@@ -207,12 +207,22 @@
 		return nil, err
 	}
 	n := &end{Endpoint: e, state: "ready"}
+	if d.twoAddresses() {
+		if n.second, err = standin.Start("[::1]:0", p, d.rec); err != nil {
+			return nil, err
+		}
+	}
 	d.mu.Lock()
 	d.ends = append(d.ends, n)
 	d.mu.Unlock()
 	return n, nil
 }
 
+// twoAddresses tells whether the script strikes addresses: then each endpoint has two.
+func (d *day) twoAddresses() bool {
+	return slices.ContainsFunc(d.script.Troubles, func(t Trouble) bool { return t.Name == "address_dead" })
+}
+
 // list writes the endpoint list, whole, by renaming.
 func (d *day) list() error {
 	d.mu.Lock()
@@ -220,8 +230,12 @@
 	b.WriteString("endpoints: [\n")
 	for _, e := range d.ends {
 		if e.state != "gone" {
-			fmt.Fprintf(&b, "\t{addr: %q, partner: %q, rate: %.1f, state: %q},\n", e.Addr, e.Partner.Name,
-				e.Partner.Model.Rate, e.state)
+			addrs := ""
+			if e.second != nil {
+				addrs = fmt.Sprintf(", addrs: [%q, %q]", e.second.Addr, e.Addr)
+			}
+			fmt.Fprintf(&b, "\t{addr: %q, partner: %q, rate: %.1f, state: %q%s},\n", e.Addr, e.Partner.Name,
+				e.Partner.Model.Rate, e.state, addrs)
 		}
 	}
 	b.WriteString("]\n")
@@ -287,7 +301,9 @@
 	}
 	defer func() {
 		for _, e := range d.ends {
-			e.Close()
+			if e.Close(); e.second != nil {
+				e.second.Close()
+			}
 		}
 	}()
 	if err := d.list(); err != nil {
--- a/internal/badday/script.cue
+++ b/internal/badday/script.cue
@@ -5,7 +5,7 @@
 	name: "burst" | "hot_caller" | "hot_key" | "hang" | "crash" | "fast_errors" | "slow" | "shared_slow" |
 		"heavy_tail" | "pauses" | "vanish" | "throttle" | "give_up" | "answer_lost" | "class_fail" |
 		"idle_reap" | "handshake_slow" | "deploy" | "preempt" | "discovery_down" | "balancer_crash" |
-		"balancer_roll" | "balancer_stall"
+		"balancer_roll" | "balancer_stall" | "address_dead"
 	at:   #Dur
 	for:  #Dur
 	part: number & >0 & <=1 | *0.34
--- a/internal/badday/script.go
+++ b/internal/badday/script.go
@@ -49,6 +49,7 @@
 	{"answer_lost", 0.5, 0.25}, {"class_fail", 0.5, 0.9}, {"idle_reap", 1, 0.2}, {"handshake_slow", 0.7, 0.3},
 	{"deploy", 0.6, 0}, {"preempt", 0.4, 0}, {"discovery_down", 1, 0}, {"balancer_crash", 0.34, 0},
 	{"balancer_roll", 1, 0}, {"balancer_stall", 0.34, 0},
+	{"address_dead", 0.7, 0},
 }
 
 // Mixed is the default day: a bit of much, in well under a minute.
--- a/internal/badday/trouble.go
+++ b/internal/badday/trouble.go
@@ -76,6 +76,8 @@
 			}
 			wait(ctx, lasts/3)
 		}
+	case "address_dead":
+		d.deadAddresses(ctx, t)
 	case "deploy":
 		d.deploy(ctx, t, 800*time.Millisecond)
 	case "preempt":
@@ -220,3 +222,28 @@
 		wait(ctx, pause)
 	}
 }
+
+// deadAddresses breaks one of the two addresses of a part of the endpoints: one
+// in three takes calls and hangs, the others refuse connections.
+func (d *day) deadAddresses(ctx context.Context, t Trouble) {
+	var all []*end
+	for _, p := range d.partners {
+		all = append(all, d.endsOf(p)...)
+	}
+	struck := d.some(len(all), t.Part)
+	for _, i := range struck {
+		if e := all[i].second; i%3 == 0 {
+			e.Set(standin.Trouble{Hang: true})
+		} else {
+			e.Close()
+		}
+	}
+	wait(ctx, t.For.D())
+	for _, i := range struck {
+		if e := all[i].second; i%3 == 0 {
+			e.Set(standin.Trouble{})
+		} else if err := e.Reopen(); err != nil {
+			d.opt.Out.Write([]byte(err.Error() + "\n"))
+		}
+	}
+}
