One place opens the fronts' sockets

Cause: both fronts set up nbio engines, hand-over fences and failing accepts with the same lines. front.Listen does it now; the fronts' tests pass under the race detector.

--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -112,8 +112,8 @@
 	_ = c.nb.Close()
 }
 
-// data takes in what the socket gave.
-func (c *conn) data(b []byte) {
+// Data takes in what the socket gave.
+func (c *conn) Data(b []byte) {
 	if c.sec != nil {
 		c.sec.Data(b)
 		return
@@ -246,8 +246,8 @@
 	}
 }
 
-// closed takes in the end of the connection.
-func (c *conn) closed() {
+// Closed takes in the end of the connection.
+func (c *conn) Closed() {
 	f := c.front
 	if c.sec != nil {
 		c.sec.End()
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -67,11 +66,10 @@
 // Front serves MQTT.
 type Front struct {
 	opt       Options
-	engines   []*nbio.Engine
 	tlsAddrs  []string
 	max       int // bytes of a packet
 	addrs     []string
-	listeners []net.Listener
+	listeners []*front.Listeners
 	born      int64 // tells serial numbers of this run from those of earlier ones
 
 	mu       sync.Mutex
@@ -83,11 +81,8 @@
 	partial atomic.Int64 // bytes of half packets held
 	stop    chan struct{}
 	done    sync.WaitGroup
-	// fence orders the making of a conn before its use on a poller: the engine
-	// hands it over through the kernel, which the race detector cannot see.
-	fence atomic.Uint64
-	out   *front.Outbox[*pending]
-	auth  authenticator
+	out     *front.Outbox[*pending]
+	auth    authenticator
 }
 
 // most subscriptions and most bytes before CONNECT of one client.
@@ -111,11 +106,23 @@
 		if len(addrs) == 0 {
 			continue
 		}
-		if err := f.serve(addrs, i == 1); err != nil {
-			for _, e := range f.engines {
-				e.Stop()
+		l, err := front.Listen(front.Sockets{Name: "mqtt", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 64 << 10,
+			WriteBuffer: opt.WriteBuffer, Open: func(nb *nbio.Conn) front.Conn { return f.open(nb, i == 1) },
+			Failed: func(err error) {
+				if !f.draining.Load() {
+					opt.Observer.Logf("mqtt: accept: %v", err)
+				}
+			}})
+		if err != nil {
+			for _, l := range f.listeners {
+				l.Close()
 			}
-			return nil, fmt.Errorf("mqtt: %w", err)
+			return nil, err
+		}
+		if f.listeners = append(f.listeners, l); i == 1 {
+			f.tlsAddrs = l.Addrs
+		} else {
+			f.addrs = l.Addrs
 		}
 	}
 	f.done.Add(2)
@@ -124,49 +131,6 @@
 	return f, nil
 }
 
-// serve starts an engine for listeners of one sort.
-func (f *Front) serve(addrs []string, secured bool) error {
-	e := nbio.NewEngine(nbio.Config{Name: "mqtt", Network: "tcp", Addrs: addrs, NPoller: max(1, f.opt.Pollers),
-		ReadBufferSize: 64 << 10, MaxWriteBufferSize: f.opt.WriteBuffer,
-		Listen: func(network, addr string) (net.Listener, error) {
-			l, err := net.Listen(network, addr)
-			if err != nil {
-				return nil, err
-			}
-			f.listeners = append(f.listeners, l)
-			if secured {
-				f.tlsAddrs = append(f.tlsAddrs, l.Addr().String())
-			} else {
-				f.addrs = append(f.addrs, l.Addr().String())
-			}
-			return l, nil
-		}})
-	e.OnOpen(func(nb *nbio.Conn) { f.open(nb, secured) })
-	e.OnData(func(nb *nbio.Conn, b []byte) {
-		f.fence.Load()
-		if c, ok := nb.Session().(*conn); ok {
-			c.data(b)
-		}
-	})
-	e.OnClose(func(nb *nbio.Conn, err error) {
-		f.fence.Load()
-		if c, ok := nb.Session().(*conn); ok {
-			c.closed()
-		}
-	})
-	e.OnAcceptError(func(err error) { // out of descriptors, mostly: not in a hot loop
-		if !f.draining.Load() {
-			f.opt.Observer.Logf("mqtt: accept: %v", err)
-		}
-		time.Sleep(20 * time.Millisecond)
-	})
-	if err := e.Start(); err != nil {
-		return err
-	}
-	f.engines = append(f.engines, e)
-	return nil
-}
-
 // Addrs and TLSAddrs are the addresses listened on.
 func (f *Front) Addrs() []string    { return f.addrs }
 func (f *Front) TLSAddrs() []string { return f.tlsAddrs }
@@ -181,7 +145,7 @@
 	listeners := f.listeners
 	f.mu.Unlock()
 	for _, l := range listeners {
-		_ = l.Close()
+		l.Refuse()
 	}
 	for _, s := range sessions {
 		s.mu.Lock()
@@ -205,12 +169,12 @@
 	for _, c := range conns {
 		c.end(mqtt.ServerShuttingDown, "relay stops")
 	}
-	for _, e := range f.engines {
-		e.Stop()
+	for _, l := range f.listeners {
+		l.Close()
 	}
 }
 
-func (f *Front) open(nb *nbio.Conn, secured bool) {
+func (f *Front) open(nb *nbio.Conn, secured bool) front.Conn {
 	c := &conn{front: f, nb: nb, out: nb}
 	now := time.Now()
 	c.opened = now
@@ -223,16 +187,13 @@
 	f.mu.Unlock()
 	if full {
 		f.opt.Observer.Closed(mqtt.ServerBusy)
-		go nb.Close() // not within the poller's opening
-		return
+		return nil
 	}
 	if secured {
 		c.sec = secure.Server(nb, f.opt.TLS, f.opt.Slots, f.opt.Handshake, c.ready)
 		c.out = c.sec
 	}
-	nb.SetSession(c)
-	f.fence.Add(1)
-	_ = nb.SetNoDelay(true)
+	return c
 }
 
 // janitor looks after everything that ends by time.
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -11,7 +11,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -67,16 +66,15 @@
 
 // Front serves Web Push.
 type Front struct {
-	opt     Options
-	engines []*nbio.Engine
-	addrs   []string
-	tlsAt   []string
-	vapid   *vapid
-	h2      *http2.Server
-	fence   atomic.Uint64 // see mqttfront
-	out     *front.Outbox[*push]
-	stop    chan struct{}
-	done    sync.WaitGroup
+	opt       Options
+	listeners []*front.Listeners
+	addrs     []string
+	tlsAt     []string
+	vapid     *vapid
+	h2        *http2.Server
+	out       *front.Outbox[*push]
+	stop      chan struct{}
+	done      sync.WaitGroup
 
 	conMu sync.Mutex
 	conns map[*conn]struct{}
@@ -104,40 +102,18 @@
 		if len(addrs) == 0 {
 			continue
 		}
-		secured := i == 1
-		e := nbio.NewEngine(nbio.Config{Name: "webpush", Network: "tcp", Addrs: addrs, NPoller: max(1, opt.Pollers),
-			ReadBufferSize: 32 << 10, MaxWriteBufferSize: opt.WriteBuffer,
-			Listen: func(network, addr string) (net.Listener, error) {
-				l, err := net.Listen(network, addr)
-				if err == nil && secured {
-					f.tlsAt = append(f.tlsAt, l.Addr().String())
-				} else if err == nil {
-					f.addrs = append(f.addrs, l.Addr().String())
-				}
-				return l, err
-			}})
-		e.OnOpen(func(nb *nbio.Conn) { f.open(nb, secured) })
-		e.OnData(func(nb *nbio.Conn, b []byte) {
-			f.fence.Load()
-			if c, ok := nb.Session().(*conn); ok {
-				c.data(b)
-			}
-		})
-		e.OnClose(func(nb *nbio.Conn, _ error) {
-			f.fence.Load()
-			if c, ok := nb.Session().(*conn); ok {
-				c.closed()
-			}
-		})
-		e.OnAcceptError(func(err error) {
-			opt.Observer.Logf("webpush: accept: %v", err)
-			time.Sleep(20 * time.Millisecond)
-		})
-		if err := e.Start(); err != nil {
-			f.stopEngines()
-			return nil, fmt.Errorf("webpush: %w", err)
+		l, err := front.Listen(front.Sockets{Name: "webpush", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 32 << 10,
+			WriteBuffer: opt.WriteBuffer, Open: func(nb *nbio.Conn) front.Conn { return f.open(nb, i == 1) },
+			Failed: func(err error) { opt.Observer.Logf("webpush: accept: %v", err) }})
+		if err != nil {
+			f.closeAll()
+			return nil, err
+		}
+		if f.listeners = append(f.listeners, l); i == 1 {
+			f.tlsAt = l.Addrs
+		} else {
+			f.addrs = l.Addrs
 		}
-		f.engines = append(f.engines, e)
 	}
 	f.done.Add(2)
 	go func() {
@@ -158,9 +134,9 @@
 func (f *Front) Addrs() []string    { return f.addrs }
 func (f *Front) TLSAddrs() []string { return f.tlsAt }
 
-func (f *Front) stopEngines() {
-	for _, e := range f.engines {
-		e.Stop()
+func (f *Front) closeAll() {
+	for _, l := range f.listeners {
+		l.Close()
 	}
 }
 
@@ -176,7 +152,7 @@
 		release(&b.waiting)
 	}
 	f.unlock()
-	f.stopEngines()
+	f.closeAll()
 }
 
 func (f *Front) janitor() {
@@ -224,7 +200,7 @@
 	shut bool
 }
 
-func (f *Front) open(nb *nbio.Conn, secured bool) {
+func (f *Front) open(nb *nbio.Conn, secured bool) front.Conn {
 	c := &conn{front: f, nb: nb, out: nb}
 	c.since.Store(time.Now().UnixNano())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
@@ -235,16 +211,13 @@
 	}
 	f.conMu.Unlock()
 	if full {
-		go nb.Close()
-		return
+		return nil
 	}
 	if secured {
 		c.sec = secure.Server(nb, f.opt.TLS, f.opt.Slots, f.opt.Handshake, c.ready)
 		c.out = c.sec
 	}
-	nb.SetSession(c)
-	f.fence.Add(1)
-	_ = nb.SetNoDelay(true)
+	return c
 }
 
 // ready goes on after the handshake.
@@ -263,7 +236,8 @@
 	return c.plain
 }
 
-func (c *conn) data(b []byte) {
+// Data takes in what the socket gave.
+func (c *conn) Data(b []byte) {
 	if c.sec != nil {
 		c.sec.Data(b)
 		return
@@ -271,7 +245,8 @@
 	c.plain(b)
 }
 
-func (c *conn) closed() {
+// Closed takes in the end of the connection.
+func (c *conn) Closed() {
 	if c.sec != nil {
 		c.sec.End()
 	}
