Names of endpoints resolved with TTLs; pools that wait, age, peek and keep spares

Need: names were looked up by the system at each dial, each call without a kept connection opened its own, and a kept one that the peer had closed was only noticed by the poller.

Change: addr.Names decides when a name is asked for, what of an answer is believed and used (TTL bounds, stale answers, empty ones only when told twice, sixteen of a hundred, never another partner's); internal/resolve asks DNS servers or the system. addr.Keep decides which connections are used again, opened in advance or waited for; the partner pools carry it out. TLS sessions are resumed per address; a failed handshake falls back to the next address; TLS over Unix sockets keeps what the engine drops; want of descriptors counts against no address. A hung address is tried again by one call after eight times its penalty.

--- a/cmd/basaltcross/addresses.go
+++ b/cmd/basaltcross/addresses.go
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/relay"
 )
 
 func addressesCommand() *cobra.Command {
@@ -30,10 +30,11 @@
 			if resp.StatusCode != http.StatusOK {
 				return fmt.Errorf("addresses: %s answers %s", from, resp.Status)
 			}
-			var known map[string][]addr.Known
-			if err := json.NewDecoder(resp.Body).Decode(&known); err != nil {
+			var report relay.Addresses
+			if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
 				return fmt.Errorf("addresses: %w", err)
 			}
+			known := report.Endpoints
 			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			fmt.Fprintln(t, "endpoint\taddress\tfamily\tconnect\tfailed\thung\tleft alone for")
 			for _, host := range slices.Sorted(maps.Keys(known)) {
@@ -42,6 +43,15 @@
 						k.Fails, k.Hung, k.Until.Round(time.Millisecond))
 				}
 			}
+			for i, k := range report.Names {
+				if i == 0 {
+					fmt.Fprintln(t, "\nname\taddresses\tTTL left\tfailed")
+				}
+				fmt.Fprintf(t, "%s\t%v\t%v\t%d\n", k.Name, k.Addrs, k.Left.Round(time.Second), k.Fails)
+			}
+			for _, x := range report.LeftOut {
+				fmt.Fprintf(t, "left out: %s of %s, another partner has it\n", x.Address, x.Host)
+			}
 			return t.Flush()
 		}}
 	c.Flags().StringVar(&from, "from", "127.0.0.1:9300", "address of the relay's metrics listener")
--- a/internal/addr/addr.go
+++ b/internal/addr/addr.go
@@ -129,7 +129,8 @@
 	fails  int // connections in a row that failed
 	hung   int // calls in a row that it took and did not answer
 	until  time.Duration
-	trying bool // a trial after a failure is under way
+	back   time.Duration // after calls that hung: one call may try it again then
+	trying bool          // a trial after a failure is under way
 }
 
 // Step is one connection to begin.
@@ -184,17 +185,14 @@
 // Plan is the race for one connection that must be up within a time: the order
 // and the moments to begin. Addresses that failed lately come last; one whose
 // time to be tried again has come is raced beside the best at once, which costs a
-// connection and no time. avoid is an address that a further try should not use
-// if there is another.
-func (b *Book) Plan(now, within time.Duration, avoid Address) []Step {
+// connection and no time. One that hung is left for the next tries.
+func (b *Book) Plan(now, within time.Duration) []Step {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	order := slices.Clone(b.list)
 	level := func(s *state) int {
 		switch {
 		case s.fails > 0 || s.hung > 0 && now < s.until:
-			return 3
-		case s.Address == avoid:
 			return 2
 		case b.families.Broken(s.Family):
 			return 1
@@ -205,6 +203,14 @@
 		return cmp.Or(cmp.Compare(level(x), level(y)), cmp.Compare(x.hung, y.hung), cmp.Compare(x.fails, y.fails),
 			cmp.Compare(x.rank, y.rank))
 	})
+	// A better address that hung gets one call to show that it is well again.
+	if i := slices.IndexFunc(order, func(s *state) bool {
+		return s.hung > 0 && s.fails == 0 && now >= s.back && s.rank < order[0].rank
+	}); i > 0 {
+		s := order[i]
+		s.leave(now)
+		order = slices.Insert(slices.Delete(order, i, i+1), 0, s)
+	}
 	var steps []Step
 	at := time.Duration(0)
 	for i, s := range order {
@@ -234,6 +240,20 @@
 	return min(max(s.srtt+4*s.dev, leastDelay), mostDelay)
 }
 
+// Len is the number of addresses.
+func (b *Book) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.list)
+}
+
+// Has tells whether an address is still listed.
+func (b *Book) Has(a Address) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.find(a) != nil
+}
+
 func (b *Book) find(a Address) *state {
 	for _, s := range b.list {
 		if s.Address == a {
@@ -306,10 +326,18 @@
 	defer b.mu.Unlock()
 	if s := b.find(a); s != nil {
 		s.hung++
-		s.until = max(s.until, now+min(firstPenalty<<min(s.hung-1, 10), mostPenalty))
+		s.leave(now)
 	}
 }
 
+// leave leaves an address that hung alone, and keeps it behind the others for
+// longer: a call that finds out costs an attempt, where a connection costs none.
+func (s *state) leave(now time.Duration) {
+	pause := min(firstPenalty<<min(s.hung-1, 10), mostPenalty)
+	s.until = max(s.until, now+pause)
+	s.back = now + 8*pause
+}
+
 // Known is what a report shows of an address.
 type Known struct {
 	Address string        `json:"address"`
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -192,6 +192,17 @@
 		HeaderBytes int
 		BodyBytes   int
 		IdlePerHost int
+		Spares      int
+		Connecting  int
+		ConnAge     Duration
+		Sessions    int
+	}
+	Resolver struct {
+		Servers   []string
+		Timeout   Duration
+		TTL       Duration
+		Stale     Duration
+		Addresses int
 	}
 	Directory struct{ File string }
 	Metrics   struct{ Listen string }
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -170,7 +170,26 @@
 	partnerCalls: {
 		headerBytes: int & >=256 | *16384
 		bodyBytes:   int & >=0 | *1048576
+		// Connections to one endpoint: kept idle; opened before a call asks for them;
+		// set up at once, further calls wait; the age at which one is not used again
+		// ("0s" for none).
 		idlePerHost: int & >=0 | *64
+		spares:      int & >=0 | *1
+		connecting:  int & >=1 | *32
+		connAge:     #Dur | *"10m"
+		// TLS sessions kept to resume, over all addresses.
+		sessions: int & >=1 | *4096
+	}
+	// Names in endpoint lists. DNS servers that are asked; with none the system is,
+	// which tells no TTL: ttl stands for it.
+	resolver: {
+		servers: [...#Addr] | *[]
+		timeout: #Dur | *"2s"
+		ttl:     #Dur | *"30s"
+		// How long an answer serves past its TTL while no other comes.
+		stale: #Dur | *"24h"
+		// Addresses of one name that are used.
+		addresses: int & >=1 & <=64 | *16
 	}
 	directory: {
 		file: string & !=""
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -34,6 +34,7 @@
 	Partners map[string]int
 	Kinds    []int // by partner
 	Zones    map[string]int
+	Secure   []bool // by partner: called over TLS
 }
 
 var states = map[string]choice.State{"ready": choice.Ready, "draining": choice.Draining, "gone": choice.Gone}
@@ -62,17 +63,35 @@
 	return hosts, nil
 }
 
-// Addresses are those of the endpoints that list several.
-func Addresses(list []config.Endpoint) (map[string][]addr.Address, error) {
-	out := map[string][]addr.Address{}
+// Sinks hands news to several sinks, one after the other.
+type Sinks []Sink
+
+// List hands a listing to each.
+func (s Sinks) List(l choice.Listing) {
+	for _, to := range s {
+		to.List(l)
+	}
+}
+
+// Addresses are the ways to each endpoint: those that it lists, else the address
+// that is its name. Secure tells of each partner whether its calls use TLS.
+func (n *Names) Addresses(list []config.Endpoint) ([]addr.Endpoint, error) {
+	out := make([]addr.Endpoint, 0, len(list))
 	for i, e := range list {
-		for j, s := range e.Addrs {
+		p := n.Partners[e.Partner]
+		at := addr.Endpoint{Host: e.Addr, Partner: p, Secure: p < len(n.Secure) && n.Secure[p]}
+		ways := e.Addrs
+		if len(ways) == 0 {
+			ways = []string{e.Addr}
+		}
+		for j, s := range ways {
 			a, err := addr.Parse(s)
 			if err != nil {
 				return nil, fmt.Errorf("endpoints[%d].addrs[%d]: %w", i, j, err)
 			}
-			out[e.Addr] = append(out[e.Addr], a)
+			at.Addrs = append(at.Addrs, a)
 		}
+		out = append(out, at)
 	}
 	return out, nil
 }
@@ -86,7 +105,7 @@
 	// Report is told of each reading: the endpoints it gave, or what was wrong.
 	Report func(endpoints int, err error)
 	// Addresses takes those of each list before the list goes to the sink; may be nil.
-	Addresses func(map[string][]addr.Address)
+	Addresses func([]addr.Endpoint)
 
 	mu    sync.Mutex
 	count int
@@ -107,7 +126,7 @@
 }
 
 // Load reads the file once.
-func (f *File) Load() ([]choice.Host, map[string][]addr.Address, error) {
+func (f *File) Load() ([]choice.Host, []addr.Endpoint, error) {
 	list, err := f.load()
 	if err != nil {
 		return nil, nil, err
@@ -116,7 +135,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("directory: %s: %w", f.Path, err)
 	}
-	addrs, err := Addresses(list)
+	addrs, err := f.Names.Addresses(list)
 	if err != nil {
 		return nil, nil, fmt.Errorf("directory: %s: %w", f.Path, err)
 	}
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -46,19 +46,20 @@
 	registry *prometheus.Registry
 	classes  []string
 
-	taken    []prometheus.Counter
-	answers  [][4]prometheus.Observer
-	attempts [][len(outcomeNames)]prometheus.Observer
-	notTaken *prometheus.CounterVec
-	closed   *prometheus.CounterVec
-	lists    *prometheus.CounterVec
-	strange  prometheus.Counter
-	shakes   *prometheus.CounterVec
-	expiry   *prometheus.GaugeVec
-	warn     time.Duration
-	reports  map[string]func() any // by path
-	dialed   *prometheus.CounterVec
-	gauges   map[string]prometheus.Gauge
+	taken      []prometheus.Counter
+	answers    [][4]prometheus.Observer
+	attempts   [][len(outcomeNames)]prometheus.Observer
+	notTaken   *prometheus.CounterVec
+	closed     *prometheus.CounterVec
+	lists      *prometheus.CounterVec
+	strange    prometheus.Counter
+	shakes     *prometheus.CounterVec
+	expiry     *prometheus.GaugeVec
+	warn       time.Duration
+	reports    map[string]func() any // by path
+	dialed     *prometheus.CounterVec
+	unresolved prometheus.Counter
+	gauges     map[string]prometheus.Gauge
 
 	mu    sync.Mutex
 	lines map[string]*allowance
@@ -121,7 +122,9 @@
 	r.registry.MustRegister(r.expiry)
 	r.strange = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "basaltcross", Name: "unsolicited_bytes_total",
 		Help: "Times that a partner sent bytes without a request."})
-	r.registry.MustRegister(r.strange)
+	r.unresolved = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "basaltcross", Name: "names_failed_total",
+		Help: "Names of endpoints that could not be looked up; what was known serves on."})
+	r.registry.MustRegister(r.strange, r.unresolved)
 	for name, help := range map[string]string{
 		"messages_held": "Messages taken and not yet answered.", "attempts_out": "Calls to partners that are out.",
 		"identities": "Identities kept.", "batch_events": "Events of the core's last batch.",
@@ -315,6 +318,12 @@
 // Dialed counts connections to endpoints with several addresses.
 func (r *Relay) Dialed(family, result string) { r.dialed.WithLabelValues(family, result).Inc() }
 
+// Unresolved is told of a name that could not be looked up.
+func (r *Relay) Unresolved(name string, err error) {
+	r.unresolved.Inc()
+	r.line(zerolog.WarnLevel, "resolver", err.Error())
+}
+
 // Zones registers the counters of traffic between zones, and serves their
 // report at /zones.
 func (r *Relay) Zones(t *zone.Table, zones []string, report func() any) {
--- /dev/null
+++ b/internal/partner/call.go
@@ -0,0 +1,172 @@
+package partner
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/core"
+)
+
+// call is one attempt. Its state goes from waiting for a connection to written
+// to ended.
+type call struct {
+	core.Call
+	caller *Caller
+	pool   *pool
+	began  time.Time
+	dial   *dialing // begun for it, nil for none; under pool.mu
+	mu     sync.Mutex
+	conn   *conn
+	wrote  bool // bytes were handed to the kernel
+	ended  bool
+}
+
+// Send begins an attempt: on a kept connection, else on the first one that comes
+// up or free, within the attempt's own time-out. Its End is called once unless
+// Abort or Recall came first.
+func (c *Caller) Send(in core.Call) core.Attempt {
+	k := &call{Call: in, caller: c, began: time.Now()}
+	k.pool = c.pool(in.Host, in.Partner)
+	if cn := k.pool.take(k); cn != nil && !k.write(cn) {
+		k.pool.give(cn)
+	}
+	return k
+}
+
+// write hands the request to the kernel; false if the attempt was ended, or got
+// another connection, before this one came.
+func (k *call) write(cn *conn) bool {
+	request := append(k.head(), k.Body...) // one write: the engine's Writev loses buffers after a partial one
+	k.mu.Lock()
+	if k.ended || k.wrote {
+		k.mu.Unlock()
+		return false
+	}
+	cn.mu.Lock()
+	if cn.gone.Load() || cn.call != nil {
+		cn.mu.Unlock()
+		k.mu.Unlock()
+		_ = cn.nb.Close()
+		k.end(lostUnsent, nil)
+		return true
+	}
+	cn.call = k
+	cn.resp.reset(k.caller.opt.Limits)
+	if cn.sec == nil { // else the TLS layer counts its records
+		cn.size.Add(int64(len(request)))
+	}
+	cn.mu.Unlock()
+	k.conn = cn
+	k.wrote = true
+	cn.bill.Store(&bill{k.Class, k.Partner, k.Zone, k.Passed})
+	if t := k.caller.opt.Traffic; t != nil {
+		t.Call(k.Class, k.Partner, k.Zone)
+	}
+	k.mu.Unlock()
+	// From here on the answer may come at any moment, on the poller.
+	if n, err := cn.out.Write(request); err != nil {
+		cn.drop(k)
+		if n <= 0 { // nothing went out before the error
+			k.end(lostUnsent, nil)
+		} else {
+			k.end(lost, nil)
+		}
+	}
+	return true
+}
+
+// head is the request's start line and fields. Names and values come from the
+// checked configuration, but for the key and the identity, which are cleaned.
+func (k *call) head() []byte {
+	t := &k.caller.opt.Targets[k.Partner]
+	host := t.Host
+	if host == "" {
+		host = k.Host
+	}
+	b := make([]byte, 0, 256+len(t.Path)+len(host)+len(k.Key)+len(k.Idem))
+	b = append(append(append(b, "POST "...), t.Path...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, host...), "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(k.Body)), 10)
+	b = append(append(b, "\r\nVia: 1.1 "...), k.caller.opt.Name...)
+	b = append(append(b, "\r\nMessage-Class: "...), k.caller.opt.Classes[k.Class]...)
+	if k.Idem != "" {
+		b = appendValue(append(b, "\r\nIdempotency-Key: \""...), k.Idem)
+		b = append(b, '"')
+	}
+	if k.Key != "" {
+		b = appendValue(append(b, "\r\nOrder-Key: "...), k.Key)
+	}
+	b = append(b, "\r\n"...)
+	if b = append(b, k.Head...); len(k.Head) == 0 {
+		b = append(b, "Content-Type: application/octet-stream\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// appendValue writes text as a field value; what may not stand in one, or in a
+// quoted string, is written as %XX.
+func appendValue(b []byte, text string) []byte {
+	for i := range len(text) {
+		if c := text[i]; c <= ' ' || c >= 0x7f || c == '"' || c == '\\' || c == '%' {
+			b = fmt.Appendf(b, "%%%02X", c)
+		} else {
+			b = append(b, c)
+		}
+	}
+	return b
+}
+
+// end reports an attempt's outcome, if nothing else ended it before.
+func (k *call) end(s seen, r *response) {
+	k.mu.Lock()
+	if k.ended {
+		k.mu.Unlock()
+		return
+	}
+	k.ended = true
+	k.mu.Unlock()
+	k.pool.ended(k, s)
+	now := time.Now()
+	e := core.Ending{Took: now.Sub(k.began)}
+	status, retry := 0, ""
+	if r != nil {
+		status, retry = r.status, r.retry
+	}
+	e.Outcome, e.Wait = outcome(s, status, retry, k.caller.opt.Targets[k.Partner].Promises, now)
+	k.End(e)
+}
+
+// Abort ends an attempt; its connection is closed.
+func (k *call) Abort() (started, ok bool) {
+	k.mu.Lock()
+	if k.ended {
+		k.mu.Unlock()
+		return k.wrote, false
+	}
+	k.ended = true
+	cn, wrote := k.conn, k.wrote
+	k.mu.Unlock()
+	if cn != nil {
+		k.pool.ended(k, lost)
+		cn.drop(k)
+		cn.hung(k.caller)
+	} else {
+		k.pool.ended(k, unready)
+	}
+	return wrote, true
+}
+
+// Recall ends an attempt that has not reached the kernel.
+func (k *call) Recall() bool {
+	k.mu.Lock()
+	if k.ended || k.wrote {
+		k.mu.Unlock()
+		return false
+	}
+	k.ended = true
+	k.mu.Unlock()
+	k.pool.ended(k, unready)
+	return true
+}
--- a/internal/partner/outcome.go
+++ b/internal/partner/outcome.go
@@ -14,6 +14,7 @@
 
 const (
 	noConnection seen = iota // no connection, or none left to open one with
+	unready                  // none tried, for want of descriptors, or called off before
 	lostUnsent               // closed, and not one byte of the request was handed to the kernel
 	lost                     // closed or reset under the request, or within the response
 	nonsense                 // bytes that are no response
@@ -30,6 +31,7 @@
 //
 //	seen          status, kind                       outcome       reason
 //	noConnection  -                                  NoConnection  no byte can have reached the partner
+//	unready       -                                  NotSent       nothing was tried: no word on the partner
 //	lostUnsent    -                                  NoConnection  the kernel got no byte of the request
 //	lost          -                                  Reset         bytes were handed over; a kept connection that
 //	                                                               the peer closed may still have read them
@@ -46,6 +48,8 @@
 // had been handed to the kernel, else NoConnection or NotSent.
 func outcome(s seen, status int, retryAfter string, promises bool, now time.Time) (choice.Outcome, time.Duration) {
 	switch s {
+	case unready:
+		return choice.NotSent, 0
 	case noConnection, lostUnsent:
 		return choice.NoConnection, 0
 	case lost:
--- a/internal/partner/race.go
+++ b/internal/partner/race.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"basaltcross.example/basaltcross/internal/addr"
@@ -17,22 +18,31 @@
 // calls that are out go on.
 func (c *Caller) Addresses(all map[string][]addr.Address) {
 	c.mu.Lock()
-	var old []*conn
 	for host := range c.books {
 		if all[host] == nil {
 			delete(c.books, host)
 		}
 	}
-	for host, list := range all {
+	c.mu.Unlock()
+	c.Changed(all)
+}
+
+// Changed sets the addresses of some endpoints.
+func (c *Caller) Changed(some map[string][]addr.Address) {
+	c.mu.Lock()
+	var old []*conn
+	for host, list := range some {
 		if b := c.books[host]; b != nil {
 			b.Set(list)
 		} else {
 			c.books[host] = addr.NewBook(host, &c.fams, list)
 		}
 		if p := c.pools[host]; p != nil {
-			old = append(old, p.take(func(cn *conn) bool { return !slices.Contains(list, cn.addr) })...)
+			old = append(old, p.drain(func(cn *conn) bool { return !slices.Contains(list, cn.addr) })...)
 		}
 	}
+	close(c.news)
+	c.news = make(chan struct{})
 	c.mu.Unlock()
 	closeAll(old)
 }
@@ -59,20 +69,6 @@
 	return out
 }
 
-// take removes idle connections that a test picks.
-func (p *pool) take(pick func(*conn) bool) (out []*conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle = slices.DeleteFunc(p.idle, func(cn *conn) bool {
-		if !pick(cn) {
-			return false
-		}
-		out = append(out, cn)
-		return true
-	})
-	return out
-}
-
 // hung books a call that an address took and did not answer, and lets its idle
 // connections go, so that a further try does not meet it again.
 func (cn *conn) hung(c *Caller) {
@@ -80,25 +76,18 @@
 		return
 	}
 	cn.book.Hung(c.now(), cn.addr)
-	closeAll(cn.pool.take(func(o *conn) bool { return o.addr == cn.addr }))
+	closeAll(cn.pool.drain(func(o *conn) bool { return o.addr == cn.addr }))
 }
 
-// rests writes what a Unix socket did not take at once: the engine queues only
-// for TCP and drops it here.
-func (cn *conn) rests(k *call, b []byte) {
-	for len(b) > 0 {
-		time.Sleep(time.Millisecond)
-		cn.mu.Lock()
-		mine := cn.call == k
-		cn.mu.Unlock()
-		if !mine {
-			return
-		}
-		before := cn.sent.Load()
-		if _, err := cn.out.Write(b); err != nil {
-			return // closed: its end is booked there
-		}
-		b = b[cn.sent.Load()-before:]
+// pause tells whether the time passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
 }
 
@@ -109,22 +98,60 @@
 	took time.Duration
 }
 
-var errNoAddress = errors.New("partner: no address")
+var (
+	errNoAddress = errors.New("partner: no address")
+	// errOurs says that no connection could be tried, for want of descriptors,
+	// ports or memory here: nothing is learned of the address by it.
+	errOurs = errors.New("partner: nothing left to open a connection with")
+)
+
+// pauseOurs is how long a race waits where descriptors have run out.
+const pauseOurs = 10 * time.Millisecond
+
+func ours(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
 
 // race connects by the book's plan; the first connection that is up wins, the
-// others are called off or closed unused. Requests are never raced.
-func (c *Caller) race(ctx context.Context, k *call, book *addr.Book) (net.Conn, addr.Address, error) {
+// others are called off or closed unused. Requests are never raced. An endpoint
+// whose names are being looked up has none yet: then the race waits for them.
+func (c *Caller) race(ctx context.Context, host string, within time.Duration, book *addr.Book) (net.Conn, addr.Address, error) {
+	began := time.Now()
 	if book == nil {
-		at := addr.Address{Network: "tcp", Addr: k.Host}
-		conn, err := new(net.Dialer).DialContext(ctx, "tcp", k.Host)
-		return conn, at, err
+		at := addr.Address{Network: "tcp", Addr: host}
+		for {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", host)
+			if err == nil || !ours(err) {
+				return conn, at, err
+			}
+			if time.Since(began) > within/2 || !pause(ctx, pauseOurs) {
+				return nil, at, errOurs
+			}
+		}
+	}
+	plan := book.Plan(c.now(), within)
+	for len(plan) == 0 {
+		c.mu.Lock()
+		news := c.news
+		c.mu.Unlock()
+		if plan = book.Plan(c.now(), within); len(plan) > 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil, addr.Address{}, errNoAddress
+		case <-news:
+		}
 	}
-	plan := book.Plan(c.now(), k.Patient, addr.Address{})
 	race, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan dialed, len(plan))
 	begun, running := 0, 0
-	began := time.Now()
 	begin := func() {
 		s := plan[begun]
 		begun++
@@ -159,7 +186,15 @@
 				go c.losers(book, results, running, count)
 				return d.conn, d.step.Address, nil
 			}
-			if err = d.err; ctx.Err() == nil {
+			if err = d.err; ours(err) {
+				book.Left(c.now(), d.step.Address, 0)
+				count(d.step.Family, "ours")
+				if time.Since(began) > within/2 || !pause(ctx, pauseOurs) {
+					err = errOurs
+					continue
+				}
+				plan = append(plan[:begun:begun], append([]addr.Step{d.step}, plan[begun:]...)...)
+			} else if ctx.Err() == nil {
 				book.Failed(c.now(), d.step.Address)
 				count(d.step.Family, "failed")
 			} else {
@@ -183,6 +218,8 @@
 			_ = d.conn.Close()
 			book.Connected(d.step.Address, d.took)
 			count(d.step.Family, "lost")
+		case ours(d.err):
+			book.Left(c.now(), d.step.Address, 0)
 		case errors.Is(d.err, context.Canceled) || errors.Is(d.err, net.ErrClosed) || isCanceled(d.err):
 			book.Left(c.now(), d.step.Address, d.took)
 			count(d.step.Family, "left")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 
+	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/budget"
 	"basaltcross.example/basaltcross/internal/config"
 	"basaltcross.example/basaltcross/internal/core"
@@ -27,6 +28,7 @@
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
 	"basaltcross.example/basaltcross/internal/partner"
+	"basaltcross.example/basaltcross/internal/resolve"
 	"basaltcross.example/basaltcross/internal/secure"
 	"basaltcross.example/basaltcross/internal/webpush"
 	"basaltcross.example/basaltcross/internal/zone"
@@ -48,6 +50,7 @@
 	front  *mqttfront.Front
 	push   *webpush.Front // nil where it is not configured
 	zones  *zone.Reporter
+	names  *resolve.Follower
 	source directory.Source
 
 	// MetricsAddr is where the metrics are served, nil if nowhere.
@@ -86,6 +89,7 @@
 	kinds := index(cfg.Kinds, func(k config.Kind) string { return k.Name })
 	for _, p := range cfg.Partners {
 		n.Kinds = append(n.Kinds, kinds[p.Kind])
+		n.Secure = append(n.Secure, p.TLS != nil)
 	}
 	return n
 }
@@ -162,8 +166,10 @@
 	}
 	pollers := max(1, runtime.GOMAXPROCS(0)/2)
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
-		Limits:      http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
-		IdlePerHost: cfg.PartnerCalls.IdlePerHost, IdleFor: cfg.Relay.ConnIdle.D(), Pollers: pollers,
+		Limits: http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
+		Keep: addr.KeepSettings{Idle: cfg.Relay.ConnIdle.D(), Age: cfg.PartnerCalls.ConnAge.D(),
+			Most: cfg.PartnerCalls.IdlePerHost, Spare: cfg.PartnerCalls.Spares, Connecting: cfg.PartnerCalls.Connecting},
+		Sessions: cfg.PartnerCalls.Sessions, Pollers: pollers,
 		Traffic: counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut,
 		Dialed: r.obs.Dialed})
 	if err != nil {
@@ -191,20 +197,23 @@
 	r.zones = &zone.Reporter{Relay: cfg.Relay.Name, Classes: classes, Partners: partners, Zones: zones, Own: own,
 		Table: traffic, Toll: toll, Now: r.core.Now, File: cfg.ZoneRecords,
 		Failed: func(err error) { r.obs.Logf("zone records: %v", err) }}
-	r.obs.Serves("/addresses", func() any { return r.caller.Known() })
+	set := addr.DefaultNames
+	set.Stale, set.Each = cfg.Resolver.Stale.D(), cfg.Resolver.Addresses
+	r.names = resolve.New(resolver(cfg), set, cfg.Resolver.Timeout.D(), r.caller, r.obs.Unresolved)
+	r.obs.Serves("/addresses", func() any { return r.Addresses() })
 	r.obs.Zones(traffic, zones, func() any { return r.zones.Report() })
 	var door front.Door = r.core
 	if hooks.Door != nil {
 		door = hooks.Door(door)
 	}
-	var sink directory.Sink = r.core
+	var sink directory.Sink = directory.Sinks{r.core, r.caller}
 	if hooks.Sink != nil {
 		sink = hooks.Sink(sink)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	source := &directory.File{Path: cfg.Directory.File, Names: names, Most: cfg.Limits.ListBytes, Report: r.obs.Listed,
-		Addresses: r.caller.Addresses}
+		Addresses: r.names.Set}
 	r.source = source
 	fail := func(err error) (*Relay, error) {
 		cancel()
@@ -217,7 +226,11 @@
 			return fail(err)
 		}
 	}
-	r.done.Add(4)
+	r.done.Add(5)
+	go func() {
+		defer r.done.Done()
+		r.names.Run(ctx)
+	}()
 	go func() {
 		defer r.done.Done()
 		r.zones.Run(ctx)
@@ -289,6 +302,28 @@
 	return r.push.Addrs(), r.push.TLSAddrs()
 }
 
+// Addresses is the report on endpoints that have several addresses, and on the
+// names among them.
+type Addresses struct {
+	Endpoints map[string][]addr.Known `json:"endpoints"`
+	Names     []addr.Resolved         `json:"names,omitempty"`
+	// LeftOut are addresses that a name gave and another partner has.
+	LeftOut []addr.Conflict `json:"left_out,omitempty"`
+}
+
+// Addresses tells what is known of them now.
+func (r *Relay) Addresses() Addresses {
+	names, out := r.names.Known()
+	return Addresses{r.caller.Known(), names, out}
+}
+
+func resolver(cfg *config.Config) resolve.Resolver {
+	if len(cfg.Resolver.Servers) == 0 {
+		return resolve.System{TTL: cfg.Resolver.TTL.D()}
+	}
+	return resolve.Servers{Addrs: cfg.Resolver.Servers, Timeout: cfg.Resolver.Timeout.D() / 2}
+}
+
 func serverTLS(ring *keys.Ring, t *config.TLS, protocols ...string) (*tls.Config, error) {
 	if t == nil {
 		return nil, nil
--- /dev/null
+++ b/internal/resolve/resolve_test.go
@@ -0,0 +1,115 @@
+package resolve
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/standin"
+)
+
+func server(t *testing.T) *standin.DNS {
+	t.Helper()
+	d, err := standin.StartDNS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+func ips(list ...string) (out []netip.Addr) {
+	for _, s := range list {
+		out = append(out, netip.MustParseAddr(s))
+	}
+	return out
+}
+
+// Aliases, both families, the least TTL on the way, a cut answer, no addresses,
+// a loop of aliases, a server that fails before one that answers.
+func TestServers(t *testing.T) {
+	d := server(t)
+	d.Set("a.example", standin.Zone{Alias: "b.example", TTL: 7})
+	d.Set("b.example", standin.Zone{Addrs: ips("127.0.0.1", "::1", "127.0.0.2"), TTL: 60, Cut: true})
+	d.Set("cut.example", standin.Zone{Addrs: ips("127.0.0.3"), TTL: 60, Cut: true})
+	d.Set("loop.example", standin.Zone{Alias: "loop.example", TTL: 9})
+	d.Set("bad.example", standin.Zone{Rcode: dns.RcodeServerFailure})
+	d.Set("mute.example", standin.Zone{Mute: true})
+	s := Servers{Addrs: []string{"127.0.0.1:1", d.Addr}, Timeout: 300 * time.Millisecond}
+	for _, c := range []struct {
+		name string
+		want []netip.Addr
+		ttl  time.Duration // 0: not looked at
+		fail bool
+	}{
+		{"a.example", ips("127.0.0.1", "127.0.0.2", "::1"), 7 * time.Second, false},
+		{"cut.example", ips("127.0.0.3"), 60 * time.Second, false},
+		{"loop.example", nil, 0, false}, {"none.example", nil, 0, false},
+		{"bad.example", nil, 0, true}, {"mute.example", nil, 0, true},
+	} {
+		got, ttl, err := s.Look(context.Background(), c.name)
+		slices.SortFunc(got, netip.Addr.Compare)
+		if !slices.Equal(got, c.want) || c.ttl > 0 && ttl != c.ttl || (err != nil) != c.fail {
+			t.Errorf("%s: %v, %v, %v", c.name, got, ttl, err)
+		}
+	}
+}
+
+// sink passes news on.
+type sink chan map[string][]addr.Address
+
+func (s sink) Addresses(all map[string][]addr.Address) { s <- all }
+func (s sink) Changed(some map[string][]addr.Address)  { s <- some }
+
+// A name that moves is followed within its TTL; while the server is mute, what
+// was known stays, and is asked for again without a spin.
+func TestFollower(t *testing.T) {
+	d := server(t)
+	d.Set("bank.example", standin.Zone{Addrs: ips("127.0.0.1"), TTL: 1})
+	news := make(sink, 100)
+	f := New(Servers{Addrs: []string{d.Addr}, Timeout: 100 * time.Millisecond}, addr.DefaultNames, 200*time.Millisecond, news,
+		func(string, error) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	a, _ := addr.Parse("bank.example:80")
+	f.Set([]addr.Endpoint{{Host: "bank:1", Addrs: []addr.Address{a}}})
+	next := func() string {
+		select {
+		case n := <-news:
+			if len(n["bank:1"]) == 0 {
+				return ""
+			}
+			return n["bank:1"][0].String()
+		case <-time.After(20 * time.Second):
+			t.Fatal("no news")
+			return ""
+		}
+	}
+	if next() != "" || next() != "127.0.0.1:80" {
+		t.Fatal("not learned")
+	}
+	d.Set("bank.example", standin.Zone{Addrs: ips("127.0.0.2"), TTL: 1})
+	if next() != "127.0.0.2:80" {
+		t.Fatal("not followed")
+	}
+	d.Set("bank.example", standin.Zone{Mute: true})
+	asked := d.Asked("bank.example")
+	for d.Asked("bank.example") < asked+3 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if known, _ := f.Known(); len(known) != 1 || len(known[0].Addrs) != 1 || len(news) > 0 {
+		t.Errorf("while mute: %+v, %d news", known, len(news))
+	}
+	d.Set("bank.example", standin.Zone{Addrs: ips("127.0.0.3"), TTL: 1})
+	if next() != "127.0.0.3:80" {
+		t.Error("not back")
+	}
+	cancel()
+	<-done
+}
--- a/internal/secure/secure.go
+++ b/internal/secure/secure.go
@@ -43,7 +43,7 @@
 type feed struct {
 	nb    *nbio.Conn
 	slots Slots
-	wrote func(n int) // may be nil
+	write func(*nbio.Conn, []byte) (int, error) // nil for the engine's
 
 	mu       sync.Mutex
 	some     sync.Cond
@@ -115,8 +115,8 @@
 }
 
 func (f *feed) Write(b []byte) (int, error) {
-	if f.wrote != nil {
-		f.wrote(len(b))
+	if f.write != nil {
+		return f.write(f.nb, b)
 	}
 	return f.nb.Write(b)
 }
@@ -237,9 +237,10 @@
 
 // Client does the handshake on a connected socket, then hands it to the engine;
 // a wrapped socket that has an Unwrap is unwrapped for that.
-// made is called with the engine's connection before any data can come.
-func Client(ctx context.Context, raw net.Conn, cfg *tls.Config, engine *nbio.Engine, wrote func(int),
-	made func(*nbio.Conn, *Conn), got func([]byte)) error {
+// Records are written by write, which must not block. made is called with the
+// engine's connection before any data can come.
+func Client(ctx context.Context, raw net.Conn, cfg *tls.Config, engine *nbio.Engine,
+	write func(*nbio.Conn, []byte) (int, error), made func(*nbio.Conn, *Conn), got func([]byte)) error {
 	s := &swap{raw}
 	tc := tls.Client(s, cfg)
 	if err := tc.HandshakeContext(ctx); err != nil {
@@ -255,7 +256,7 @@
 		return err
 	}
 	f := newFeed(nb, nil)
-	f.wrote = wrote
+	f.write = write
 	s.Conn = f
 	c := &Conn{Conn: tc, feed: f}
 	made(nb, c)
