Trials of addresses end by themselves; strangers wait as long as their family took

Change: a trial has its own 2 s; a broken family gets one, at whichever endpoint comes first; an address without history is given what its family took elsewhere (100 ms at least) instead of 250 ms; what is called off is booked at once. Stand-ins date a request by its first byte on the socket and record half ones.

--- a/cmd/basaltcross/model.go
+++ b/cmd/basaltcross/model.go
@@ -52,6 +52,7 @@
 			}
 			return nil
 		}}
+	c.AddCommand(modelAddresses())
 	f := c.Flags()
 	f.Uint64Var(&s.Seed, "seed", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 5, "runs of each kind, for the error bars")
@@ -73,3 +74,29 @@
 	f.StringVar(&plot, "plot", "", "draw worth against bytes to this file (.svg, .png)")
 	return c
 }
+
+func modelAddresses() *cobra.Command {
+	s := fleet.AddressSettings{}
+	c := &cobra.Command{Use: "addresses", Short: "Model a fleet's connections while a family of addresses is dead", Args: cobra.NoArgs,
+		Long: "Relays connect to endpoints with an IPv6 and an IPv4 address each; IPv6 is dead at a part of them in the middle\n" +
+			"third. Left out: everything but setting up connections; the dead addresses are silent, none refuses.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			var results []fleet.AddressResult
+			for _, s.Learns = range []fleet.Learns{fleet.All, fleet.Books, fleet.NoMemory} {
+				results = append(results, fleet.Addresses(s))
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d relays, %d endpoints, %.0f calls a second for %v, IPv6 dead at %.0f%% in the middle third\n",
+				s.Relays, s.Endpoints, s.Rate, s.Lasts, 100*s.Dead)
+			fleet.PrintAddresses(c.OutOrStdout(), results)
+			return nil
+		}}
+	f := c.Flags()
+	f.Uint64Var(&s.Seed, "seed", 1, "seed")
+	f.IntVar(&s.Relays, "relays", 250, "relays")
+	f.IntVar(&s.Endpoints, "endpoints", 940, "endpoints")
+	f.Float64Var(&s.Rate, "rate", 3000, "calls a second of all relays")
+	f.DurationVar(&s.Lasts, "for", 15*time.Minute, "simulated time")
+	f.Float64Var(&s.Dead, "dead", 0.2, "part of the endpoints")
+	f.DurationVar(&s.Keep, "keep", 30*time.Second, "how long an idle connection stands")
+	return c
+}
--- a/internal/addr/addr.go
+++ b/internal/addr/addr.go
@@ -77,6 +77,8 @@
 const (
 	leastDelay   = 10 * time.Millisecond
 	usualDelay   = 250 * time.Millisecond
+	strangeDelay = 100 * time.Millisecond // least for an address that was never connected to
+	enough       = 16                     // connections after which a family's times are heard
 	mostDelay    = 2 * time.Second
 	firstPenalty = time.Second
 	mostPenalty  = time.Minute
@@ -92,6 +94,53 @@
 	mu   sync.Mutex
 	bad  [families]float64 // smoothed share of failed connections
 	seen [families]map[string]bool
+	srtt [families]time.Duration // smoothed connect time over all endpoints
+	dev  [families]time.Duration
+	n    [families]int
+	next [families]time.Duration // of a broken family: its next trial
+	gap  [families]time.Duration
+}
+
+// try tells whether it is time to try a broken family again, at whichever
+// endpoint comes first.
+func (f *Families) try(now time.Duration, family Family) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now < f.next[family] {
+		return false
+	}
+	f.gap[family] = min(max(2*f.gap[family], firstPenalty), mostPenalty)
+	f.next[family] = now + f.gap[family]
+	return true
+}
+
+// delay is what an address of a family is given before the next is begun, while
+// nothing is known of it itself: what the others of its family took, for a new
+// address is seldom slower by much than all that were met.
+func (f *Families) delay(family Family) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.n[family] < enough {
+		return usualDelay
+	}
+	return min(max(f.srtt[family]+8*f.dev[family], strangeDelay), mostDelay)
+}
+
+func (f *Families) took(family Family, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	smooth(&f.srtt[family], &f.dev[family], took)
+	f.n[family] = min(f.n[family]+1, enough)
+}
+
+// smooth takes a time into a mean and its deviation (RFC 6298, 2).
+func smooth(srtt, dev *time.Duration, took time.Duration) {
+	if *srtt == 0 {
+		*srtt, *dev = max(took, 1), took/2
+		return
+	}
+	*dev += (time.Duration(math.Abs(float64(took-*srtt))) - *dev) / 4
+	*srtt = max(*srtt+(took-*srtt)/8, 1)
 }
 
 // note takes in one connection attempt at an endpoint.
@@ -104,7 +153,7 @@
 	}
 	f.bad[family] += (x - f.bad[family]) / 8
 	if !failed {
-		f.seen[family] = nil
+		f.seen[family], f.gap[family] = nil, 0
 	} else if len(f.seen[family]) < endpoints {
 		if f.seen[family] == nil {
 			f.seen[family] = map[string]bool{}
@@ -137,8 +186,14 @@
 type Step struct {
 	Address
 	After time.Duration // after the race began, or as soon as all before it failed
+	// Trial is to end by itself, within TrialTime, also if another wins: it is to
+	// show whether the address is well again.
+	Trial bool
 }
 
+// TrialTime is how long a trial may take.
+const TrialTime = mostDelay
+
 // Book is what a relay knows of one endpoint's addresses. It is safe for
 // concurrent use.
 type Book struct {
@@ -220,12 +275,13 @@
 		if at > within/2 && i > 0 { // what comes later would leave the call no time
 			break
 		}
-		steps = append(steps, Step{s.Address, at})
+		steps = append(steps, Step{Address: s.Address, After: at})
 	}
 	for i, s := range order[:len(steps)] { // due for a trial: beside the first
-		if i > 0 && s.fails > 0 && now >= s.until && !s.trying {
+		own := s.fails > 0 && now >= s.until && !s.trying
+		if i > 0 && (own || s.fails == 0 && b.families.Broken(s.Family) && b.families.try(now, s.Family)) {
 			s.trying = true
-			steps[i].After = 0
+			steps[i].After, steps[i].Trial = 0, true
 			break
 		}
 	}
@@ -235,7 +291,7 @@
 // delay before the next connection is begun beside one to an address.
 func (b *Book) delay(s *state) time.Duration {
 	if s.srtt == 0 {
-		return usualDelay
+		return b.families.delay(s.Family)
 	}
 	return min(max(s.srtt+4*s.dev, leastDelay), mostDelay)
 }
@@ -266,6 +322,7 @@
 // Connected takes in a connection that came up, whether it won its race or not.
 func (b *Book) Connected(a Address, took time.Duration) {
 	b.families.note(a.Family, b.name, false)
+	b.families.took(a.Family, took)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.find(a)
@@ -273,12 +330,7 @@
 		return
 	}
 	s.fails, s.trying = 0, false
-	if s.srtt == 0 { // RFC 6298, 2
-		s.srtt, s.dev = max(took, 1), took/2
-		return
-	}
-	s.dev += (time.Duration(math.Abs(float64(took-s.srtt))) - s.dev) / 4
-	s.srtt = max(s.srtt+(took-s.srtt)/8, 1)
+	smooth(&s.srtt, &s.dev, took)
 }
 
 // Failed takes in a connection that failed, by itself or by its time; not one
--- a/internal/addr/addr_test.go
+++ b/internal/addr/addr_test.go
@@ -90,6 +90,17 @@
 			}
 		}
 	}
+	// Back: one trial somewhere tells all endpoints.
+	trials := 0
+	for i := range 30 {
+		b := NewBook(fmt.Sprint(i), f, parse(t, "[::1]:1", "127.0.0.1:1"))
+		if p := b.Plan(time.Minute, time.Second); p[1].Trial {
+			trials++
+		}
+	}
+	if trials != 1 {
+		t.Errorf("%d trials at once", trials)
+	}
 	one := NewBook("x", f, parse(t, "[::1]:1"))
 	one.Connected(parse(t, "[::1]:1")[0], ms)
 	if f.Broken(IPv6) {
@@ -97,6 +108,31 @@
 	}
 }
 
+// A new address is given what its family took elsewhere, no less than the least
+// for strangers; a slow family is waited for.
+func TestStrangersDelay(t *testing.T) {
+	f := &Families{}
+	other := NewBook("other", f, parse(t, "[::9]:1"))
+	plan := func() time.Duration {
+		return NewBook("e", f, parse(t, "[::1]:1", "127.0.0.1:1")).Plan(0, 10*time.Second)[1].After
+	}
+	if d := plan(); d != usualDelay {
+		t.Errorf("with nothing known: %v", d)
+	}
+	for range 40 {
+		other.Connected(parse(t, "[::9]:1")[0], 2*ms)
+	}
+	if d := plan(); d != strangeDelay {
+		t.Errorf("with fast ones: %v", d)
+	}
+	for range 40 {
+		other.Connected(parse(t, "[::9]:1")[0], 400*ms)
+	}
+	if d := plan(); d < 400*ms {
+		t.Errorf("with slow ones: %v", d)
+	}
+}
+
 // Whatever happens: a plan names each address at most once, begins one at once,
 // its moments never fall but for a trial, and none comes later than half of the
 // attempt's time.
--- /dev/null
+++ b/internal/addr/scale_test.go
@@ -0,0 +1,54 @@
+package addr
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// many endpoints with four addresses each: a name, both families, a Unix socket.
+func many(b *testing.B, n int) (list []Endpoint) {
+	for i := range n {
+		list = append(list, Endpoint{Host: fmt.Sprintf("e%d:443", i), Partner: i % 500, Addrs: parse(b,
+			fmt.Sprintf("n%d.example:443", i), fmt.Sprintf("[fd00::%x]:443", i+1),
+			fmt.Sprintf("10.%d.%d.%d:443", 1+i>>16, i>>8&255, i&255), fmt.Sprintf("unix:/run/%d", i))})
+	}
+	return list
+}
+
+// Ten thousand endpoints with four addresses each: a list taken in, all names
+// resolved, a book for each, and a race planned at each.
+func BenchmarkTenThousand(b *testing.B) {
+	list := many(b, 10000)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var books []*Book
+	for b.Loop() {
+		set := DefaultNames
+		set.Asking = 1 << 20
+		n := NewNames(set, 1)
+		all := n.Set(0, list)
+		due, _ := n.Due(0)
+		for i, name := range due {
+			for host, l := range n.Answered(0, name, Answer{TTL: time.Minute,
+				Addrs: []netip.Addr{netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)})}}) {
+				all[host] = l
+			}
+		}
+		f := &Families{}
+		books = books[:0]
+		for _, e := range list {
+			k := NewBook(e.Host, f, all[e.Host])
+			if books = append(books, k); len(k.Plan(0, time.Minute)) != 4 {
+				b.Fatal("not four")
+			}
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(books)), "B/endpoint")
+	runtime.KeepAlive(books)
+}
--- /dev/null
+++ b/internal/fleet/address.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/addr"
+)
+
+// Learns is what is remembered of addresses from one connection to the next.
+type Learns string
+
+// The ways compared: the program's books and family health; books alone, so that
+// a dead family is met at each endpoint; and nothing, as a dialler that starts
+// over at each call and waits RFC 8305's delay.
+const (
+	All      Learns = "books and families"
+	Books    Learns = "books alone"
+	NoMemory Learns = "no memory"
+)
+
+// AddressSettings of a run on connections alone: relays call endpoints that have
+// an IPv6 and an IPv4 address each.
+type AddressSettings struct {
+	Seed      uint64
+	Learns    Learns
+	Relays    int
+	Endpoints int
+	Rate      float64       // calls a second of all relays
+	Lasts     time.Duration // of which IPv6 is dead in the middle third
+	Dead      float64       // at this part of the endpoints
+	Keep      time.Duration // an idle connection stands so long
+}
+
+// AddressResult of a run.
+type AddressResult struct {
+	Learns   Learns
+	Calls    int
+	Dialed   int           // calls that needed a connection
+	Struck   int           // of those, at an endpoint whose IPv6 was dead then
+	Extra    int           // connections begun beyond one for each
+	Delayed  int           // calls that waited 10 ms or more longer than with a good address first
+	Mean     time.Duration // added to a struck call, on average
+	P99      time.Duration
+	Returned float64 // share of connections by IPv6 again in the last tenth, where it had been dead
+}
+
+// Addresses plays a run.
+func Addresses(s AddressSettings) AddressResult {
+	r := AddressResult{Learns: s.Learns}
+	chance := rand.New(rand.NewPCG(s.Seed, 5))
+	type place struct{ relay, endpoint int }
+	books := map[place]*addr.Book{}
+	last := map[place]time.Duration{}
+	families := make([]addr.Families, s.Relays)
+	lists := make([][]addr.Address, s.Endpoints)
+	for e := range lists {
+		lists[e] = []addr.Address{{Network: "tcp", Addr: fmt.Sprintf("[fd00::%x]:443", e+1), Family: addr.IPv6},
+			{Network: "tcp", Addr: fmt.Sprintf("10.0.%d.%d:443", e>>8, e&255), Family: addr.IPv4}}
+	}
+	var added []time.Duration
+	var back, late int
+	for now := time.Duration(0); now < s.Lasts; now += time.Duration(chance.ExpFloat64() / s.Rate * 1e9) {
+		at := place{chance.IntN(s.Relays), int(float64(s.Endpoints) * math.Pow(chance.Float64(), 2))}
+		wait := time.Duration((2 + 3*chance.Float64()) * float64(time.Millisecond)) // a round trip to this endpoint
+		r.Calls++
+		if until, ok := last[at]; ok && now < until {
+			last[at] = now + s.Keep
+			continue
+		}
+		last[at] = now + s.Keep
+		r.Dialed++
+		// Which endpoints are struck has nothing to do with how often they are called.
+		struck := float64(at.endpoint*7919%s.Endpoints) < s.Dead*float64(s.Endpoints)
+		dead := struck && now > s.Lasts/3 && now < 2*s.Lasts/3
+		book := books[at]
+		if book == nil || s.Learns == NoMemory {
+			f := &families[at.relay]
+			if s.Learns != All {
+				f = &addr.Families{}
+			}
+			book = addr.NewBook("e", f, lists[at.endpoint])
+			if s.Learns == All {
+				book = addr.NewBook(fmt.Sprint(at.endpoint), f, lists[at.endpoint])
+			}
+			books[at] = book
+		}
+		plan := book.Plan(now, 5*time.Second)
+		won, up := -1, time.Duration(math.MaxInt64)
+		for i, step := range plan {
+			if alive := step.Family == addr.IPv4 || !dead; alive && step.After+wait < up {
+				won, up = i, step.After+wait
+			}
+		}
+		for i, step := range plan {
+			switch alive := step.Family == addr.IPv4 || !dead; {
+			case i == won:
+				book.Connected(step.Address, wait)
+			case step.Trial && alive:
+				r.Extra++
+				book.Connected(step.Address, wait)
+			case step.Trial:
+				r.Extra++
+				book.Failed(now+addr.TrialTime, step.Address)
+			case step.After < up: // begun, and called off
+				r.Extra++
+				book.Left(now+up, step.Address, up-step.After)
+			}
+		}
+		if dead {
+			r.Struck++
+			if added = append(added, up-wait); up-wait >= 10*time.Millisecond {
+				r.Delayed++
+			}
+		} else if struck && now > s.Lasts*9/10 {
+			if late++; plan[won].Family == addr.IPv6 {
+				back++
+			}
+		}
+	}
+	slices.Sort(added)
+	if n := len(added); n > 0 {
+		sum := time.Duration(0)
+		for _, a := range added {
+			sum += a
+		}
+		r.Mean, r.P99 = sum/time.Duration(n), added[n*99/100]
+	}
+	r.Returned = float64(back) / float64(max(1, late))
+	return r
+}
+
+// PrintAddresses writes results as a table, the ways in the order given.
+func PrintAddresses(w io.Writer, results []AddressResult) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "learned\tcalls\tconnections\tstruck\tdelayed\tadded, mean\tadded, p99\textra connections\tIPv6 again\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1f%%\t%v\t%v\t%.1f%%\t%.0f%%\t\n", r.Learns, r.Calls, r.Dialed, r.Struck,
+			100*float64(r.Delayed)/float64(max(1, r.Struck)), r.Mean.Round(100*time.Microsecond),
+			r.P99.Round(time.Millisecond), 100*float64(r.Extra)/float64(cmp.Or(r.Dialed, 1)), 100*r.Returned)
+	}
+	_ = t.Flush()
+}
--- a/internal/partner/hard_test.go
+++ b/internal/partner/hard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -29,9 +30,13 @@
 	go func() {
 		for {
 			c, err := l.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil { // out of descriptors, which one test brings about
+				time.Sleep(time.Millisecond)
+				continue
+			}
 			go func() { defer c.Close(); script(c, bufio.NewReader(c)) }()
 		}
 	}()
--- a/internal/partner/race.go
+++ b/internal/partner/race.go
@@ -152,13 +152,22 @@
 	defer cancel()
 	results := make(chan dialed, len(plan))
 	begun, running := 0, 0
+	under := map[addr.Address]time.Time{} // way since then, trials apart
 	begin := func() {
 		s := plan[begun]
 		begun++
 		running++
 		at := time.Now()
+		if !s.Trial {
+			under[s.Address] = at
+		}
+		with, done := race, context.CancelFunc(func() {})
+		if s.Trial {
+			with, done = context.WithTimeout(c.ctx, addr.TrialTime)
+		}
 		go func() {
-			conn, err := new(net.Dialer).DialContext(race, s.Network, s.Addr)
+			defer done()
+			conn, err := new(net.Dialer).DialContext(with, s.Network, s.Addr)
 			results <- dialed{s, conn, err, time.Since(at)}
 		}()
 	}
@@ -167,6 +176,13 @@
 			c.opt.Dialed(f.String(), result)
 		}
 	}
+	// leave books what is called off at once, so that the next call knows.
+	leave := func() {
+		for a, at := range under {
+			book.Left(c.now(), a, time.Since(at))
+		}
+		go c.losers(book, results, running, count)
+	}
 	err := error(errNoAddress)
 	for begun < len(plan) || running > 0 {
 		for begun < len(plan) && (running == 0 || time.Since(began) >= plan[begun].After) {
@@ -178,12 +194,16 @@
 		}
 		select {
 		case <-next:
+		case <-ctx.Done(): // the attempt is over; what is under way tells what it tells
+			leave()
+			return nil, addr.Address{}, ctx.Err()
 		case d := <-results:
 			running--
+			delete(under, d.step.Address)
 			if d.err == nil {
 				book.Connected(d.step.Address, d.took)
 				count(d.step.Family, "won")
-				go c.losers(book, results, running, count)
+				leave()
 				return d.conn, d.step.Address, nil
 			}
 			if err = d.err; ours(err) {
@@ -194,17 +214,10 @@
 					continue
 				}
 				plan = append(plan[:begun:begun], append([]addr.Step{d.step}, plan[begun:]...)...)
-			} else if ctx.Err() == nil {
-				book.Failed(c.now(), d.step.Address)
-				count(d.step.Family, "failed")
 			} else {
-				book.Left(c.now(), d.step.Address, d.took)
-				count(d.step.Family, "left")
+				c.lost(book, d, count)
 			}
 		}
-		if ctx.Err() != nil {
-			begun = len(plan) // the attempt is over: nothing further is begun
-		}
 	}
 	return nil, addr.Address{}, err
 }
@@ -213,23 +226,30 @@
 func (c *Caller) losers(book *addr.Book, results <-chan dialed, running int, count func(addr.Family, string)) {
 	for range running {
 		d := <-results
-		switch {
-		case d.err == nil:
+		if d.err == nil {
 			_ = d.conn.Close()
 			book.Connected(d.step.Address, d.took)
 			count(d.step.Family, "lost")
-		case ours(d.err):
-			book.Left(c.now(), d.step.Address, 0)
-		case errors.Is(d.err, context.Canceled) || errors.Is(d.err, net.ErrClosed) || isCanceled(d.err):
-			book.Left(c.now(), d.step.Address, d.took)
-			count(d.step.Family, "left")
-		default:
-			book.Failed(c.now(), d.step.Address)
-			count(d.step.Family, "failed")
+		} else {
+			c.lost(book, d, count)
 		}
 	}
 }
 
+// lost books a connection that did not come up.
+func (c *Caller) lost(book *addr.Book, d dialed, count func(addr.Family, string)) {
+	switch {
+	case ours(d.err):
+		book.Left(c.now(), d.step.Address, 0)
+		count(d.step.Family, "ours")
+	case !d.step.Trial && errors.Is(d.err, context.DeadlineExceeded) || errors.Is(d.err, context.Canceled) || errors.Is(d.err, net.ErrClosed) || isCanceled(d.err): // booked when it was called off
+		count(d.step.Family, "left")
+	default:
+		book.Failed(c.now(), d.step.Address)
+		count(d.step.Family, "failed")
+	}
+}
+
 // isCanceled tells a dial that was called off: net says so by a text only.
 func isCanceled(err error) bool {
 	var op *net.OpError
--- a/internal/relay/addr_test.go
+++ b/internal/relay/addr_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -164,3 +166,113 @@
 		}
 	}
 }
+
+// A partner's name moves from one host to another, gives nothing, gives another
+// partner's address, and its server goes mute, while messages come: nothing goes
+// to a host after its time there is over, nothing to another's, none is sent twice.
+func TestNameMoves(t *testing.T) {
+	dns, err := standin.StartDNS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dns.Close()
+	rec := standin.NewRecorder(1 << 20)
+	p := standin.NewPartner("p0", standin.Model{Service: ms, Window: 10 * time.Second}, 1)
+	one, err := standin.Start("127.0.0.1:0", p, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer one.Close()
+	_, port, _ := net.SplitHostPort(one.Addr)
+	two, err := standin.Start("127.0.0.2:"+port, p, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer two.Close()
+	other, err := standin.Start("127.0.0.3:"+port, standin.NewPartner("p1", standin.Model{Service: ms}, 1), rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	at := func(ips ...string) {
+		z := standin.Zone{TTL: 1}
+		for _, ip := range ips {
+			z.Addrs = append(z.Addrs, netip.MustParseAddr(ip))
+		}
+		dns.Set("bank.example", z)
+	}
+	at("127.0.0.1")
+	list := filepath.Join(t.TempDir(), "list.cue")
+	text := fmt.Sprintf("endpoints: [{addr: \"bank.example:%s\", partner: \"p0\"}, {addr: %q, partner: \"p1\"}]\n", port, other.Addr)
+	if err := os.WriteFile(list, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse("test.cue", []byte(testutil.Config(list, 2, fmt.Sprintf("resolver: {servers: [%q], timeout: \"200ms\"}", dns.Addr))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := relay.Start(cfg, zerolog.Nop(), relay.Hooks{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Stop()
+	in := newInbox()
+	c, err := client.Dial(testutil.Context(t), r.Addrs()[0], client.Options{ID: "c", Expiry: 600, On: in.on})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	n := 0
+	send := func(many int) {
+		for range many {
+			if err := c.Send(testutil.Context(t), client.Message{ID: fmt.Sprint(n), Class: []string{"status", "charge"}[n%2], Partner: "p0",
+				Body: fmt.Appendf(nil, "%d", n)}); err != nil {
+				t.Fatal(err)
+			}
+			n++
+		}
+		in.wait(t, n)
+	}
+	known := func(what string, want func(relay.Addresses) bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !want(r.Addresses()); time.Sleep(5 * ms) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %+v", what, r.Addresses())
+			}
+		}
+	}
+	first := func(a relay.Addresses) string {
+		if l := a.Endpoints["bank.example:"+port]; len(l) > 0 {
+			return l[0].Address
+		}
+		return ""
+	}
+	send(100)
+	at("127.0.0.2")
+	known("moved", func(a relay.Addresses) bool { return first(a) == two.Addr })
+	moved := time.Now()
+	send(100)
+	at("127.0.0.3") // the other partner's
+	known("another's", func(a relay.Addresses) bool { return len(a.LeftOut) == 1 && first(a) == "" })
+	at("127.0.0.1", "127.0.0.3")
+	known("one of both", func(a relay.Addresses) bool { return first(a) == one.Addr })
+	send(100)
+	dns.Set("bank.example", standin.Zone{Mute: true})
+	known("mute", func(a relay.Addresses) bool { return len(a.Names) == 1 && a.Names[0].Fails > 0 })
+	send(100)
+	seen := map[string]int{}
+	for _, k := range rec.Calls() {
+		seen[k.Body]++
+		if k.Partner == "p1" {
+			t.Errorf("%s went to another partner", k.Body)
+		}
+		if i, _ := strconv.Atoi(k.Body); i >= 100 && i < 200 && k.Endpoint == one.Addr {
+			t.Errorf("%s went to the old address %v after the move", k.Body, k.Start.Sub(moved))
+		}
+	}
+	for id, a := range in.wait(t, n) {
+		if a[0].Answer != "delivered" || seen[id] != 1 {
+			t.Errorf("%s: %s after %d calls", id, a[0].Answer, seen[id])
+		}
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -65,12 +65,13 @@
 	Refused = "refused"
 	Failed  = "error"
 	Lost    = "lost" // no answer: hung, or the connection was cut
+	Half    = "half" // not all of the request came; nothing ran
 )
 
 // Call is the record of one call.
 type Call struct {
-	Start, End time.Time
-	Endpoint   string // listening address
+	Start, End time.Time // first byte of the request on the socket; its end here
+	Endpoint   string    // listening address
 	Partner    string
 	Conn       string // peer address
 	Relay      string // from Via
@@ -208,12 +209,42 @@
 	t       Trouble
 	cut     chan struct{} // closed when the trouble changes
 	begun   time.Time
+	wrap    func(net.Conn) net.Conn
 }
 
 type connKey struct{}
 
+// metered notes when the first byte of each request came, on the socket.
+type metered struct {
+	net.Conn
+	mu    sync.Mutex
+	first time.Time // of bytes that no request is known for yet
+}
+
+func (m *metered) Read(b []byte) (int, error) {
+	n, err := m.Conn.Read(b)
+	if n > 0 {
+		m.mu.Lock()
+		if m.first.IsZero() {
+			m.first = time.Now()
+		}
+		m.mu.Unlock()
+	}
+	return n, err
+}
+
+// request tells when the first byte of the request that is read whole came.
+func (m *metered) request() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := m.first
+	m.first = time.Time{}
+	return at
+}
+
 // connState is what an endpoint knows of one connection.
 type connState struct {
+	*metered
 	mu    sync.Mutex
 	last  time.Time
 	calls int
@@ -234,10 +265,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("standin: %w", err)
 	}
-	if wrap != nil {
-		l = wrapped{l, wrap}
-	}
-	e := &Endpoint{Addr: l.Addr().String(), Partner: p, rec: rec, cut: make(chan struct{}), begun: time.Now()}
+	e := &Endpoint{wrap: wrap, Addr: l.Addr().String(), Partner: p, rec: rec, cut: make(chan struct{}), begun: time.Now()}
 	e.serve(l)
 	return e, nil
 }
@@ -252,16 +280,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return w.wrap(c), nil
+	if w.wrap != nil {
+		c = w.wrap(c)
+	}
+	return &metered{Conn: c}, nil
 }
 
 func (e *Endpoint) serve(l net.Listener) {
 	e.srv = &http.Server{Handler: e, ReadHeaderTimeout: 30 * time.Second,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, &connState{last: time.Now()})
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, &connState{metered: c.(*metered), last: time.Now()})
 		}}
 	srv := e.srv
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = srv.Serve(wrapped{l, e.wrap}) }()
 }
 
 // Close stops listening and cuts all connections.
@@ -299,10 +330,14 @@
 		Relay: strings.TrimPrefix(r.Header.Get("Via"), "1.1 "), Class: r.Header.Get("Message-Class"),
 		Key: r.Header.Get("Order-Key"), Idem: r.Header.Get("Idempotency-Key"), What: Lost}
 	body, err := io.ReadAll(io.LimitReader(r.Body, longestBody))
-	if err != nil {
-		return // half a request: nothing came whole, nothing runs
+	st, _ := r.Context().Value(connKey{}).(*connState)
+	c.Start, c.Body = st.request(), string(body)
+	if err != nil { // nothing came whole, nothing runs; but it was out until now
+		c.What, c.End = Half, time.Now()
+		c.Left = c.End
+		e.rec.add(c)
+		return
 	}
-	c.Body = string(body)
 	t := e.trouble()
 	e.Partner.arrived(&c)
 	var left atomic.Int64
@@ -317,7 +352,6 @@
 		}
 		e.rec.add(c)
 	}()
-	st, _ := r.Context().Value(connKey{}).(*connState)
 	st.mu.Lock()
 	idle, first := c.Start.Sub(st.last), st.calls == 0
 	st.calls++
@@ -333,6 +367,9 @@
 	cutOff := func() {
 		if h, ok := w.(http.Hijacker); ok {
 			if conn, _, err := h.Hijack(); err == nil {
+				if m, ok := conn.(*metered); ok {
+					conn = m.Conn
+				}
 				if tcp, ok := conn.(*net.TCPConn); ok {
 					_ = tcp.SetLinger(0)
 				}
