--- a/choice/api.go
+++ b/choice/api.go
@@ -170,6 +170,9 @@
 	Again       time.Duration // where it is closed: until then at least, on the clock of Step
 }
 
+// Fleet says that the fleet has changed: this relay's number in it, from 0, and its size.
+type Fleet struct{ Index, Size int }
+
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
@@ -184,6 +187,7 @@
 func (Woken) event()     {}
 func (Stop) event()      {}
 func (Tolls) event()     {}
+func (Fleet) event()     {}
 
 // An Action is something the relay must do. The types below are the actions.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,6 +78,8 @@
 			c.stopped = true
 		case Tolls:
 			c.tolls = &e
+		case Fleet:
+			c.fleet(e)
 		}
 	}
 	if c.askAt >= 0 && now >= c.askAt {
@@ -100,6 +102,20 @@
 	return c.acts
 }
 
+// fleet takes in its new size. What this relay found out to be its part of a limit is less in a larger one; in
+// a smaller one it finds out.
+func (c *Chooser) fleet(e Fleet) {
+	if e.Size < 1 || e.Size == c.set.Fleet {
+		return
+	}
+	for _, d := range c.order {
+		for _, u := range d.units {
+			u.limit *= min(1, float64(c.set.Fleet)/float64(e.Size))
+		}
+	}
+	c.set.Index, c.set.Fleet = e.Index, e.Size
+}
+
 func (c *Chooser) act(a Action) { c.acts = append(c.acts, a) }
 
 // list takes in news of the endpoint list.
--- a/internal/badday/day.go
+++ b/internal/badday/day.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -56,6 +58,7 @@
 	relays   []*relayProc
 	senders  []*sender
 	trust    *tls.Config
+	consul   *standin.Consul // nil where the list is a file
 
 	mu     sync.Mutex
 	ends   []*end
@@ -223,8 +226,41 @@
 	return slices.ContainsFunc(d.script.Troubles, func(t Trouble) bool { return t.Name == "address_dead" })
 }
 
+// instance is an endpoint as the catalogue has it.
+func (e *end) instance(draining bool) standin.Instance {
+	host, port, _ := net.SplitHostPort(e.Addr)
+	n, _ := strconv.Atoi(port)
+	i := standin.Instance{ID: e.Addr, Service: e.Partner.Name, Address: host, Port: n, Check: "passing",
+		Meta: map[string]string{"rate": fmt.Sprint(e.Partner.Model.Rate)}}
+	if draining {
+		i.Meta["state"] = "draining"
+	}
+	return i
+}
+
+// register puts the endpoints into the catalogue.
+func (d *day) register() {
+	d.mu.Lock()
+	var has []standin.Instance
+	var gone []string
+	for _, e := range d.ends {
+		if e.state == "gone" {
+			gone = append(gone, e.Addr)
+		} else {
+			has = append(has, e.instance(e.state == "draining"))
+		}
+	}
+	d.mu.Unlock()
+	d.consul.Put(has...)
+	d.consul.Delete(gone...)
+}
+
 // list writes the endpoint list, whole, by renaming.
 func (d *day) list() error {
+	if d.consul != nil {
+		d.register()
+		return nil
+	}
 	d.mu.Lock()
 	var b bytes.Buffer
 	b.WriteString("endpoints: [\n")
@@ -284,6 +320,13 @@
 		defer os.RemoveAll(dir)
 		d.dir = dir
 	}
+	if s.Catalogue {
+		var err error
+		if d.consul, err = standin.StartConsul(); err != nil {
+			return nil, err
+		}
+		defer d.consul.Close()
+	}
 	if err := d.makeKeys(); err != nil {
 		return nil, err
 	}
@@ -427,6 +470,19 @@
 	}
 }
 
+// directory is where a relay has its list from.
+func (d *day) directory(r *relayProc) string {
+	if d.consul == nil {
+		return `directory: file: "list.cue"`
+	}
+	var services []string
+	for i := range d.script.Partners {
+		services = append(services, fmt.Sprintf("{service: \"p%d\", partner: \"p%d\"}", i, i))
+	}
+	return fmt.Sprintf(`directory: {saved: "saved-%d.list", believe: "20s", consul: [{address: %q, wait: "2s", services: [%s]}]}
+fleet: {ttl: "1s", late: "3s"}`, r.index, d.consul.Addr, strings.Join(services, ", "))
+}
+
 func (d *day) config(r *relayProc) string {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, `relay: {name: %q, index: %d, fleet: %d, workers: 32, held: 600, attempts: 6, listedRates: true,
@@ -438,12 +494,12 @@
 ]
 kinds: [{name: "bank", refusalNeverRan: true}]
 rules: {drainGrace: %q, fall: %q, cold: %q, coldFrom: %g, overloadFactor: %g, orderSettle: %q}
-directory: file: "list.cue"
+%s
 mqtt: {listen: [%q], sessionExpiry: "2m"}
 webpush: {tlsListen: [%q], tls: {cert: "server.pem", key: "server.key"}, audience: [%q]}
 partners: [
 `, r.name(), r.index, d.script.Relays, aim, deadline, aim, deadline, window, aim, deadline, drainGrace, fall, cold,
-		coldFrom, factor, orderSettle, r.listen, strings.TrimPrefix(r.origin, "https://"), r.origin)
+		coldFrom, factor, orderSettle, d.directory(r), r.listen, strings.TrimPrefix(r.origin, "https://"), r.origin)
 	for i := range d.script.Partners {
 		fmt.Fprintf(&b, "\t{name: \"p%d\", kind: \"bank\"},\n", i)
 	}
--- a/internal/badday/script.cue
+++ b/internal/badday/script.cue
@@ -5,7 +5,8 @@
 	name: "burst" | "hot_caller" | "hot_key" | "hang" | "crash" | "fast_errors" | "slow" | "shared_slow" |
 		"heavy_tail" | "pauses" | "vanish" | "throttle" | "give_up" | "answer_lost" | "class_fail" |
 		"idle_reap" | "handshake_slow" | "deploy" | "preempt" | "discovery_down" | "balancer_crash" |
-		"balancer_roll" | "balancer_stall" | "address_dead"
+		"balancer_roll" | "balancer_stall" | "address_dead" |
+		"catalogue_down" | "catalogue_half" | "catalogue_back" | "flap"
 	at:   #Dur
 	for:  #Dur
 	part: number & >0 & <=1 | *0.34
@@ -20,5 +21,7 @@
 	// Messages a second of all clients together.
 	rate:  number & >0 | *150
 	lasts: #Dur | *"20s"
+	// Relays follow a catalogue, and each other there, instead of a list file.
+	catalogue: bool | *false
 	troubles: [...#Trouble] | *[]
 }
--- a/internal/badday/script.go
+++ b/internal/badday/script.go
@@ -28,13 +28,14 @@
 
 // Script is a day.
 type Script struct {
-	Seed     uint64
-	Relays   int
-	Clients  int
-	Partners int
-	Rate     float64
-	Lasts    config.Duration
-	Troubles []Trouble
+	Seed      uint64
+	Relays    int
+	Clients   int
+	Partners  int
+	Rate      float64
+	Lasts     config.Duration
+	Catalogue bool
+	Troubles  []Trouble
 }
 
 // Kinds are the kinds of trouble there are, each with a size that hurts.
@@ -49,7 +50,7 @@
 	{"answer_lost", 0.5, 0.25}, {"class_fail", 0.5, 0.9}, {"idle_reap", 1, 0.2}, {"handshake_slow", 0.7, 0.3},
 	{"deploy", 0.6, 0}, {"preempt", 0.4, 0}, {"discovery_down", 1, 0}, {"balancer_crash", 0.34, 0},
 	{"balancer_roll", 1, 0}, {"balancer_stall", 0.34, 0},
-	{"address_dead", 0.7, 0},
+	{"address_dead", 0.7, 0}, {"catalogue_down", 1, 0}, {"catalogue_half", 1, 0}, {"catalogue_back", 1, 0}, {"flap", 0.4, 0},
 }
 
 // Mixed is the default day: a bit of much, in well under a minute.
@@ -71,8 +72,9 @@
 func One(kind string) (string, error) {
 	for _, k := range Kinds {
 		if k.Name == kind {
-			return fmt.Sprintf("lasts: \"14s\"\ntroubles: [{name: %q, at: \"2s\", for: \"5s\", part: %g, size: %g}]",
-				k.Name, k.Part, k.Size), nil
+			catalogue := strings.HasPrefix(kind, "catalogue_") || kind == "flap"
+			return fmt.Sprintf("lasts: \"14s\"\ncatalogue: %v\ntroubles: [{name: %q, at: \"2s\", for: \"5s\", part: %g, size: %g}]",
+				catalogue, k.Name, k.Part, k.Size), nil
 		}
 	}
 	return "", fmt.Errorf("badday: no trouble %q", kind)
--- a/internal/badday/trouble.go
+++ b/internal/badday/trouble.go
@@ -82,6 +82,16 @@
 		d.deploy(ctx, t, 800*time.Millisecond)
 	case "preempt":
 		d.deploy(ctx, t, 0)
+	case "catalogue_down":
+		d.astray(ctx, lasts, standin.CatalogTrouble{Down: true})
+	case "catalogue_half":
+		d.astray(ctx, lasts, standin.CatalogTrouble{Half: true})
+	case "catalogue_back": // restored from nothing: its index begins anew, and it fills up again
+		d.consul.Reset()
+		d.astray(ctx, lasts, standin.CatalogTrouble{Empty: true})
+		d.consul.Reset()
+	case "flap":
+		d.flap(ctx, t)
 	case "discovery_down":
 		during(func() { d.broken = true }, func() {})
 		d.mu.Lock()
@@ -247,3 +257,30 @@
 		}
 	}
 }
+
+// astray makes trouble at the catalogue for a while.
+func (d *day) astray(ctx context.Context, lasts time.Duration, t standin.CatalogTrouble) {
+	d.consul.Set(t)
+	wait(ctx, lasts)
+	d.consul.Set(standin.CatalogTrouble{})
+}
+
+// flap takes endpoints in and out of service ten times a second; they end drained.
+func (d *day) flap(ctx context.Context, t Trouble) {
+	var ends []*end
+	for _, i := range d.some(len(d.partners), t.Part) {
+		ends = append(ends, d.endsOf(d.partners[i])[:1]...)
+	}
+	for end := time.Now().Add(t.For.D()); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, draining := range []bool{true, false} {
+			for _, e := range ends {
+				d.consul.Put(e.instance(draining))
+			}
+			wait(ctx, 50*time.Millisecond)
+		}
+	}
+	for _, e := range ends {
+		d.set(e, "draining")
+	}
+	_ = d.list()
+}
--- /dev/null
+++ b/internal/catalog/consul.go
@@ -0,0 +1,350 @@
+// Package catalog follows Consul's catalogue and health API by blocking queries,
+// and keeps a relay registered there. When to ask and what an answer is worth
+// decides Pacer; what follows from it, package member.
+package catalog
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"basaltcross.example/basaltcross/internal/member"
+)
+
+// Options of a Client.
+type Options struct {
+	Address     string // host:port, or http:// or https:// and that
+	Token       string
+	TokenFile   string // read again by the library at each start
+	Datacenter  string
+	Namespace   string
+	Partition   string
+	Consistency string        // "default", "stale" or "consistent"
+	MaxStale    time.Duration // since the server heard its leader; past it absence proves nothing
+	Wait        time.Duration // of a blocking query
+	MostBytes   int64         // of one answer
+	TLS         *tls.Config   // nil for the library's
+}
+
+// slack is the time of a query beyond its wait and the sixteenth that servers add
+// to it: that of the wait, within bounds.
+func (o *Options) slack() time.Duration { return min(max(o.Wait, 2*time.Second), 10*time.Second) }
+
+// Client asks one Consul agent or server.
+type Client struct {
+	api *api.Client
+	opt Options
+}
+
+// errTooLarge ends an answer past Options.MostBytes.
+var errTooLarge = errors.New("catalog: the answer is larger than allowed")
+
+// limited bounds the body of each answer.
+type limited struct {
+	http.RoundTripper
+	most int64
+}
+
+type limitedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+func (l limited) RoundTrip(q *http.Request) (*http.Response, error) {
+	r, err := l.RoundTripper.RoundTrip(q)
+	if err == nil {
+		r.Body = &limitedBody{r.Body, l.most}
+	}
+	return r, err
+}
+
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// New makes a client; it opens no connection.
+func New(opt Options) (*Client, error) {
+	t := &http.Transport{DialContext: (&net.Dialer{Timeout: opt.slack()}).DialContext, TLSClientConfig: opt.TLS,
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, TLSHandshakeTimeout: opt.slack()}
+	cfg := &api.Config{Address: opt.Address, Token: opt.Token, TokenFile: opt.TokenFile, Datacenter: opt.Datacenter,
+		Namespace: opt.Namespace, Partition: opt.Partition, HttpClient: &http.Client{Transport: limited{t, opt.MostBytes}}}
+	if opt.TLS != nil && !strings.Contains(opt.Address, "://") {
+		cfg.Scheme = "https"
+	}
+	c, err := api.NewClient(cfg)
+	if err != nil {
+		return nil, fmt.Errorf("catalog: %w", err)
+	}
+	return &Client{c, opt}, nil
+}
+
+// Mapping says what the instances of a service are here.
+type Mapping struct {
+	Service string
+	Tags    []string // all of which an instance must have
+	Filter  string   // an expression of the API's filtering
+	Partner string
+	Zone    string   // where neither service nor node tells one
+	Tagged  []string // names of tagged addresses to reach it by, in this order
+	Health  bool     // its health is heard
+	Barred  bool     // health is not even asked for: the catalogue is, so that maintenance is not seen
+}
+
+// News takes what a watch finds.
+type News struct {
+	Report func(member.Report)
+	Heard  func()          // an answer, whatever it was
+	Failed func(err error) // a query failed, or an instance cannot be used
+}
+
+// Follow watches a service until ctx ends.
+func (c *Client) Follow(ctx context.Context, m Mapping, n News) {
+	c.watch(ctx, n.Failed, func(q *api.QueryOptions) (*api.QueryMeta, func(fresh bool), error) {
+		q.Filter = m.Filter
+		var list []*api.ServiceEntry
+		var meta *api.QueryMeta
+		var err error
+		if m.Barred {
+			var all []*api.CatalogService
+			all, meta, err = c.api.Catalog().ServiceMultipleTags(m.Service, m.Tags, q)
+			for _, s := range all {
+				list = append(list, &api.ServiceEntry{Node: &api.Node{Address: s.Address, Meta: s.NodeMeta},
+					Service: &api.AgentService{ID: s.ServiceID, Address: s.ServiceAddress, Port: s.ServicePort, Tags: s.ServiceTags,
+						Meta: s.ServiceMeta, TaggedAddresses: s.ServiceTaggedAddresses}})
+			}
+		} else {
+			list, meta, err = c.api.Health().ServiceMultipleTags(m.Service, m.Tags, false, q)
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		return meta, func(fresh bool) {
+			r := member.Report{Fresh: fresh}
+			for _, s := range list {
+				e, err := m.entry(s)
+				if err != nil {
+					n.Failed(fmt.Errorf("catalog: service %s: %w", m.Service, err))
+					continue
+				}
+				r.Entries = append(r.Entries, e)
+			}
+			n.Report(r)
+		}, nil
+	}, n.Heard)
+}
+
+// watch repeats one blocking query.
+func (c *Client) watch(ctx context.Context, failed func(error),
+	ask func(*api.QueryOptions) (*api.QueryMeta, func(fresh bool), error), heard func()) {
+	p := NewPacer(c.opt.Wait, c.opt.MaxStale, rand.Uint64())
+	epoch := time.Now()
+	certain := false // the last answer was too stale: ask the leader
+	for ctx.Err() == nil {
+		index := p.Ask()
+		within := c.opt.slack()
+		q := &api.QueryOptions{WaitIndex: index, AllowStale: c.opt.Consistency == "stale" && !certain,
+			RequireConsistent: c.opt.Consistency == "consistent"}
+		if index > 0 {
+			q.WaitTime = c.opt.Wait
+			within += c.opt.Wait + c.opt.Wait/16
+		}
+		query, cancel := context.WithTimeout(ctx, within)
+		began := time.Now()
+		meta, report, err := ask(q.WithContext(query))
+		cancel()
+		var after time.Duration
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			after = p.Failed()
+			failed(fmt.Errorf("catalog: %w", err))
+		default:
+			fresh, news, wait := p.Answered(time.Since(epoch), time.Since(began), Answer{Index: meta.LastIndex,
+				Contact: meta.LastContact, Leader: meta.KnownLeader})
+			certain = q.AllowStale && meta.LastContact > c.opt.MaxStale
+			after = wait
+			if heard(); news {
+				report(fresh)
+			}
+		}
+		if after > 0 && !sleep(ctx, after) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// draining is the tag, and the value of the metadata key "state", by which
+// an instance is taken out of service.
+const draining = "draining"
+
+// entry reads one instance.
+func (m *Mapping) entry(s *api.ServiceEntry) (e member.Entry, err error) {
+	if s == nil || s.Service == nil || s.Node == nil {
+		return e, errors.New("an instance lacks its node or service")
+	}
+	v := s.Service
+	join := func(host string, port int) (string, error) {
+		if host == "" || port < 1 || port > 65535 {
+			return "", fmt.Errorf("instance %q has no usable address: %q, port %d", v.ID, host, port)
+		}
+		return net.JoinHostPort(host, strconv.Itoa(port)), nil
+	}
+	host := v.Address
+	if host == "" {
+		host = s.Node.Address
+	}
+	e = member.Entry{ID: v.ID, Partner: m.Partner, Zone: m.Zone}
+	if e.Addr, err = join(host, v.Port); err != nil {
+		return e, err
+	}
+	for _, name := range m.Tagged {
+		if t, ok := v.TaggedAddresses[name]; ok {
+			port := t.Port
+			if port == 0 {
+				port = v.Port
+			}
+			at, err := join(t.Address, port)
+			if err != nil {
+				return e, err
+			}
+			if !slices.Contains(e.Addrs, at) {
+				e.Addrs = append(e.Addrs, at)
+			}
+		}
+	}
+	if v.SocketPath != "" {
+		e.Addrs = append(e.Addrs, "unix:"+v.SocketPath)
+	}
+	if len(e.Addrs) > 0 && !slices.Contains(e.Addrs, e.Addr) {
+		e.Addrs = append(e.Addrs, e.Addr)
+	}
+	for _, z := range []string{v.Meta["zone"], s.Node.Meta["zone"]} {
+		if z != "" {
+			e.Zone = z
+			break
+		}
+	}
+	if r := v.Meta["rate"]; r != "" {
+		if e.Rate, err = strconv.ParseFloat(r, 64); err != nil || !(e.Rate >= 0 && e.Rate < 1e9) {
+			return e, fmt.Errorf("instance %q: rate %q is no number of calls a second", v.ID, r)
+		}
+	}
+	e.Draining = v.Meta["state"] == draining || slices.Contains(v.Tags, draining)
+	for _, k := range s.Checks {
+		switch {
+		case k.CheckID == api.NodeMaint || strings.HasPrefix(k.CheckID, api.ServiceMaintPrefix):
+			// Maintenance is somebody's word, not a matter of health.
+			e.Draining = e.Draining || k.Status == api.HealthCritical
+		case k.Status == api.HealthCritical:
+			e.Health = member.Critical
+		case k.Status == api.HealthWarning:
+			e.Health = max(e.Health, member.Warning)
+		case k.Status == api.HealthPassing:
+			e.Health = max(e.Health, member.Passing)
+		}
+	}
+	if w := v.Weights; m.Health && e.Health == member.Warning && w.Passing > 0 {
+		e.Rate *= float64(w.Warning) / float64(w.Passing)
+	}
+	return e, nil
+}
+
+// Registration is a relay's own entry.
+type Registration struct {
+	Service string
+	Self    member.Peer
+	Address string        // host, informative
+	Port    int           // of its front, informative
+	TTL     time.Duration // of its check; refreshed three times within
+}
+
+// forget is how long after its check failed a relay is dropped by the catalogue.
+const forget = "30m"
+
+// Enrol keeps a relay registered until ctx ends, then takes it out.
+func (c *Client) Enrol(ctx context.Context, r Registration, failed func(error)) {
+	id := r.Service + "-" + r.Self.Name + "-" + r.Self.Boot
+	check := "service:" + id
+	register := func() error {
+		return c.api.Agent().ServiceRegisterOpts(&api.AgentServiceRegistration{ID: id, Name: r.Service, Address: r.Address,
+			Port: r.Port, Meta: map[string]string{"name": r.Self.Name, "boot": r.Self.Boot,
+				"since": strconv.FormatInt(r.Self.Since, 10)},
+			Check: &api.AgentServiceCheck{CheckID: check, TTL: r.TTL.String(), Status: api.HealthPassing,
+				DeregisterCriticalServiceAfter: forget}},
+			api.ServiceRegisterOpts{}.WithContext(ctx))
+	}
+	p := NewPacer(r.TTL, 0, rand.Uint64())
+	for known := false; ctx.Err() == nil; {
+		var err error
+		if !known {
+			err = register()
+		} else {
+			err = c.api.Agent().UpdateTTLOpts(check, "", api.HealthPassing, new(api.QueryOptions).WithContext(ctx))
+		}
+		// An agent that was started anew knows nothing of the check.
+		known = err == nil
+		after := r.TTL / 3
+		if err != nil && ctx.Err() == nil {
+			failed(fmt.Errorf("catalog: %w", err))
+			after = min(after, p.Failed())
+		}
+		if !sleep(ctx, after) {
+			break
+		}
+	}
+	out, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := c.api.Agent().ServiceDeregisterOpts(id, new(api.QueryOptions).WithContext(out)); err != nil {
+		failed(fmt.Errorf("catalog: deregister: %w", err))
+	}
+}
+
+// Peers watches the relays that are registered, until ctx ends.
+func (c *Client) Peers(ctx context.Context, service string, report func(peers []member.Peer, fresh bool), failed func(error)) {
+	c.watch(ctx, failed, func(q *api.QueryOptions) (*api.QueryMeta, func(bool), error) {
+		list, meta, err := c.api.Health().Service(service, "", false, q)
+		if err != nil {
+			return nil, nil, err
+		}
+		return meta, func(fresh bool) {
+			var peers []member.Peer
+			for _, s := range list {
+				if s == nil || s.Service == nil || s.Service.Meta["name"] == "" {
+					continue
+				}
+				since, _ := strconv.ParseInt(s.Service.Meta["since"], 10, 64)
+				peers = append(peers, member.Peer{Name: s.Service.Meta["name"], Boot: s.Service.Meta["boot"], Since: since,
+					Well: s.Checks.AggregatedStatus() != api.HealthCritical})
+			}
+			report(peers, fresh)
+		}, nil
+	}, func() {})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -91,6 +91,17 @@
 	}
 )
 
+// Consul is one catalogue.
+type Consul struct {
+	Name, Address, Token, TokenFile, Datacenter, Namespace, Partition, Consistency string
+	MaxStale, Wait                                                                 Duration
+	TLS                                                                            *PartnerTLS
+	Services                                                                       []struct {
+		Service, Partner, Filter, Zone, Health string
+		Tags, Tagged                           []string
+	}
+}
+
 // MQTT configures the MQTT front.
 type MQTT struct {
 	Listen         []string
@@ -204,9 +215,22 @@
 		Stale     Duration
 		Addresses int
 	}
-	Directory struct{ File string }
-	Metrics   struct{ Listen string }
-	Log       struct{ Level, Format string }
+	Directory struct {
+		File    string
+		Consul  []Consul
+		Saved   string
+		Gone    Duration
+		Believe Duration
+		Trust   Duration
+	}
+	Fleet *struct {
+		Service string
+		TTL     Duration
+		Late    Duration
+		Hold    Duration
+	}
+	Metrics struct{ Listen string }
+	Log     struct{ Level, Format string }
 }
 
 // Error is everything that is wrong with one file.
@@ -331,7 +355,14 @@
 	if err != nil {
 		return nil, err
 	}
-	files := []*string{&c.Directory.File, &c.ZoneRecords}
+	files := []*string{&c.Directory.File, &c.Directory.Saved, &c.ZoneRecords}
+	for i := range c.Directory.Consul {
+		k := &c.Directory.Consul[i]
+		files = append(files, &k.TokenFile)
+		if k.TLS != nil {
+			files = append(files, &k.TLS.CA, &k.TLS.Cert, &k.TLS.Key)
+		}
+	}
 	for _, t := range []*TLS{c.MQTT.TLS, c.WebPush.TLS} {
 		if t != nil {
 			files = append(files, &t.Cert, &t.Key, &t.ClientCA)
@@ -378,7 +409,7 @@
 	zones := unique("zones", len(c.Zones), func(i int) string { return c.Zones[i].Name })
 	unique("classes", len(c.Classes), func(i int) string { return c.Classes[i].Name })
 	kinds := unique("kinds", len(c.Kinds), func(i int) string { return c.Kinds[i].Name })
-	unique("partners", len(c.Partners), func(i int) string { return c.Partners[i].Name })
+	partners := unique("partners", len(c.Partners), func(i int) string { return c.Partners[i].Name })
 	for i, k := range c.Classes {
 		if k.Aim <= 0 || k.Deadline < k.Aim {
 			fail(fmt.Sprintf("classes[%d].deadline", i), "%v must be at least the aim %v, and both above 0",
@@ -431,6 +462,23 @@
 			fail(fmt.Sprintf("partners[%d].tls", i), "cert and key belong together")
 		}
 	}
+	if c.Directory.File == "" && len(c.Directory.Consul) == 0 {
+		fail("directory", "needs a file or consul")
+	}
+	if c.Fleet != nil && len(c.Directory.Consul) == 0 {
+		fail("fleet", "needs directory.consul, where relays register")
+	}
+	for i, k := range c.Directory.Consul {
+		for j, m := range k.Services {
+			at := fmt.Sprintf("directory.consul[%d].services[%d]", i, j)
+			if !partners[m.Partner] {
+				fail(at+".partner", "%q is no partner; the partners are under partners", m.Partner)
+			}
+			if !zones[m.Zone] {
+				fail(at+".zone", "%q is no zone; the zones are under zones", m.Zone)
+			}
+		}
+	}
 	if c.Relay.Index >= c.Relay.Fleet {
 		fail("relay.index", "%d must be below relay.fleet %d", c.Relay.Index, c.Relay.Fleet)
 	}
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -60,6 +60,43 @@
 	}
 }
 
+// A Consul agent or server.
+#Consul: {
+	name: #Name | *"consul"
+	// host:port, or http:// or https:// and that.
+	address:    string & !=""
+	token:      string | *""
+	tokenFile:  string | *""
+	datacenter: string | *""
+	namespace:  string | *""
+	partition:  string | *""
+	// Answers of any server, of one that its leader vouches for, or the library's default;
+	// what lacks in an answer older than maxStale is not taken as gone.
+	consistency: "default" | "stale" | "consistent" | *"default"
+	maxStale:    #Dur | *"10s"
+	wait:        #Dur | *"1m"
+	tls?: {
+		ca:   string | *""
+		cert: string | *""
+		key:  string | *""
+		name: string | *""
+	}
+	services: [...{
+		service: string & !=""
+		partner: #Name
+		// All of which an instance must have; and an expression of the API's filtering.
+		tags: [...string] | *[]
+		filter: string | *""
+		// Where neither the service's nor the node's metadata has "zone".
+		zone: #Name | *"default"
+		// Tagged addresses to reach an instance by, besides its own.
+		tagged: [...string] | *[]
+		// use: critical instances take no new work; ignore: no decision depends on health;
+		// barred: it is not even asked for, and maintenance is not seen.
+		health: "use" | "ignore" | "barred" | *"ignore"
+	}] | *[]
+}
+
 #Config: {
 	relay: {
 		name:  #Name | *"relay-1"
@@ -192,7 +229,27 @@
 		addresses: int & >=1 & <=64 | *16
 	}
 	directory: {
-		file: string & !=""
+		// An endpoint list, and catalogues; at least one of them. What a file and a
+		// catalogue both have is as the file says.
+		file: string | *""
+		consul: [...#Consul] | *[]
+		// File for the last good list of the catalogues, to start with while they are away.
+		saved: string | *""
+		// An endpoint that vanishes from a catalogue takes no new work, and is forgotten
+		// after gone; where much vanishes at once, nothing is believed for believe. A
+		// source without news for trust yields to others that know the partner.
+		gone:    #Dur | *"10s"
+		believe: #Dur | *"1m"
+		trust:   #Dur | *"1h"
+	}
+	// The fleet: relays register with the first catalogue, and follow each other there.
+	// relay.fleet is believed until it was heard.
+	fleet?: {
+		service: #Name | *"basaltcross"
+		ttl:     #Dur | *"10s"
+		// A relay that died counts for late; where a third of them goes at once, for hold.
+		late: #Dur | *"30s"
+		hold: #Dur | *"10m"
 	}
 	metrics: {
 		listen: =~"^(127\\.[0-9.]+|localhost|\\[::1\\]):[0-9]{1,5}$" | *""
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -109,6 +109,11 @@
 	Sent(now time.Duration, class, partner, zone int) func(now time.Duration, passed int64, whole bool)
 }
 
+// Sharer is a Toll that is shared by the fleet.
+type Sharer interface {
+	Fleet(now time.Duration, relays int)
+}
+
 // Options of a Core.
 type Options struct {
 	Toll     Toll // nil: all zones are open
@@ -157,6 +162,7 @@
 	ended   *attempt
 	ending  Ending
 	listing *choice.Listing
+	fleet   *choice.Fleet
 	drop    string // identity withdrawn
 	call    func()
 }
@@ -241,6 +247,11 @@
 // List hands in news of the endpoint list.
 func (c *Core) List(l choice.Listing) { _ = c.put(event{listing: &l}) }
 
+// Fleet says how many relays there are, and which of them this is, from 0.
+func (c *Core) Fleet(index, size int) {
+	_ = c.put(event{fleet: &choice.Fleet{Index: index, Size: size}})
+}
+
 // Withdraw says that nobody wants the message of an identity any more. It is
 // sent no further; its final answer says what became of it.
 func (c *Core) Withdraw(identity string) { _ = c.put(event{drop: identity}) }
@@ -374,6 +385,11 @@
 		case e.listing != nil:
 			c.batch = append(c.batch, *e.listing)
 			c.listed(e.listing, recall)
+		case e.fleet != nil:
+			c.batch = append(c.batch, *e.fleet)
+			if t, ok := c.opt.Toll.(Sharer); ok {
+				t.Fleet(c.now, e.fleet.Size)
+			}
 		case e.drop != "":
 			c.withdraw(e.drop)
 		case e.call != nil:
--- /dev/null
+++ b/internal/directory/consul.go
@@ -0,0 +1,33 @@
+package directory
+
+import (
+	"context"
+	"slices"
+
+	"basaltcross.example/basaltcross/internal/catalog"
+	"basaltcross.example/basaltcross/internal/member"
+)
+
+// Consul is one service of a Consul catalogue as a source.
+type Consul struct {
+	Name    string
+	Where   string // the catalogue: its address, data centre, namespace and partition
+	Client  *catalog.Client
+	Mapping catalog.Mapping
+}
+
+// Settings of the source.
+func (c *Consul) Settings() member.SourceSettings {
+	return member.SourceSettings{Name: c.Name, Health: c.Mapping.Health && !c.Mapping.Barred}
+}
+
+// Origin is the catalogue and the service.
+func (c *Consul) Origin() string { return c.Where + "/" + c.Mapping.Service }
+
+// Follow watches the service.
+func (c *Consul) Follow(ctx context.Context, to News) {
+	c.Client.Follow(ctx, c.Mapping, catalog.News{Report: func(r member.Report) {
+		r.Entries = slices.Clone(r.Entries)
+		to.Report(r)
+	}, Heard: to.Heard, Failed: to.Failed})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,22 +1,20 @@
-// Package directory is where endpoint lists come from. A Source hands whole
-// lists to a Sink; the first source is a file. A source that fails keeps the
-// last good list in force and says so.
+// Package directory is where endpoint lists come from: files and catalogues are
+// sources, package member decides what is believed of them, and a Directory
+// carries that to the core as news. A source that fails keeps its last good list
+// in force and says so.
 package directory
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/fsnotify/fsnotify"
-
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/addr"
-	"basaltcross.example/basaltcross/internal/config"
+	"basaltcross.example/basaltcross/internal/member"
 )
 
 // Sink takes news of the endpoint list.
@@ -24,9 +22,19 @@
 	List(choice.Listing)
 }
 
-// Source follows an endpoint list until ctx ends.
+// News is where a source reports to; its methods may be called from any goroutine.
+type News interface {
+	Report(member.Report)
+	Heard()           // an answer that brought nothing new
+	Failed(err error) // the last good list stands
+}
+
+// Source follows endpoints until ctx ends.
 type Source interface {
-	Run(ctx context.Context, to Sink) error
+	Settings() member.SourceSettings
+	// Origin tells installations apart; lists of another one are not taken from disk.
+	Origin() string
+	Follow(ctx context.Context, to News)
 }
 
 // Names turn the names of a list into the module's numbers.
@@ -37,30 +45,30 @@
 	Secure   []bool // by partner: called over TLS
 }
 
-var states = map[string]choice.State{"ready": choice.Ready, "draining": choice.Draining, "gone": choice.Gone}
-
-// Hosts translates a checked list. A name that the configuration lacks, and an
-// address that stands twice, are errors.
-func (n Names) Hosts(list []config.Endpoint) ([]choice.Host, error) {
-	seen := make(map[string]bool, len(list))
-	hosts := make([]choice.Host, 0, len(list))
-	for i, e := range list {
-		p, ok := n.Partners[e.Partner]
-		if !ok {
-			return nil, fmt.Errorf("endpoints[%d].partner: %q is no partner of the configuration", i, e.Partner)
-		}
-		z, ok := n.Zones[e.Zone]
-		if !ok {
-			return nil, fmt.Errorf("endpoints[%d].zone: %q is no zone of the configuration", i, e.Zone)
-		}
-		if seen[e.Addr] {
-			return nil, fmt.Errorf("endpoints[%d].addr: %s stands twice", i, e.Addr)
+// host translates one entry, and its addresses.
+func (n *Names) host(e *member.Entry) (h choice.Host, at addr.Endpoint, err error) {
+	p, ok := n.Partners[e.Partner]
+	if !ok {
+		return h, at, fmt.Errorf("partner: %q is no partner of the configuration", e.Partner)
+	}
+	z, ok := n.Zones[e.Zone]
+	if !ok {
+		return h, at, fmt.Errorf("zone: %q is no zone of the configuration", e.Zone)
+	}
+	h = choice.Host{Addr: e.Addr, Dest: p, Kind: n.Kinds[p], Zone: z, Rate: e.Rate, State: choice.Ready}
+	at = addr.Endpoint{Host: e.Addr, Partner: p, Secure: p < len(n.Secure) && n.Secure[p]}
+	ways := e.Addrs
+	if len(ways) == 0 {
+		ways = []string{e.Addr}
+	}
+	for j, s := range ways {
+		a, err := addr.Parse(s)
+		if err != nil {
+			return h, at, fmt.Errorf("addrs[%d]: %w", j, err)
 		}
-		seen[e.Addr] = true
-		hosts = append(hosts, choice.Host{Addr: e.Addr, Dest: p, Kind: n.Kinds[p], Zone: z, Rate: e.Rate,
-			State: states[e.State]})
+		at.Addrs = append(at.Addrs, a)
 	}
-	return hosts, nil
+	return h, at, nil
 }
 
 // Sinks hands news to several sinks, one after the other.
@@ -73,156 +81,221 @@
 	}
 }
 
-// Addresses are the ways to each endpoint: those that it lists, else the address
-// that is its name. Secure tells of each partner whether its calls use TLS.
-func (n *Names) Addresses(list []config.Endpoint) ([]addr.Endpoint, error) {
-	out := make([]addr.Endpoint, 0, len(list))
-	for i, e := range list {
-		p := n.Partners[e.Partner]
-		at := addr.Endpoint{Host: e.Addr, Partner: p, Secure: p < len(n.Secure) && n.Secure[p]}
-		ways := e.Addrs
-		if len(ways) == 0 {
-			ways = []string{e.Addr}
-		}
-		for j, s := range ways {
-			a, err := addr.Parse(s)
-			if err != nil {
-				return nil, fmt.Errorf("endpoints[%d].addrs[%d]: %w", i, j, err)
-			}
-			at.Addrs = append(at.Addrs, a)
-		}
-		out = append(out, at)
-	}
-	return out, nil
-}
-
-// File follows a list file. It is to be replaced by renaming a new one over
-// it; a write in place works too once it is whole.
-type File struct {
-	Path  string
-	Names Names
-	Most  int // bytes read at most; a larger file counts as broken
-	// Report is told of each reading: the endpoints it gave, or what was wrong.
-	Report func(endpoints int, err error)
-	// Addresses takes those of each list before the list goes to the sink; may be nil.
+// Options of a Directory.
+type Options struct {
+	Names    Names
+	Sources  []Source // in the order of their precedence
+	Settings member.Settings
+	Saved    string // file for the last good list; empty for none
+	Most     int    // bytes of it that are read at most
+	To       Sink
+	// Addresses takes the addresses of all endpoints before the list that has them.
 	Addresses func([]addr.Endpoint)
-
-	mu    sync.Mutex
-	count int
+	// Listed is told of lists in force; Failed of sources that fail, and of entries
+	// that cannot be used.
+	Listed func(endpoints int)
+	Failed func(source string, err error)
 }
 
-// quiet is how long a file must stay unchanged before it is read, so that one
-// written in pieces is not read half; poll finds what the watcher missed.
-const (
-	quiet = 20 * time.Millisecond
-	poll  = time.Second
-)
+// Directory merges sources into one list.
+type Directory struct {
+	opt   Options
+	epoch time.Time
+	wake  chan struct{}
 
-// Endpoints is the number of endpoints of the last good list.
-func (f *File) Endpoints() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.count
+	mu      sync.Mutex
+	list    *member.List
+	last    map[string]choice.Host // as told
+	at      []addr.Endpoint        // as told
+	reports []member.Report        // the last of each source
+	unsaved bool
+	count   int
 }
 
-// Load reads the file once.
-func (f *File) Load() ([]choice.Host, []addr.Endpoint, error) {
-	list, err := f.load()
-	if err != nil {
-		return nil, nil, err
+// New makes a directory, with the last good list if there is one.
+func New(opt Options) *Directory {
+	d := &Directory{opt: opt, epoch: time.Now(), wake: make(chan struct{}, 1), reports: make([]member.Report, len(opt.Sources))}
+	var set []member.SourceSettings
+	for _, s := range opt.Sources {
+		set = append(set, s.Settings())
 	}
-	hosts, err := f.Names.Hosts(list)
-	if err != nil {
-		return nil, nil, fmt.Errorf("directory: %s: %w", f.Path, err)
+	d.list = member.NewList(opt.Settings, set)
+	if opt.Saved == "" {
+		return d
 	}
-	addrs, err := f.Names.Addresses(list)
+	old, err := readSaved(opt.Saved, opt.Most)
 	if err != nil {
-		return nil, nil, fmt.Errorf("directory: %s: %w", f.Path, err)
+		opt.Failed("saved list", err)
+	}
+	if old == nil {
+		return d
 	}
-	return hosts, addrs, nil
+	for i, s := range opt.Sources {
+		j := slices.IndexFunc(old.Sources, func(o savedSource) bool { return o.Name == set[i].Name })
+		switch {
+		case j < 0 || set[i].Sure:
+		case old.Sources[j].Origin != s.Origin():
+			opt.Failed(set[i].Name, errors.New("directory: the saved list is another installation's; it is not used"))
+		default:
+			d.reports[i] = member.Report{Entries: old.Sources[j].Entries, Fresh: true}
+			d.list.Report(0, i, d.reports[i])
+		}
+	}
+	return d
 }
 
-func (f *File) load() ([]config.Endpoint, error) {
-	st, err := os.Stat(f.Path)
-	if err != nil {
-		return nil, fmt.Errorf("directory: %w", err)
+func (d *Directory) now() time.Duration { return time.Since(d.epoch) }
+
+// news is one source's way in.
+type news struct {
+	d    *Directory
+	from int
+}
+
+func (n news) Report(r member.Report) {
+	d := n.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports[n.from], d.unsaved = r, true
+	d.list.Report(d.now(), n.from, r)
+	d.step()
+	d.nudge()
+}
+
+// nudge has Run look when the next step is due.
+func (d *Directory) nudge() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
 	}
-	if st.Size() > int64(f.Most) {
-		return nil, fmt.Errorf("directory: %s has %d bytes, at most %d are read", f.Path, st.Size(), f.Most)
+}
+
+func (n news) Heard() {
+	n.d.mu.Lock()
+	defer n.d.mu.Unlock()
+	n.d.list.Heard(n.d.now(), n.from)
+	n.d.nudge()
+}
+
+func (n news) Failed(err error) {
+	n.d.opt.Failed(n.d.opt.Sources[n.from].Settings().Name, err)
+	if n.d.opt.Sources[n.from].Settings().Sure {
+		n.d.opt.To.List(choice.Listing{Failed: true})
 	}
-	text, err := os.ReadFile(f.Path)
-	if err != nil {
-		return nil, fmt.Errorf("directory: %w", err)
+}
+
+// saveEvery bounds how often the list is written while it changes.
+const saveEvery = time.Second
+
+// Run follows all sources until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	d.mu.Lock()
+	d.step()
+	d.mu.Unlock()
+	for i, s := range d.opt.Sources {
+		wait.Go(func() { s.Follow(ctx, news{d, i}) })
 	}
-	list, err := config.ParseList(f.Path, text)
-	if err != nil {
-		return nil, fmt.Errorf("directory: %w", err)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	save := time.NewTicker(saveEvery)
+	defer save.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.save()
+			return
+		case <-save.C:
+			d.save()
+		case <-d.wake:
+		case <-timer.C:
+		}
+		d.mu.Lock()
+		next := d.step()
+		now := d.now()
+		d.mu.Unlock()
+		sleep := time.Hour
+		if next >= 0 {
+			sleep = max(next-now, time.Millisecond)
+		}
+		timer.Reset(sleep)
 	}
-	return list, nil
 }
 
-// Run reads the file, hands its list on, and does so again at each change. It
-// fails only where the folder cannot be watched.
-func (f *File) Run(ctx context.Context, to Sink) error {
-	w, err := fsnotify.NewWatcher()
-	if err != nil {
-		return fmt.Errorf("directory: watch: %w", err)
-	}
-	defer w.Close()
-	// The folder, not the file: a rename over the file ends a watch of it.
-	if err := w.Add(filepath.Dir(f.Path)); err != nil {
-		return fmt.Errorf("directory: watch: %w", err)
-	}
-	var last []choice.Host
-	var stamp os.FileInfo
-	read := func() {
-		if st, err := os.Stat(f.Path); err == nil {
-			stamp = st
+func (d *Directory) save() {
+	d.mu.Lock()
+	s := &saved{At: time.Now().Unix()}
+	for i, r := range d.reports {
+		if set := d.opt.Sources[i].Settings(); !set.Sure {
+			s.Sources = append(s.Sources, savedSource{set.Name, d.opt.Sources[i].Origin(), r.Entries})
+		}
+	}
+	due := d.unsaved && d.opt.Saved != "" && len(s.Sources) > 0
+	d.unsaved = false
+	d.mu.Unlock()
+	if due {
+		if err := s.write(d.opt.Saved); err != nil {
+			d.opt.Failed("saved list", err)
 		}
-		hosts, addrs, err := f.Load()
+	}
+}
+
+// step tells what changed; under mu, so that news go out in their order.
+func (d *Directory) step() (next time.Duration) {
+	list, changed, next := d.list.Step(d.now())
+	if !changed {
+		return next
+	}
+	now := make(map[string]choice.Host, len(list))
+	at := make([]addr.Endpoint, 0, len(list))
+	for i := range list {
+		h, a, err := d.opt.Names.host(&list[i].Entry)
 		if err != nil {
-			f.Report(0, err)
-			to.List(choice.Listing{Failed: true})
-			return
+			d.opt.Failed(list[i].Addr, fmt.Errorf("directory: %w", err))
+			continue
 		}
-		f.Report(len(hosts), nil)
-		if f.Addresses != nil {
-			f.Addresses(addrs)
+		if list[i].Draining {
+			h.State = choice.Draining
 		}
-		if last == nil || !slices.Equal(hosts, last) {
-			last = hosts
-			f.mu.Lock()
-			f.count = len(hosts)
-			f.mu.Unlock()
-			to.List(choice.Listing{Whole: true, Hosts: slices.Clone(hosts)})
+		now[h.Addr], at = h, append(at, a)
+	}
+	news := choice.Listing{Whole: d.last == nil}
+	for _, a := range at {
+		if h := now[a.Host]; d.last[a.Host] != h {
+			news.Hosts = append(news.Hosts, h)
 		}
 	}
-	read()
-	settle := time.NewTimer(time.Hour)
-	settle.Stop()
-	tick := time.NewTicker(poll)
-	defer tick.Stop()
-	name := filepath.Clean(f.Path)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case e, ok := <-w.Events:
-			if ok && filepath.Clean(e.Name) == name && !e.Has(fsnotify.Chmod) {
-				settle.Reset(quiet)
-			}
-		case err, ok := <-w.Errors:
-			if ok {
-				f.Report(0, fmt.Errorf("directory: watch: %w", err))
-			}
-		case <-tick.C:
-			st, err := os.Stat(f.Path)
-			if err == nil && (stamp == nil || !os.SameFile(st, stamp) || st.ModTime() != stamp.ModTime() ||
-				st.Size() != stamp.Size()) {
-				settle.Reset(quiet)
-			}
-		case <-settle.C:
-			read()
+	for host, h := range d.last {
+		if _, still := now[host]; !still {
+			h.State = choice.Gone
+			news.Hosts = append(news.Hosts, h)
 		}
 	}
+	same := func(x, y addr.Endpoint) bool {
+		return x.Host == y.Host && x.Partner == y.Partner && slices.Equal(x.Addrs, y.Addrs)
+	}
+	if !slices.EqualFunc(at, d.at, same) && d.opt.Addresses != nil {
+		d.opt.Addresses(at)
+	}
+	d.last, d.at, d.count = now, at, len(now)
+	if len(news.Hosts) > 0 || news.Whole {
+		d.opt.To.List(news)
+	}
+	d.opt.Listed(len(now))
+	return next
+}
+
+// Endpoints is the number of endpoints in force.
+func (d *Directory) Endpoints() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.count
+}
+
+// Sources tells how the sources stand.
+func (d *Directory) Sources() []member.SourceState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list.Sources(d.now())
 }
--- /dev/null
+++ b/internal/directory/saved.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basaltcross.example/basaltcross/internal/member"
+)
+
+// saved is the last good list on disk: a line that says what follows, and a
+// record of each source.
+type saved struct {
+	At      int64         `json:"at"` // Unix seconds
+	Sources []savedSource `json:"sources"`
+}
+
+type savedSource struct {
+	Name    string         `json:"name"`
+	Origin  string         `json:"origin"` // installation that it is of
+	Entries []member.Entry `json:"entries"`
+}
+
+type savedHead struct {
+	Format  string `json:"format"`
+	Version int    `json:"version"`
+	Length  int    `json:"length"`
+	Sum     string `json:"sum"` // XXH64 of what follows
+}
+
+const (
+	savedFormat  = "basaltcross endpoint list"
+	savedVersion = 1
+)
+
+// write puts the list on disk so that a crash leaves the old or the new one.
+func (s *saved) write(path string) error {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("directory: %w", err)
+	}
+	head, err := json.Marshal(savedHead{savedFormat, savedVersion, len(body), fmt.Sprintf("%016x", xxhash.Sum64(body))})
+	if err != nil {
+		return fmt.Errorf("directory: %w", err)
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return fmt.Errorf("directory: %w", err)
+	}
+	_, err = f.Write(append(append(head, '\n'), body...))
+	if err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+		return fmt.Errorf("directory: %w", err)
+	}
+	if dir, err := os.Open(filepath.Dir(path)); err == nil {
+		_ = dir.Sync()
+		_ = dir.Close()
+	}
+	return nil
+}
+
+// readSaved reads a list from disk; nil without error if there is none.
+func readSaved(path string, most int) (*saved, error) {
+	st, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("directory: %w", err)
+	}
+	if st.Size() > int64(most) {
+		return nil, fmt.Errorf("directory: %s has %d bytes, at most %d are read", path, st.Size(), most)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("directory: %w", err)
+	}
+	line, body, _ := bytes.Cut(text, []byte{'\n'})
+	var head savedHead
+	if err := json.Unmarshal(line, &head); err != nil || head.Format != savedFormat {
+		return nil, fmt.Errorf("directory: %s is no saved endpoint list", path)
+	}
+	if head.Version != savedVersion {
+		return nil, fmt.Errorf("directory: %s has format version %d, this program reads %d", path, head.Version, savedVersion)
+	}
+	if len(body) != head.Length || fmt.Sprintf("%016x", xxhash.Sum64(body)) != head.Sum {
+		return nil, fmt.Errorf("directory: %s is damaged: its checksum does not fit", path)
+	}
+	s := &saved{}
+	if err := json.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("directory: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// age of a saved list; 0 where it is from the future.
+func (s *saved) age(now time.Time) time.Duration { return max(0, now.Sub(time.Unix(s.At, 0))) }
--- /dev/null
+++ b/internal/member/fleet_test.go
@@ -0,0 +1,122 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func peers(n int) (out []Peer) {
+	for i := range n {
+		out = append(out, Peer{Name: fmt.Sprintf("r%03d", i), Boot: "a", Since: 1, Well: true})
+	}
+	return out
+}
+
+func fleet(size int) *Fleet {
+	return NewFleet(FleetSettings{Self: peers(1)[0], Size: size, Late: 10 * s, Hold: 10 * time.Minute})
+}
+
+func size(t *testing.T, f *Fleet, now time.Duration) int {
+	t.Helper()
+	_, n, _, _ := f.View(now)
+	return n
+}
+
+// Joins count at once, deaths late, a split or a halving for long, a relay that
+// was started again once.
+func TestFleet(t *testing.T) {
+	f := fleet(8)
+	if n := size(t, f, 0); n != 8 {
+		t.Errorf("before any news: %d", n)
+	}
+	f.Report(0, peers(4), true)
+	if n := size(t, f, 9*s); n != 8 {
+		t.Errorf("at the start: %d", n)
+	}
+	if n := size(t, f, 10*s); n != 4 {
+		t.Errorf("after the start: %d", n)
+	}
+	f.Report(20*s, peers(12), true)
+	if n := size(t, f, 20*s); n != 12 {
+		t.Errorf("joined: %d", n)
+	}
+	f.Report(30*s, peers(11), true)
+	if n := size(t, f, 39*s); n != 12 {
+		t.Errorf("one died: %d", n)
+	}
+	if n := size(t, f, 40*s); n != 11 {
+		t.Errorf("told late: %d", n)
+	}
+	again := append(peers(11), Peer{Name: "r005", Boot: "b", Since: 2, Well: true})
+	again[5].Well = false
+	f.Report(50*s, again, true)
+	if n := size(t, f, 50*s); n != 11 {
+		t.Errorf("started again: %d", n)
+	}
+	again[5].Well = true
+	f.Report(55*s, again, true)
+	if _, n, _, twice := f.View(55 * s); n != 12 || len(twice) != 1 {
+		t.Errorf("two of one name: %d, %v", n, twice)
+	}
+	f.Report(60*s, peers(5), true)
+	if n := size(t, f, 120*s); n < 11 {
+		t.Errorf("a split: %d", n)
+	}
+	if n := size(t, f, 12*time.Minute); n != 5 {
+		t.Errorf("held for long: %d", n)
+	}
+	f.Report(13*time.Minute, peers(3), false)
+	if n := size(t, f, 30*time.Minute); n != 5 {
+		t.Errorf("a server behind: %d", n)
+	}
+}
+
+// However a fleet lives and dies, and whatever part of it the catalogue shows,
+// the shares of the relays that run never add up to more than the whole, as long
+// as each has heard of those that joined. Numbers differ.
+func TestSharesNeverTooLarge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 9
+		views := make([]*Fleet, n)
+		up := make([]bool, n)
+		start := func(i int) {
+			views[i] = NewFleet(FleetSettings{Self: peers(n)[i], Size: n, Late: 10 * s, Hold: 10 * time.Minute})
+			up[i] = true
+		}
+		for i := range n {
+			start(i)
+		}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "s")) * s
+			if i := rapid.IntRange(0, n-1).Draw(t, "dies"); rapid.Bool().Draw(t, "strikes") {
+				up[i] = false
+			}
+			var all []Peer
+			for i, p := range peers(n) {
+				if up[i] {
+					all = append(all, p)
+				}
+			}
+			sum, seen := 0.0, map[int]bool{}
+			for i := range n {
+				if !up[i] {
+					continue
+				}
+				views[i].Report(now, all, true)
+				index, size, _, _ := views[i].View(now)
+				sum += 1 / float64(size)
+				if index < 0 || index >= size || seen[index] && size == len(all) {
+					t.Fatalf("relay %d is number %d of %d", i, index, size)
+				}
+				seen[index] = true
+			}
+			if sum > 1.0000001 {
+				t.Fatalf("the shares are %.3f of the whole", sum)
+			}
+		}
+	})
+}
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -131,7 +131,8 @@
 		"mqtt_connections": "MQTT connections.", "mqtt_sessions": "MQTT sessions.",
 		"webpush_connections": "Web Push connections.", "webpush_messages": "Push messages kept.",
 		"webpush_receipt_subscriptions": "Receipt subscriptions kept.",
-		"mqtt_partial_bytes":            "Bytes of half packets held.", "endpoints": "Endpoints of the last good list.",
+		"mqtt_partial_bytes":            "Bytes of half packets held.", "endpoints": "Endpoints of the list in force.",
+		"fleet_relays": "Relays of the fleet, as believed.",
 	} {
 		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "basaltcross", Name: name, Help: help})
 		r.registry.MustRegister(g)
@@ -231,17 +232,22 @@
 	r.line(zerolog.WarnLevel, "unsolicited", "bytes without a request from "+host)
 }
 
-// Listed counts a reading of the endpoint list.
-func (r *Relay) Listed(endpoints int, err error) {
-	if err != nil {
-		r.lists.WithLabelValues("broken").Inc()
-		r.line(zerolog.ErrorLevel, "list", "endpoint list is broken, the last good one stands: "+err.Error())
-		return
-	}
+// Listed is told of each list in force.
+func (r *Relay) Listed(endpoints int) {
 	r.lists.WithLabelValues("good").Inc()
 	r.gauges["endpoints"].Set(float64(endpoints))
 }
 
+// Unlisted is told of a source that failed, or of an entry that cannot be used;
+// what was good stands.
+func (r *Relay) Unlisted(source string, err error) {
+	r.lists.WithLabelValues("broken").Inc()
+	r.line(zerolog.ErrorLevel, "list "+source, err.Error())
+}
+
+// Fleet is told of the number of relays that is believed.
+func (r *Relay) Fleet(size int) { r.gauges["fleet_relays"].Set(float64(size)) }
+
 // line writes one line of a cause within its allowance; how many were left out
 // stands in the next.
 func (r *Relay) line(level zerolog.Level, cause, text string) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/keys"
+	"basaltcross.example/basaltcross/internal/member"
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
 	"basaltcross.example/basaltcross/internal/partner"
@@ -51,7 +52,8 @@
 	push   *webpush.Front // nil where it is not configured
 	zones  *zone.Reporter
 	names  *resolve.Follower
-	source directory.Source
+	list   *directory.Directory
+	fleet  *follower // nil where the fleet is a setting
 
 	// MetricsAddr is where the metrics are served, nil if nowhere.
 	MetricsAddr net.Addr
@@ -96,9 +98,12 @@
 
 // CheckList reads the endpoint list of a configuration once and counts its endpoints.
 func CheckList(cfg *config.Config) (int, error) {
+	if cfg.Directory.File == "" {
+		return 0, nil
+	}
 	f := directory.File{Path: cfg.Directory.File, Names: names(cfg), Most: cfg.Limits.ListBytes}
-	hosts, _, err := f.Load()
-	return len(hosts), err
+	list, err := f.Load()
+	return len(list), err
 }
 
 // Start brings a relay up. It runs until Stop.
@@ -212,9 +217,19 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	source := &directory.File{Path: cfg.Directory.File, Names: names, Most: cfg.Limits.ListBytes, Report: r.obs.Listed,
-		Addresses: r.names.Set}
-	r.source = source
+	sources, clients, err := sources(cfg, ring, names)
+	if err != nil {
+		cancel()
+		r.caller.Close()
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	r.list = directory.New(directory.Options{Names: names, Sources: sources, Saved: cfg.Directory.Saved,
+		Settings: member.Settings{Gone: cfg.Directory.Gone.D(), Believe: cfg.Directory.Believe.D(), Trust: cfg.Directory.Trust.D()},
+		Most:     cfg.Limits.ListBytes, To: sink, Addresses: r.names.Set, Listed: r.obs.Listed, Failed: r.obs.Unlisted})
+	if cfg.Fleet != nil {
+		r.fleet = newFollower(cfg, clients[0], r.core.Fleet, r.obs)
+	}
+	r.obs.Serves("/directory", func() any { return r.Directory() })
 	fail := func(err error) (*Relay, error) {
 		cancel()
 		r.done.Wait()
@@ -245,9 +260,7 @@
 	}()
 	go func() {
 		defer r.done.Done()
-		if err := source.Run(ctx, sink); err != nil {
-			r.obs.Listed(0, err)
-		}
+		r.list.Run(ctx)
 	}()
 	users := map[string]string{}
 	for _, u := range cfg.MQTT.Users {
@@ -286,6 +299,13 @@
 		}
 		r.obs.Info(fmt.Sprintf("Web Push on %v, with TLS on %v", r.push.Addrs(), r.push.TLSAddrs()))
 	}
+	if r.fleet != nil {
+		r.done.Add(1)
+		go func() {
+			defer r.done.Done()
+			r.fleet.run(ctx, r.front.Addrs())
+		}()
+	}
 	r.obs.Info(fmt.Sprintf("relay %s takes messages on %v", cfg.Relay.Name, r.front.Addrs()))
 	return r, nil
 }
