--- a/cmd/basaltcross/model.go
+++ b/cmd/basaltcross/model.go
@@ -52,7 +52,7 @@
 			}
 			return nil
 		}}
-	c.AddCommand(modelAddresses())
+	c.AddCommand(modelAddresses(), modelSize())
 	f := c.Flags()
 	f.Uint64Var(&s.Seed, "seed", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 5, "runs of each kind, for the error bars")
@@ -100,3 +100,43 @@
 	f.DurationVar(&s.Keep, "keep", 30*time.Second, "how long an idle connection stands")
 	return c
 }
+
+func modelSize() *cobra.Command {
+	s := fleet.Settings{}
+	z := fleet.Size{}
+	var seeds int
+	c := &cobra.Command{Use: "size", Short: "Model a fleet that believes in different sizes of itself", Args: cobra.NoArgs,
+		Long: "The fleet goes from one number of relays to another at half time; partners have limits that all relays share; a\n" +
+			"fifth of the partners is away in the middle third and returns cold.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			way := func(name string, follow bool, think float64) fleet.Size {
+				w := z
+				w.Name, w.Follow, w.Think = name, follow, think
+				return w
+			}
+			ways := []fleet.Size{way("followed", true, 1), way("fixed at the first", false, 1),
+				way("fixed at the second", false, float64(z.To)/float64(z.From)), way("followed, thought half", true, 0.5),
+				way("followed, thought double", true, 2)}
+			lines, err := fleet.Sizes(s, ways, seeds)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d relays, %d after half time, told after %v; %d endpoints, limits of %.2f times the traffic (listed: %v), %.0f messages a second for %v, %d seeds\n",
+				z.From, z.To, s.Late, 2*s.Partners, z.Limit, z.Listed, s.Rate, s.Lasts, seeds)
+			fleet.PrintSizes(c.OutOrStdout(), lines)
+			return nil
+		}}
+	f := c.Flags()
+	f.Uint64Var(&s.Seed, "seed", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 4, "runs of each kind, for the error bars")
+	f.IntVar(&z.From, "from", 50, "relays at first")
+	f.IntVar(&z.To, "to", 100, "relays after half time")
+	f.IntVar(&s.Partners, "partners", 40, "partners, each with two endpoints")
+	f.Float64Var(&s.Rate, "rate", 800, "messages a second of all relays")
+	f.DurationVar(&s.Lasts, "for", 45*time.Second, "simulated time of arrivals")
+	f.DurationVar(&s.Late, "late", 10*time.Second, "until deaths are told; joins are told at once")
+	f.Float64Var(&z.Limit, "limit", 1.3, "limit of each partner, over its mean traffic")
+	f.BoolVar(&z.Listed, "listed", false, "the list tells the limits")
+	s.Zones = 3
+	return c
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -21,7 +21,7 @@
 		{"value", `effect: "safe"`, `effect: "maybe"`, "r.cue:1: classes.0.effect: "},
 		{"unknown field", `"bank"}]`, `"bank", colour: 1}]`, "r.cue:2: kinds.0.colour: "},
 		{"perCall", `"bank"}]`, `"bank", perCall: 5}]`, "r.cue:2: kinds.0.perCall: "},
-		{"missing", `directory: file: "list.cue"`, ``, "directory.file"},
+		{"missing", `directory: file: "list.cue"`, ``, "directory: needs a file"},
 		{"window", `effect: "safe"`, `effect: "keyed"`, "classes.0.window"},
 		{"unknown kind", `kind: "bank"`, `kind: "shop"`, `r.cue:3: partners[0].kind: "shop" is no kind`},
 		{"twice", `kinds: [{name: "bank"}]`, `kinds: [{name: "bank"}, {name: "bank"}]`, `r.cue:2: kinds[1].name: "bank" stands twice`},
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -106,8 +107,8 @@
 	mu      sync.Mutex
 	list    *member.List
 	last    map[string]choice.Host // as told
-	at      []addr.Endpoint        // as told
-	reports []member.Report        // the last of each source
+	at      map[string]addr.Endpoint
+	reports []member.Report // the last of each source
 	unsaved bool
 	count   int
 }
@@ -243,46 +244,51 @@
 
 // step tells what changed; under mu, so that news go out in their order.
 func (d *Directory) step() (next time.Duration) {
-	list, changed, next := d.list.Step(d.now())
-	if !changed {
+	told, gone, next := d.list.Step(d.now())
+	if len(told)+len(gone) == 0 && d.last != nil {
 		return next
 	}
-	now := make(map[string]choice.Host, len(list))
-	at := make([]addr.Endpoint, 0, len(list))
-	for i := range list {
-		h, a, err := d.opt.Names.host(&list[i].Entry)
+	news := choice.Listing{Whole: d.last == nil}
+	if d.last == nil {
+		d.last, d.at = map[string]choice.Host{}, map[string]addr.Endpoint{}
+	}
+	moved := false
+	for i := range told {
+		h, a, err := d.opt.Names.host(&told[i].Entry)
 		if err != nil {
-			d.opt.Failed(list[i].Addr, fmt.Errorf("directory: %w", err))
+			d.opt.Failed(told[i].Addr, fmt.Errorf("directory: %w", err))
+			gone = append(gone, told[i].Addr)
 			continue
 		}
-		if list[i].Draining {
+		if told[i].Draining {
 			h.State = choice.Draining
 		}
-		now[h.Addr], at = h, append(at, a)
-	}
-	news := choice.Listing{Whole: d.last == nil}
-	for _, a := range at {
-		if h := now[a.Host]; d.last[a.Host] != h {
-			news.Hosts = append(news.Hosts, h)
+		if old := d.at[a.Host]; old.Partner != a.Partner || !slices.Equal(old.Addrs, a.Addrs) {
+			d.at[a.Host], moved = a, true
 		}
+		d.last[a.Host] = h
+		news.Hosts = append(news.Hosts, h)
 	}
-	for host, h := range d.last {
-		if _, still := now[host]; !still {
+	for _, host := range gone {
+		if h, was := d.last[host]; was {
 			h.State = choice.Gone
 			news.Hosts = append(news.Hosts, h)
+			delete(d.last, host)
+			delete(d.at, host)
+			moved = true
 		}
 	}
-	same := func(x, y addr.Endpoint) bool {
-		return x.Host == y.Host && x.Partner == y.Partner && slices.Equal(x.Addrs, y.Addrs)
-	}
-	if !slices.EqualFunc(at, d.at, same) && d.opt.Addresses != nil {
+	if moved && d.opt.Addresses != nil {
+		at := make([]addr.Endpoint, 0, len(d.at))
+		for _, host := range slices.Sorted(maps.Keys(d.at)) {
+			at = append(at, d.at[host])
+		}
 		d.opt.Addresses(at)
 	}
-	d.last, d.at, d.count = now, at, len(now)
-	if len(news.Hosts) > 0 || news.Whole {
+	if d.count = len(d.last); len(news.Hosts) > 0 || news.Whole {
 		d.opt.To.List(news)
 	}
-	d.opt.Listed(len(now))
+	d.opt.Listed(d.count)
 	return next
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// of it Late after.
 	Die  float64
 	Late time.Duration
+	// Size tests what relays believe of the fleet's size; nil for none of it.
+	Size *Size
 }
 
 // Sizes and times of the modelled traffic.
@@ -93,6 +95,8 @@
 	Over        float64 `parquet:"overdrawn_bytes"`
 	Refused     int64   `parquet:"refused"`
 	Failed      int64   `parquet:"failed"`
+	Shut        int64   `parquet:"refused_calls"` // by partners' limits
+	Pushed      int64   `parquet:"pushed_over"`   // partners that fell over as they returned
 }
 
 // event is something that happens at a time; seq keeps equal times in order.
@@ -127,6 +131,7 @@
 	rand    *rand.Rand // of service times; arrivals have their own, so that runs compare in pairs
 	relays  []*relay
 	hosts   map[string]*host
+	limits  []*limited // by partner, with Size
 	result  Result
 	crossed []crossing
 }
@@ -137,10 +142,11 @@
 }
 
 type host struct {
-	zone int
-	free []time.Duration // when each slot is free
-	gone bool
-	mute bool // takes calls and never answers
+	zone    int
+	limited *limited        // shared by the partner's endpoints; nil for none
+	free    []time.Duration // when each slot is free
+	gone    bool
+	mute    bool // takes calls and never answers
 }
 
 type relay struct {
@@ -168,17 +174,21 @@
 		for i := range 2 { // in two zones each
 			z := (p + i) % s.Zones
 			addr := fmt.Sprintf("p%d-%d", p, i)
-			w.hosts[addr] = &host{zone: z, free: make([]time.Duration, max(slots, slots*s.Relays/s.Partners))}
-			list = append(list, choice.Host{Addr: addr, Dest: p, Zone: z, State: choice.Ready})
+			w.hosts[addr] = &host{zone: z, limited: w.limit(p), free: make([]time.Duration, max(slots, slots*s.Relays/s.Partners))}
+			list = append(list, choice.Host{Addr: addr, Dest: p, Zone: z, Rate: w.rateOf(p), State: choice.Ready})
 		}
 	}
+	believed := s.Relays
+	if s.Size != nil {
+		believed = s.Size.configured(s.Relays)
+	}
 	var purse *budget.Book
 	for i := range s.Relays {
 		r := &relay{w: w, index: i, zone: i % s.Zones}
 		opt := core.Options{Seed: s.Seed + uint64(i), Apart: make([]bool, s.Partners), Arrivals: 1 << 20, Identities: 1 << 20,
 			Keep: time.Minute, Caller: r, Observer: r, Clock: func() time.Duration { return w.now },
-			Settings: choice.Settings{Index: i, Fleet: s.Relays, Workers: 64, MaxHeld: 2000, MaxAttempts: 4,
-				Tick: 10 * time.Millisecond, Classes: classes, Kinds: []choice.Kind{{PerCall: 1, Apart: true}}, Cancels: true,
+			Settings: choice.Settings{Index: i, Fleet: believed, Listed: s.Size != nil && s.Size.Listed, Workers: 64, MaxHeld: 2000, MaxAttempts: 4,
+				Tick: 10 * time.Millisecond, Classes: classes, Kinds: []choice.Kind{{PerCall: 1, Apart: s.Size == nil}}, Cancels: true,
 				Certain: true, ReportLimit: -1, ZoneFee: fees(s.Zones, r.zone), Rules: choice.Rules{OverloadFactor: 2,
 					Fall: 2 * time.Second, ColdFrom: 0.2, Cold: 10 * time.Second}}}
 		if s.How != None {
@@ -212,10 +222,15 @@
 			return w.result, err
 		}
 		w.relays = append(w.relays, r)
+		r.dead = s.Size != nil && i >= s.Size.From
 		r.core.List(choice.Listing{Whole: true, Hosts: list})
 		r.step()
 	}
-	w.plan()
+	if s.Size != nil {
+		w.planSize()
+	} else {
+		w.plan()
+	}
 	for len(w.queue) > 0 && w.now < s.Lasts+10*time.Second {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
@@ -250,7 +265,7 @@
 			part += s.Uneven * (1 - 2*float64(i)/n)
 		}
 		if rate := s.Rate / float64(s.Relays) * part; rate > 0 {
-			w.arrivals(r, rate)
+			w.arrivals(r, func() float64 { return rate })
 		}
 	}
 	if s.Outage > 0 {
@@ -300,7 +315,7 @@
 	}
 }
 
-func (w *World) arrivals(r *relay, rate float64) {
+func (w *World) arrivals(r *relay, rate func() float64) {
 	chance := rand.New(rand.NewPCG(w.set.Seed, uint64(100+r.index)))
 	var next func()
 	next = func() {
@@ -322,9 +337,9 @@
 		_ = r.core.Submit(&core.Message{Identity: fmt.Sprint(w.seq), Class: class, Partner: partner,
 			Left: classes[class].Deadline, Reply: &reply{r, class, w.now}})
 		r.step()
-		w.after(time.Duration(chance.ExpFloat64()/rate*1e9), next)
+		w.after(time.Duration(chance.ExpFloat64()/rate()*1e9), next)
 	}
-	w.after(time.Duration(chance.ExpFloat64()/rate*1e9), next)
+	w.after(time.Duration(chance.ExpFloat64()/rate()*1e9), next)
 }
 
 // reply books a final answer.
@@ -403,6 +418,11 @@
 			r.step()
 		})
 	}
+	if h.limited != nil && !h.gone && !h.limited.take(w) {
+		w.result.Shut++
+		end(choice.Refused, time.Millisecond, 0)
+		return a
+	}
 	if h.gone {
 		end(choice.NoConnection, time.Millisecond, 0)
 		return a
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -91,6 +91,8 @@
 	lost  map[string]*lost
 	heard time.Duration
 	ever  bool
+	// by partner, of told: endpoints, and critical ones
+	all, critical map[string]int
 }
 
 // known is what was told of an endpoint.
@@ -109,13 +111,14 @@
 	set     Settings
 	sources []*source
 	known   map[string]*known
-	dirty   bool
-	next    time.Duration // when time alone may change something; below 0 for never
+	touched map[string]bool // addresses to decide anew
+	every   bool            // all of them
+	next    time.Duration   // when time alone may change something; below 0 for never
 }
 
 // NewList makes one; the order of sources is their precedence.
 func NewList(set Settings, sources []SourceSettings) *List {
-	l := &List{set: set, known: map[string]*known{}, next: -1}
+	l := &List{set: set, known: map[string]*known{}, touched: map[string]bool{}, next: -1}
 	for _, s := range sources {
 		l.sources = append(l.sources, &source{SourceSettings: s, told: map[string]Entry{}, lost: map[string]*lost{}})
 	}
@@ -126,7 +129,7 @@
 func (l *List) Heard(now time.Duration, from int) {
 	s := l.sources[from]
 	if l.set.Trust > 0 && s.ever && now-s.heard > l.set.Trust {
-		l.dirty = true // it was passed over
+		l.every = true // it was passed over
 	}
 	s.heard = now
 }
@@ -135,7 +138,6 @@
 func (l *List) Report(now time.Duration, from int, r Report) {
 	s := l.sources[from]
 	l.Heard(now, from)
-	l.dirty = true
 	next := make(map[string]Entry, len(r.Entries))
 	ids := make(map[string]bool, len(r.Entries))
 	for _, e := range r.Entries {
@@ -151,14 +153,37 @@
 		}
 		gone := &lost{Entry: e, since: now, moved: ids[cmp.Or(e.ID, e.Addr)]}
 		s.lost[addr] = gone
+		l.touched[addr] = true
 		if !gone.moved {
 			fresh = append(fresh, gone)
 		}
 	}
-	for addr := range next {
+	shaken := map[string]bool{} // partners whose share of critical ones moved
+	for addr, e := range next {
 		delete(s.lost, addr)
+		old, was := s.told[addr]
+		if !was || !old.same(&e) || old.Draining != e.Draining || s.Health && old.Health != e.Health {
+			l.touched[addr] = true
+		}
+		if s.Health && (!was || old.Health != e.Health) {
+			shaken[e.Partner] = true
+		}
+	}
+	for addr, e := range s.told {
+		if _, still := next[addr]; !still {
+			l.touched[addr], shaken[e.Partner] = true, true
+		}
 	}
 	s.told, s.ever = next, true
+	s.all, s.critical = map[string]int{}, map[string]int{}
+	for addr, e := range next {
+		if s.all[e.Partner]++; e.Health == Critical {
+			s.critical[e.Partner]++
+		}
+		if s.Health && shaken[e.Partner] {
+			l.touched[addr] = true
+		}
+	}
 	if doubted := !r.Fresh || s.much(now, l.set.Believe); doubted {
 		for _, x := range fresh {
 			x.doubted = true
@@ -196,75 +221,64 @@
 	only  bool // nothing but a vanished entry stands for it
 }
 
-// wishes merges the sources.
-func (l *List) wishes(now time.Duration) map[string]*wish {
-	// A source that has been silent for too long yields where another one knows.
-	served := make([]map[string]bool, len(l.sources))
+// wish merges what the sources have of one address; nil if none has it.
+func (l *List) wish(now time.Duration, addr string) (w *wish) {
 	for i, s := range l.sources {
-		served[i] = map[string]bool{}
-		if l.set.Trust <= 0 || now-s.heard <= l.set.Trust {
-			for _, e := range s.told {
-				served[i][e.Partner] = true
+		e, has := s.told[addr]
+		x, lost := s.lost[addr]
+		if has && l.yields(now, i, e.Partner) || lost && l.yields(now, i, x.Partner) {
+			continue
+		}
+		if has {
+			sick := s.Health && e.Health == Critical &&
+				float64(s.critical[e.Partner]) <= panicShare*float64(s.all[e.Partner])
+			switch {
+			case w == nil:
+				w = &wish{Entry: e, drain: e.Draining || sick}
+			case w.only:
+				w.Entry, w.only, w.drain = e, false, e.Draining || sick
+			default:
+				w.drain = w.drain || e.Draining || sick
 			}
 		}
-	}
-	out := map[string]*wish{}
-	for i, s := range l.sources {
-		silent := l.set.Trust > 0 && s.ever && now-s.heard > l.set.Trust
-		if !silent && s.ever {
-			l.at(s.heard + l.set.Trust + 1)
+		if !lost {
+			continue
 		}
-		yields := func(partner string) bool {
-			if !silent {
-				return false
-			}
-			for j := range served {
-				if j != i && served[j][partner] {
-					return true
-				}
-			}
-			return false
+		age := now - x.since
+		if x.doubted && !x.moved {
+			age -= l.set.Believe
 		}
-		critical, all := map[string]int{}, map[string]int{}
-		for _, e := range s.told {
-			if all[e.Partner]++; e.Health == Critical {
-				critical[e.Partner]++
-			}
+		if age >= l.set.Gone {
+			delete(s.lost, addr)
+			continue
 		}
-		for addr, e := range s.told {
-			if yields(e.Partner) {
-				continue
-			}
-			sick := s.Health && e.Health == Critical &&
-				float64(critical[e.Partner]) <= panicShare*float64(all[e.Partner])
-			if w := out[addr]; w == nil {
-				out[addr] = &wish{Entry: e, drain: e.Draining || sick}
-			} else {
-				if w.only {
-					w.Entry, w.only, w.drain = e, false, false
-				}
-				w.drain = w.drain || e.Draining || sick
-			}
+		if age < 0 {
+			l.at(now - age)
 		}
-		for addr, x := range s.lost {
-			age := now - x.since
-			if x.doubted && !x.moved {
-				age -= l.set.Believe
-			}
-			if age >= l.set.Gone {
-				delete(s.lost, addr)
-				continue
-			}
-			if age < 0 {
-				l.at(now - age)
-			}
-			l.at(now - age + l.set.Gone)
-			if w := out[addr]; w == nil && !yields(x.Partner) {
-				out[addr] = &wish{Entry: x.Entry, drain: age >= 0 || x.Draining, only: true}
-			}
+		l.at(now - age + l.set.Gone)
+		if w == nil {
+			w = &wish{Entry: x.Entry, drain: age >= 0 || x.Draining, only: true}
 		}
 	}
-	return out
+	return w
+}
+
+func (l *List) silent(now time.Duration, s *source) bool {
+	return l.set.Trust > 0 && s.ever && now-s.heard > l.set.Trust
+}
+
+// yields tells whether a source that has been silent for too long leaves a partner
+// to another one that knows it.
+func (l *List) yields(now time.Duration, from int, partner string) bool {
+	if !l.silent(now, l.sources[from]) {
+		return false
+	}
+	for i, o := range l.sources {
+		if i != from && !l.silent(now, o) && o.all[partner] > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // at asks for a Step at a time.
@@ -280,48 +294,85 @@
 	Draining bool
 }
 
-// Step decides anew. It returns the list in force, in the order of addresses,
-// whether that differs from what the last Step returned, and when to Step again
-// at the latest without news; below 0 for never.
-func (l *List) Step(now time.Duration) (list []Told, changed bool, next time.Duration) {
-	if !l.dirty && (l.next < 0 || now < l.next) {
-		return nil, false, l.next
+// Step decides anew. It returns what differs from what was told before: endpoints
+// in the order of addresses, and addresses that are on the list no more; and when to
+// Step again at the latest without news, below 0 for never.
+func (l *List) Step(now time.Duration) (told []Told, gone []string, next time.Duration) {
+	if l.next >= 0 && now >= l.next {
+		l.every = true
 	}
-	l.dirty, l.next = false, -1
-	wishes := l.wishes(now)
-	for addr, k := range l.known {
-		if wishes[addr] != nil {
-			continue
-		}
-		if k.told {
-			k.told, changed = false, true
-			k.drained(now, !k.drain)
-		}
-		if k.fade(now) < 0.5 { // nothing left to remember
-			delete(l.known, addr)
-		} else {
-			l.at(now + 2*halfLife)
-		}
+	if !l.every && len(l.touched) == 0 {
+		return nil, nil, l.next
 	}
-	for addr, w := range wishes {
-		k := l.known[addr]
-		if k == nil {
-			k = &known{since: -1}
-			l.known[addr] = k
+	if l.every {
+		l.every, l.next = false, -1
+		for addr := range l.known {
+			l.touched[addr] = true
 		}
-		if !k.told || !k.same(&w.Entry) {
-			changed = true
+		for _, s := range l.sources {
+			for addr := range s.told {
+				l.touched[addr] = true
+			}
+			for addr := range s.lost {
+				l.touched[addr] = true
+			}
+			if l.set.Trust > 0 && s.ever && !l.silent(now, s) {
+				l.at(s.heard + l.set.Trust + 1)
+			}
 		}
-		k.Entry = w.Entry
-		if w.drain {
-			k.since = -1
-			if !k.told || !k.drain {
-				k.drained(now, k.told)
-				changed = true
+	}
+	for _, addr := range slices.Sorted(maps.Keys(l.touched)) {
+		w := l.wish(now, addr)
+		if w == nil {
+			if l.forget(now, addr) {
+				gone = append(gone, addr)
 			}
-			k.told, k.drain = true, true
 			continue
 		}
+		if k := l.tell(now, addr, w); k != nil {
+			told = append(told, Told{k.Entry, k.drain})
+		}
+	}
+	clear(l.touched)
+	return told, gone, l.next
+}
+
+// forget takes out what no source has; true if it was told.
+func (l *List) forget(now time.Duration, addr string) (was bool) {
+	k := l.known[addr]
+	if k == nil {
+		return false
+	}
+	if was = k.told; was {
+		k.told = false
+		k.drained(now, !k.drain)
+	}
+	if k.fade(now) < 0.5 { // nothing left to remember
+		delete(l.known, addr)
+	} else {
+		l.at(now + 2*halfLife)
+	}
+	return was
+}
+
+// tell decides on one endpoint; nil if there is nothing new to tell.
+func (l *List) tell(now time.Duration, addr string, w *wish) *known {
+	k := l.known[addr]
+	if k == nil {
+		k = &known{since: -1}
+		l.known[addr] = k
+	}
+	changed := !k.told || !k.same(&w.Entry)
+	k.Entry = w.Entry
+	switch {
+	case w.drain:
+		k.since = -1
+		if !k.told || !k.drain {
+			k.drained(now, k.told)
+			changed = true
+		}
+		k.drain = true
+	default:
 		if k.since < 0 {
 			k.since = now
 		}
@@ -332,24 +383,16 @@
 		}
 		if now < ready {
 			l.at(ready)
-			if !k.told {
-				k.told, k.drain, changed = true, true, true
-			}
-			continue
+			k.drain = k.drain || !k.told
+		} else if k.drain {
+			k.drain, changed = false, true
 		}
-		if !k.told || k.drain {
-			changed = true
-		}
-		k.told, k.drain = true, false
 	}
-	if changed {
-		for _, addr := range slices.Sorted(maps.Keys(wishes)) {
-			if k := l.known[addr]; k.told {
-				list = append(list, Told{k.Entry, k.drain})
-			}
-		}
+	k.told = true
+	if !changed {
+		return nil
 	}
-	return list, changed, l.next
+	return k
 }
 
 // drained counts one more time that an endpoint went out of service.
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -35,12 +35,15 @@
 func newBench(sources ...SourceSettings) *bench { return &bench{List: NewList(set, sources)} }
 
 func (b *bench) step(now time.Duration) *bench {
-	list, changed, next := b.Step(now)
-	if b.next = next; changed {
+	told, gone, next := b.Step(now)
+	if b.next = next; b.list == nil {
 		b.list = map[string]Told{}
-		for _, e := range list {
-			b.list[e.Addr] = e
-		}
+	}
+	for _, e := range told {
+		b.list[e.Addr] = e
+	}
+	for _, addr := range gone {
+		delete(b.list, addr)
 	}
 	return b
 }
@@ -128,7 +131,7 @@
 	b.Report(0, 0, Report{entries(2), true})
 	b.step(0)
 	b.Report(s, 0, Report{renamed, true})
-	if _, changed, _ := b.Step(s); changed {
+	if told, gone, _ := b.Step(s); len(told)+len(gone) > 0 {
 		t.Error("another id at the same address was news")
 	}
 }
--- a/internal/standin/consul.go
+++ b/internal/standin/consul.go
@@ -54,8 +54,10 @@
 
 	mu        sync.Mutex
 	index     uint64
+	at        map[string]uint64 // index of each service's last change
+	all       uint64            // and of the last change to all
 	instances map[string]*Instance
-	changed   chan struct{}
+	changed   map[string]chan struct{} // by service, closed at its next change
 	trouble   CatalogTrouble
 	Queries   int
 	stop      chan struct{}
@@ -67,8 +69,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("standin: %w", err)
 	}
-	c := &Consul{Addr: l.Addr().String(), index: 10, instances: map[string]*Instance{}, changed: make(chan struct{}),
-		stop: make(chan struct{})}
+	c := &Consul{Addr: l.Addr().String(), index: 10, at: map[string]uint64{}, all: 10,
+		instances: map[string]*Instance{}, changed: map[string]chan struct{}{}, stop: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/health/service/{name}", c.query)
 	mux.HandleFunc("GET /v1/catalog/service/{name}", c.query)
@@ -95,11 +97,31 @@
 	c.move()
 }
 
-// move raises the index; under mu.
-func (c *Consul) move() {
+// move raises the index of services, of all if none is named; under mu.
+func (c *Consul) move(services ...string) {
 	c.index++
-	close(c.changed)
-	c.changed = make(chan struct{})
+	if len(services) == 0 {
+		c.all = c.index
+		clear(c.at)
+		for name := range c.changed {
+			services = append(services, name)
+		}
+	}
+	for _, name := range services {
+		if ch := c.changed[name]; ch != nil {
+			close(ch)
+			delete(c.changed, name)
+		}
+		c.at[name] = c.index
+	}
+}
+
+// indexOf a service, and a channel that closes at its next change; under mu.
+func (c *Consul) indexOf(service string) (uint64, chan struct{}) {
+	if c.changed[service] == nil {
+		c.changed[service] = make(chan struct{})
+	}
+	return max(c.at[service], c.all), c.changed[service]
 }
 
 // Reset lets the index begin anew, as a restored server does.
@@ -107,17 +129,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.index = 1
-	c.move()
+	c.move() // all of them
 }
 
 // Put adds or replaces instances in one change.
 func (c *Consul) Put(list ...Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var services []string
 	for _, i := range list {
 		c.instances[i.ID] = &i
+		services = append(services, i.Service)
+	}
+	if len(services) > 0 {
+		c.move(services...)
 	}
-	c.move()
 }
 
 // Delete takes instances out in one change.
@@ -125,9 +151,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
-		delete(c.instances, id)
+		if i := c.instances[id]; i != nil {
+			delete(c.instances, id)
+			c.move(i.Service)
+		}
 	}
-	c.move()
 }
 
 // Asked counts queries so far.
@@ -147,15 +175,12 @@
 			return
 		case now := <-tick.C:
 			c.mu.Lock()
-			moved := false
 			for _, i := range c.instances {
 				if i.ttl > 0 && i.Check == "passing" && now.Sub(i.seen) > i.ttl {
-					i.Check, moved = "critical", true
+					i.Check = "critical"
+					c.move(i.Service)
 				}
 			}
-			if moved {
-				c.move()
-			}
 			c.mu.Unlock()
 		}
 	}
@@ -188,8 +213,12 @@
 	wait += time.Duration(rand.Float64() * float64(wait) / 16)
 	c.mu.Lock()
 	c.Queries++
-	for end := time.Now().Add(wait); index > 0 && c.index == index && !c.trouble.Instant && time.Now().Before(end); {
-		changed := c.changed
+	name := r.PathValue("name")
+	for end := time.Now().Add(wait); index > 0 && !c.trouble.Instant && time.Now().Before(end); {
+		now, changed := c.indexOf(name)
+		if now != index {
+			break
+		}
 		c.mu.Unlock()
 		select {
 		case <-changed:
@@ -199,11 +228,12 @@
 		}
 		c.mu.Lock()
 	}
-	t, now := c.trouble, c.index
+	t := c.trouble
+	now, _ := c.indexOf(name)
 	health := strings.HasPrefix(r.URL.Path, "/v1/health/")
 	var list []Instance
 	for _, i := range c.instances {
-		if i.Service == r.PathValue("name") && !slices.ContainsFunc(q["tag"], func(t string) bool { return !slices.Contains(i.Tags, t) }) {
+		if i.Service == name && !slices.ContainsFunc(q["tag"], func(t string) bool { return !slices.Contains(i.Tags, t) }) {
 			list = append(list, *i)
 		}
 	}
@@ -311,15 +341,17 @@
 		ttl, _ := time.ParseDuration(s.Check.TTL)
 		c.instances[s.ID] = &Instance{ID: s.ID, Service: s.Name, Address: s.Address, Port: s.Port, Meta: s.Meta,
 			Check: s.Check.Status, ttl: ttl, seen: time.Now()}
-		c.move()
+		c.move(s.Name)
 		return http.StatusOK
 	})
 }
 
 func (c *Consul) deregister(w http.ResponseWriter, r *http.Request) {
 	c.agent(w, func() int {
-		delete(c.instances, r.PathValue("id"))
-		c.move()
+		if i := c.instances[r.PathValue("id")]; i != nil {
+			delete(c.instances, i.ID)
+			c.move(i.Service)
+		}
 		return http.StatusOK
 	})
 }
@@ -332,7 +364,7 @@
 		}
 		if i.seen = time.Now(); i.Check != "passing" {
 			i.Check = "passing"
-			c.move()
+			c.move(i.Service)
 		}
 		return http.StatusOK
 	})
