--- a/choice/api.go
+++ b/choice/api.go
@@ -108,6 +108,22 @@
 	Key   string        // key of the order; empty for none
 }
 
+// Restored is an Arrival of a message that an earlier run of the relay held.
+type Restored struct {
+	Arrival
+	Attempts int
+	Ran      bool          // one of them may have run
+	Since    time.Duration // ago the first of those was sent
+	Zone     int           // to which zone; below 0 if it is not known any more
+}
+
+// Waited is what an earlier run knew of an endpoint that is on the list.
+type Waited struct {
+	Host    string
+	Left    time.Duration // of a told wait
+	Failing bool          // its last calls failed
+}
+
 // Result ends one attempt.
 type Result struct {
 	ID      string
@@ -188,6 +204,8 @@
 func (Stop) event()      {}
 func (Tolls) event()     {}
 func (Fleet) event()     {}
+func (Restored) event()  {}
+func (Waited) event()    {}
 
 // An Action is something the relay must do. The types below are the actions.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -80,6 +80,19 @@
 			c.tolls = &e
 		case Fleet:
 			c.fleet(e)
+		case Restored:
+			m := c.arrive(e.Arrival)
+			if m.attempts = e.Attempts; e.Ran {
+				m.ran, m.ranAt, m.ranZone, m.unsure = true, c.now-min(e.Since, math.MaxInt64/4), e.Zone, c.now
+			}
+		case Waited:
+			if h := c.hosts[e.Host]; h != nil {
+				h.unit.waitUntil = max(h.unit.waitUntil, c.now+e.Left)
+				if e.Failing && h.unit.state == healthy {
+					h.unit.risky = true
+					c.suspect(h.unit, h.dest, "failed before a restart", 0)
+				}
+			}
 		}
 	}
 	if c.askAt >= 0 && now >= c.askAt {
@@ -542,7 +555,7 @@
 
 // Admission and final answers.
 
-func (c *Chooser) arrive(e Arrival) {
+func (c *Chooser) arrive(e Arrival) *message {
 	k := &c.set.Classes[min(max(e.Class, 0), len(c.set.Classes)-1)]
 	m := &message{Arrival: e, class: k, dest: c.dest(e.Dest), due: c.now + e.Left, unsure: -1}
 	m.born = m.due - k.Deadline
@@ -557,6 +570,7 @@
 		}
 		l.queue = append(l.queue, m)
 	}
+	return m
 }
 
 // result takes in how an attempt ended.
--- a/internal/badday/plant.go
+++ b/internal/badday/plant.go
@@ -16,6 +16,7 @@
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/directory"
 	"basaltcross.example/basaltcross/internal/front"
+	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/relay"
 )
@@ -35,6 +36,8 @@
 		h.Sink = func(s directory.Sink) directory.Sink { return &deafSink{Sink: s} }
 	case "out-of-order", "no-answer", "late-answer":
 		h.Door = func(d front.Door) front.Door { return &badDoor{Door: d, name: name, cfg: cfg} }
+	case "answer-before-sync":
+		h.Journal = func(j core.Journal) core.Journal { return &hastyJournal{j} }
 	default:
 		return h, fmt.Errorf("badday: no fault %q; there are %s", name, strings.Join(Breaks, ", "))
 	}
@@ -127,3 +130,17 @@
 		time.AfterFunc(b.after+time.Second, func() { b.Reply.Answer(a) })
 	}
 }
+
+// hastyJournal says that all is on disk while it is not even on the way there.
+type hastyJournal struct{ core.Journal }
+
+func (h *hastyJournal) Taken(m journal.Message) {
+	time.AfterFunc(80*time.Millisecond, func() { h.Journal.Taken(m) })
+}
+func (h *hastyJournal) Tried(a journal.Attempt) {
+	time.AfterFunc(80*time.Millisecond, func() { h.Journal.Tried(a) })
+}
+func (h *hastyJournal) Ended(e journal.End) {
+	time.AfterFunc(80*time.Millisecond, func() { h.Journal.Ended(e) })
+}
+func (h *hastyJournal) Then(done func()) { go done() }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -223,6 +223,12 @@
 		Believe Duration
 		Trust   Duration
 	}
+	Journal *struct {
+		Dir   string
+		Bytes int64
+		Queue int
+		Sync  bool
+	}
 	Fleet *struct {
 		Service string
 		TTL     Duration
@@ -356,6 +362,9 @@
 		return nil, err
 	}
 	files := []*string{&c.Directory.File, &c.Directory.Saved, &c.ZoneRecords}
+	if c.Journal != nil {
+		files = append(files, &c.Journal.Dir)
+	}
 	for i := range c.Directory.Consul {
 		k := &c.Directory.Consul[i]
 		files = append(files, &k.TokenFile)
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -242,6 +242,15 @@
 		believe: #Dur | *"1m"
 		trust:   #Dur | *"1h"
 	}
+	// What is taken outlives the process: a folder of this relay's own. Past bytes on
+	// disk, or queue bytes that wait for it, nothing new is taken. Without sync records
+	// survive the process and not the machine.
+	journal?: {
+		dir:   string & !=""
+		bytes: int & >=16777216 | *4294967296
+		queue: int & >=65536 | *67108864
+		sync:  bool | *true
+	}
 	// The fleet: relays register with the first catalogue, and follow each other there.
 	// relay.fleet is believed until it was heard.
 	fleet?: {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/limit"
 )
@@ -28,6 +29,8 @@
 	Key      string // key of the order
 	Left     time.Duration
 	Now      bool   // sent at once or not at all, and not again
+	Front    string // which front, and
+	Way      []byte // what it needs to find the way back after a restart
 	Head     []byte // further header lines for the partner, each with its CRLF
 	Body     []byte // not changed after the hand-in
 	Reply    Reply  // where "taken" and the final answer go
@@ -47,6 +50,7 @@
 // Why a hand-in was not taken.
 var (
 	ErrBusy       = errors.New("core: inbox is full, or this client's share of it")
+	ErrJournal    = errors.New("core: the journal takes nothing more now")
 	ErrStopping   = errors.New("core: relay is stopping")
 	ErrNoIdentity = errors.New("core: a class that must never take effect twice needs an identity")
 )
@@ -109,6 +113,22 @@
 	Sent(now time.Duration, class, partner, zone int) func(now time.Duration, passed int64, whole bool)
 }
 
+// Journal makes records durable; journal.Journal is one. None of its methods blocks.
+type Journal interface {
+	Stamp() journal.Stamp
+	Room() bool
+	Taken(journal.Message)
+	Tried(journal.Attempt)
+	Ended(journal.End)
+	Waits(journal.Wait)
+	Forget(identity string)
+	// Then calls done from any goroutine once all that was handed in is on disk.
+	Then(done func())
+}
+
+// Names are the configuration's, for records.
+type Names struct{ Classes, Partners, Zones []string }
+
 // Sharer is a Toll that is shared by the fleet.
 type Sharer interface {
 	Fleet(now time.Duration, relays int)
@@ -128,6 +148,8 @@
 	Keep       time.Duration
 	Caller     Caller
 	Observer   Observer
+	Journal    Journal // nil: nothing survives a crash
+	Names      Names   // needed with a Journal
 }
 
 // message is one message from hand-in to final answer and last outcome.
@@ -140,6 +162,8 @@
 	due      time.Duration
 	tries    int
 	out      *attempt
+	seq      uint64
+	kept     bool // in the journal
 }
 
 type attempt struct {
@@ -194,7 +218,10 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
-	nows     []string // messages that go in this step or not at all
+	deferred int                      // what waits for the journal
+	failing  map[string]bool          // endpoints, as recorded
+	waited   map[string]choice.Waited // from an earlier run, for endpoints not yet listed
+	nows     []string                 // messages that go in this step or not at all
 	spare    []event
 }
 
@@ -209,10 +236,15 @@
 		epoch := time.Now()
 		clock = func() time.Duration { return time.Since(epoch) }
 	}
-	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: ledger.New(opt.Identities, opt.Keep),
+	led := ledger.New(opt.Identities, opt.Keep)
+	if opt.Journal != nil {
+		led.Dropped = opt.Journal.Forget
+	}
+	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: led,
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
-		outs: map[*attempt]struct{}{}, zones: map[string]int{}, wakeAt: -1, stopAt: -1}, nil
+		outs: map[*attempt]struct{}{}, zones: map[string]int{}, wakeAt: -1, stopAt: -1,
+		failing: map[string]bool{}, waited: map[string]choice.Waited{}}, nil
 }
 
 // Now is the core's monotonic clock.
@@ -309,7 +341,7 @@
 		}
 		c.now = c.Now()
 		c.work()
-		if c.draining && len(c.msgs) == 0 {
+		if c.draining && len(c.msgs) == 0 && c.deferred == 0 {
 			return
 		}
 	}
@@ -385,6 +417,7 @@
 		case e.listing != nil:
 			c.batch = append(c.batch, *e.listing)
 			c.listed(e.listing, recall)
+			c.remember(e.listing)
 		case e.fleet != nil:
 			c.batch = append(c.batch, *e.fleet)
 			if t, ok := c.opt.Toll.(Sharer); ok {
@@ -447,17 +480,26 @@
 	m := &message{Message: *in, taken: c.now, due: at + min(in.Left, k.Deadline)}
 	if in.Identity != "" {
 		if e := c.led.Find(c.now, in.Identity); e != nil {
-			in.Reply.Taken(nil)
-			if e.Answer.Verdict != 0 {
-				in.Reply.Answer(e.Answer)
-			} else if old := c.byEntry[e]; old != nil {
-				old.Reply = in.Reply
+			if e.Answer.Verdict == 0 && c.byEntry[e] != nil {
+				c.byEntry[e].Reply = in.Reply
 			}
+			a := e.Answer // of an ended one; else it follows
+			c.durable(true, func() {
+				in.Reply.Taken(nil)
+				if a.Verdict != 0 {
+					in.Reply.Answer(a)
+				}
+			})
 			return
 		}
 	}
+	if c.opt.Journal != nil && in.Identity != "" && !c.opt.Journal.Room() {
+		in.Reply.Taken(ErrJournal)
+		return
+	}
 	c.next++
-	m.id = strconv.FormatUint(c.next, 36)
+	m.seq, m.id = c.next, strconv.FormatUint(c.next, 36)
+	m.kept = c.opt.Journal != nil && in.Identity != ""
 	if in.Identity != "" {
 		e, err := c.led.Open(c.now, in.Identity, m.id, k.Effect == choice.Safe)
 		if err != nil {
@@ -468,7 +510,12 @@
 	}
 	c.msgs[m.id] = m
 	c.owed++
-	in.Reply.Taken(nil)
+	if m.kept {
+		c.opt.Journal.Taken(journal.Message{Seq: m.seq, Identity: m.Identity, Source: m.Source, Class: k.Name,
+			Partner: c.opt.Names.Partners[m.Partner], Key: m.Key, At: c.opt.Journal.Stamp(), Left: int64(m.due - c.now),
+			Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way})
+	}
+	c.durable(m.kept, func() { in.Reply.Taken(nil) })
 	c.opt.Observer.Taken(in.Class)
 	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
 		Left: m.due - c.now, Key: in.Key})
@@ -488,11 +535,145 @@
 		c.led.End(c.now, m.entry, a)
 		delete(c.byEntry, m.entry)
 	}
-	m.Reply.Answer(a)
+	if m.kept {
+		c.opt.Journal.Ended(journal.End{Seq: m.seq, Identity: m.Identity, Class: c.opt.Settings.Classes[m.Class].Name,
+			Verdict: uint8(a.Verdict), After: int64(a.After), At: c.opt.Journal.Stamp(), Front: m.Front, Way: m.Way})
+	}
+	c.durable(m.kept, func() { m.Reply.Answer(a) })
 	c.opt.Observer.Answered(m.Class, a, c.now-m.taken)
 	c.forget(m)
 }
 
+// durable does something once what was recorded so far is on disk; at once where
+// nothing is kept. It is then done on the core's goroutine, in order.
+func (c *Core) durable(kept bool, do func()) {
+	if c.opt.Journal == nil || !kept {
+		do()
+		return
+	}
+	c.deferred++
+	c.opt.Journal.Then(func() {
+		_ = c.put(event{call: func() {
+			c.deferred--
+			do()
+		}})
+	})
+}
+
+// harmful tells whether a second effect of a message would do harm: then each
+// attempt is recorded before its first byte.
+func (c *Core) harmful(m *message) bool {
+	return m.kept && c.opt.Settings.Classes[m.Class].Effect != choice.Safe
+}
+
+// tried records an attempt of a message.
+func (c *Core) tried(a *attempt, clear bool) {
+	zone := ""
+	if z := c.zones[a.host]; z < len(c.opt.Names.Zones) {
+		zone = c.opt.Names.Zones[z]
+	}
+	c.opt.Journal.Tried(journal.Attempt{Seq: a.m.seq, N: a.n, Host: a.host, Zone: zone, At: c.opt.Journal.Stamp(), Clear: clear})
+}
+
+// note records waits that an endpoint told, and whether it fails.
+func (c *Core) note(host string, e Ending) {
+	failed := e.Outcome != choice.Served && e.Outcome != choice.Refused && e.Outcome != choice.NotSent
+	if c.opt.Journal == nil || e.Wait <= 0 && failed == c.failing[host] {
+		return
+	}
+	if c.failing[host] = failed; !failed {
+		delete(c.failing, host)
+	}
+	c.opt.Journal.Waits(journal.Wait{Host: host, At: c.opt.Journal.Stamp(), Left: int64(e.Wait), Failing: failed})
+}
+
+// remember tells the module what an earlier run knew of endpoints that are listed now.
+func (c *Core) remember(l *choice.Listing) {
+	for _, h := range l.Hosts {
+		if w, ok := c.waited[h.Addr]; ok && h.State != choice.Gone {
+			c.batch = append(c.batch, w)
+			delete(c.waited, h.Addr)
+		}
+	}
+}
+
+// gated is an attempt that waits for its record; not a byte is out before.
+type gated struct {
+	sock Attempt // once it has begun
+	off  bool
+}
+
+// Abort ends it.
+func (g *gated) Abort() (started, ok bool) {
+	if g.sock != nil {
+		return g.sock.Abort()
+	}
+	ok = !g.off
+	g.off = true
+	return false, ok
+}
+
+// Recall ends it if it has not begun, or not reached the kernel.
+func (g *gated) Recall() bool {
+	if g.sock != nil {
+		return g.sock.Recall()
+	}
+	ok := !g.off
+	g.off = true
+	return ok
+}
+
+// Restored is a message of an earlier run.
+type Restored struct {
+	Message
+	Seq      uint64
+	Attempts int
+	Ran      bool
+	Since    time.Duration
+	Zone     int // below 0 if it is not known any more
+}
+
+// Ended is an identity of an earlier run that got its final answer.
+type Ended struct {
+	Identity string
+	Answer   ledger.Answer
+	Age      time.Duration
+	Forget   bool
+}
+
+// Restore takes in what an earlier run left, before Run. Answers that were given
+// then count from the first moment on; the module is told of the messages in its
+// first step, in their order.
+func (c *Core) Restore(messages []Restored, ended []Ended, waits []choice.Waited, last uint64) {
+	c.now = c.Now()
+	c.next = last
+	for _, e := range ended {
+		c.led.Restore(c.now-e.Age, e.Identity, e.Answer, e.Forget)
+	}
+	for _, w := range waits {
+		c.waited[w.Host] = w
+		c.failing[w.Host] = w.Failing
+	}
+	var first []choice.Event
+	for i := range messages {
+		r := &messages[i]
+		k := &c.opt.Settings.Classes[r.Class]
+		m := &message{Message: r.Message, taken: c.now, due: c.now + r.Message.Left, seq: r.Seq, kept: true, tries: r.Attempts,
+			id: strconv.FormatUint(r.Seq, 36)}
+		e, err := c.led.Open(c.now, m.Identity, m.id, k.Effect == choice.Safe)
+		if err != nil {
+			c.opt.Observer.Log("a message of an earlier run finds no room: " + err.Error())
+			continue
+		}
+		m.entry, c.byEntry[e] = e, m
+		c.msgs[m.id] = m
+		c.owed++
+		first = append(first, choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
+			Key: r.Key}, Attempts: r.Attempts, Ran: r.Ran, Since: r.Since, Zone: r.Zone})
+	}
+	_ = c.put(event{call: func() { c.batch = append(c.batch, first...) }})
+}
+
 // forget frees a message that is answered and has nothing out.
 func (c *Core) forget(m *message) {
 	if m.answered && m.out == nil {
@@ -525,6 +706,10 @@
 		heap.Remove(&c.waits, a.place)
 	}
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
+	c.note(a.host, e)
+	if sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent; sure && c.harmful(m) {
+		c.tried(a, true)
+	}
 	served := e.Outcome == choice.Served
 	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.n, Outcome: e.Outcome,
 		Took: e.Took, Wait: e.Wait, Done: served || m.answered})
@@ -664,7 +849,19 @@
 		call.Idem = m.idem()
 	}
 	heap.Push(&c.waits, a)
-	a.sock = c.opt.Caller.Send(call)
+	if !c.harmful(m) {
+		a.sock = c.opt.Caller.Send(call)
+		return
+	}
+	g := &gated{}
+	a.sock = g
+	c.tried(a, false)
+	c.durable(true, func() {
+		if !g.off && m.out == a {
+			call.Patient = max(a.end-c.now, time.Millisecond)
+			g.sock = c.opt.Caller.Send(call)
+		}
+	})
 }
 
 // idem is the idempotency key: the identity where there is one, so that a
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,24 @@
 	Withdraw(identity string)
 }
 
+// Keeper keeps what a front needs after a restart; journal.Journal is one.
+type Keeper interface {
+	// Session keeps something for one client; nothing drops it.
+	Session(front, id string, value []byte)
+	// Handed says that the client has the answer of an identity.
+	Handed(identity string)
+	// Then calls done once all that was handed in is on disk.
+	Then(done func())
+}
+
+// Owed is a message of an earlier run, or its answer, that a client waits for.
+type Owed struct {
+	Identity string
+	Way      []byte
+	Answer   ledger.Answer // no verdict: it follows
+	Handed   bool          // the client has it; only its flow may be asked for again
+}
+
 // Why a message is turned away before the core sees it.
 var (
 	ErrPending = errors.New("owed too many answers already")
@@ -121,3 +139,10 @@
 
 func (r Reply[T]) Taken(err error)        { r.Box.Put(Said[T]{To: r.To, Err: err}) }
 func (r Reply[T]) Answer(a ledger.Answer) { r.Box.Put(Said[T]{To: r.To, Answer: a}) }
+
+// Nobody is a reply where nobody waits any more.
+type Nobody struct{}
+
+// Taken and Answer do nothing.
+func (Nobody) Taken(error)          {}
+func (Nobody) Answer(ledger.Answer) {}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -50,6 +50,8 @@
 	entries map[string]*Entry
 	loose   *list.List // ended, may be forgotten early; oldest first
 	firm    *list.List // ended, kept for the whole time; oldest first
+	// Dropped, if set, is told of identities that are kept no more.
+	Dropped func(identity string)
 }
 
 // New returns a ledger for at most count identities that keeps ended ones for
@@ -57,7 +59,7 @@
 // oldest ended identity that may be forgotten early goes first; where there is
 // none, Open fails with ErrFull.
 func New(count int, keep time.Duration) *Ledger {
-	return &Ledger{count, keep, map[string]*Entry{}, list.New(), list.New()}
+	return &Ledger{count: count, keep: keep, entries: map[string]*Entry{}, loose: list.New(), firm: list.New()}
 }
 
 // Len is the number of identities kept.
@@ -106,6 +108,20 @@
 	return true
 }
 
+// Restore takes in an identity that ended in an earlier run; the oldest come first.
+// Past the count the oldest go that may.
+func (l *Ledger) Restore(ended time.Duration, identity string, a Answer, forget bool) {
+	if len(l.entries) >= l.count {
+		if l.loose.Len() == 0 {
+			return
+		}
+		l.drop(l.loose, l.loose.Front())
+	}
+	e := &Entry{Identity: identity, Forget: forget}
+	l.entries[identity] = e
+	l.End(ended, e, a)
+}
+
 func (l *Ledger) expire(now time.Duration) {
 	for _, ended := range [...]*list.List{l.loose, l.firm} {
 		for e := ended.Front(); e != nil && now-e.Value.(*Entry).Ended >= l.keep; e = ended.Front() {
@@ -115,6 +131,9 @@
 }
 
 func (l *Ledger) drop(ended *list.List, e *list.Element) {
-	delete(l.entries, e.Value.(*Entry).Identity)
-	ended.Remove(e)
+	identity := e.Value.(*Entry).Identity
+	delete(l.entries, identity)
+	if ended.Remove(e); l.Dropped != nil {
+		l.Dropped(identity)
+	}
 }
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -335,6 +335,7 @@
 			return &mqtt.Error{Code: mqtt.ProtocolError, Text: "session expiry was 0 and stays so"}
 		}
 		s.expiry = c.front.expiry(d.Props.SessionExpiry)
+		s.keep()
 	}
 	s.mu.Unlock()
 	c.polite.Store(d.Code != mqtt.DisconnectWithWill)
@@ -505,6 +506,7 @@
 	if in.Props.RequestResponse == 1 {
 		ack.ResponseInfo = answersTopic(s.id)
 	}
+	s.keep()
 	c.later(mqtt.AppendConnack(nil, c.version, present, mqtt.Success, &ack))
 	s.resume()
 	c.write()
@@ -584,6 +586,12 @@
 			}
 		}
 	case 2:
+		if old := s.before[p.ID]; old != nil && p.Dup { // of an earlier run
+			old.epoch = s.epoch
+			s.rel, s.open = orNew(s.rel), s.open+1
+			s.rel[p.ID] = old
+		}
+		delete(s.before, p.ID)
 		if old := s.rel[p.ID]; old != nil {
 			if old.epoch = s.epoch; old.taken {
 				c.later(mqtt.AppendAck(nil, s.version, mqtt.PUBREC, p.ID, mqtt.Success, ""))
@@ -609,6 +617,13 @@
 	return nil
 }
 
+func orNew(m map[uint16]*flow) map[uint16]*flow {
+	if m == nil {
+		return map[uint16]*flow{}
+	}
+	return m
+}
+
 // handIn submits a message under its identity; under mu.
 func (s *session) handIn(p *mqtt.Publish, fl *flow) {
 	f := s.front
@@ -660,6 +675,9 @@
 	if p.Props.HasCorrelation() || kept {
 		m.Identity = fl.identity
 	}
+	if f.opt.Keeper != nil {
+		m.Front, m.Way = Name, pend.way(fl.qos)
+	}
 	s.pend[fl.identity] = pend
 	if err := f.opt.Door.Submit(m); err != nil {
 		delete(s.pend, fl.identity)
@@ -740,6 +758,7 @@
 		kind = mqtt.UNSUBACK
 	}
 	c.later(mqtt.AppendSuback(nil, c.version, kind, in.ID, codes))
+	s.keep()
 	s.pump()
 	return nil
 }
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -61,6 +61,9 @@
 	Pollers        int
 	Door           front.Door
 	Observer       Observer
+	Keeper         front.Keeper // nil: sessions end with the process
+	// Before is called once before the front listens, to restore what an earlier run kept.
+	Before func(*Front)
 }
 
 // Front serves MQTT.
@@ -102,6 +105,9 @@
 	if _, err := rand.Read(f.auth.salt[:]); err != nil {
 		return nil, fmt.Errorf("mqtt: %w", err)
 	}
+	if opt.Before != nil {
+		opt.Before(f)
+	}
 	for i, addrs := range [][]string{opt.Listen, opt.TLSListen} {
 		if len(addrs) == 0 {
 			continue
@@ -250,6 +256,7 @@
 	if over && f.sessions[s.id] == s {
 		delete(f.sessions, s.id)
 		s.dead = true
+		s.keep()
 	}
 	s.due()
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/mqttfront/keep.go
@@ -0,0 +1,120 @@
+package mqttfront
+
+import (
+	"maps"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/front"
+)
+
+// Name of the front in records.
+const Name = "mqtt"
+
+// keptSession is what outlives the process of one session.
+type keptSession struct {
+	User    string          `cbor:"1,keyasint"`
+	Version byte            `cbor:"2,keyasint"`
+	Expiry  time.Duration   `cbor:"3,keyasint"`
+	Subs    map[string]byte `cbor:"4,keyasint"`
+}
+
+// way back to a session, as a message's record has it.
+type way struct {
+	Session string `cbor:"1,keyasint"`
+	User    string `cbor:"2,keyasint"`
+	Topic   string `cbor:"3,keyasint"`
+	Corr    []byte `cbor:"4,keyasint"` // nil for none
+	Packet  uint16 `cbor:"5,keyasint"`
+	QoS     byte   `cbor:"6,keyasint"`
+}
+
+func (p *pending) way(qos byte) []byte {
+	b, _ := cbor.Marshal(way{p.s.id, p.s.user, p.topic, p.corr, p.packet, qos}) // plain fields: cannot fail
+	return b
+}
+
+// keep records the session as it is now; one that ends with its connection is
+// not kept. Under mu.
+func (s *session) keep() {
+	k := s.front.opt.Keeper
+	if k == nil {
+		return
+	}
+	if s.expiry <= 0 || s.dead {
+		k.Session(Name, s.id, nil)
+		return
+	}
+	b, _ := cbor.Marshal(keptSession{s.user, s.version, s.expiry, maps.Clone(s.subs)})
+	k.Session(Name, s.id, b)
+}
+
+// handed frees a message whose answer the client has; under mu.
+func (s *session) handed(p *pending) {
+	delete(s.pend, p.identity)
+	if k := s.front.opt.Keeper; k != nil {
+		k.Handed(p.identity)
+	}
+}
+
+// Restore takes in sessions of an earlier run, before the front serves: their
+// clients count as having gone just now.
+func (f *Front) Restore(sessions map[string][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, value := range sessions {
+		var k keptSession
+		if err := cbor.Unmarshal(value, &k); err != nil || len(f.sessions) >= f.opt.Sessions {
+			f.opt.Observer.Logf("mqtt: session %q of an earlier run is not restored: %v", id, err)
+			continue
+		}
+		s := &session{id: id, user: k.User, front: f, version: k.Version, expiry: k.Expiry, away: time.Now(),
+			subs: k.Subs, pend: map[string]*pending{}}
+		if s.subs == nil {
+			s.subs = map[string]byte{}
+		}
+		f.sessions[id] = s
+		s.due()
+	}
+}
+
+// Owe takes in a message of an earlier run, or its answer, and returns where the
+// answer goes if it is still to come.
+func (f *Front) Owe(o front.Owed) core.Reply {
+	var w way
+	if err := cbor.Unmarshal(o.Way, &w); err != nil {
+		f.opt.Observer.Logf("mqtt: way of %q: %v", o.Identity, err)
+		return nowhere{}
+	}
+	f.mu.Lock()
+	s := f.sessions[w.Session]
+	f.mu.Unlock()
+	if s == nil || s.user != w.User {
+		return nowhere{} // its session ended: nobody waits
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fl := &flow{id: w.Packet, qos: w.QoS, identity: o.Identity, taken: true}
+	switch w.QoS { // a client that did not hear of it asks for its flow again
+	case 1:
+		s.remember(fl)
+	case 2:
+		s.before = orNew(s.before)
+		s.before[w.Packet] = fl
+	}
+	if o.Handed {
+		return nowhere{}
+	}
+	p := &pending{s: s, identity: o.Identity, topic: w.Topic, corr: w.Corr, packet: w.Packet, taken: true}
+	s.pend[o.Identity] = p
+	if o.Answer.Verdict != 0 {
+		p.answer = o.Answer
+		s.queue = append(s.queue, p)
+	}
+	return front.Reply[*pending]{Box: f.out, To: p}
+}
+
+// nowhere hears answers that nobody waits for.
+type nowhere = front.Nobody
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -40,7 +40,9 @@
 	flows map[uint16]*flow // QoS 1, the last ReceiveMaximum taken or under way
 	ring  []uint16         // their packet ids, oldest first
 	rel   map[uint16]*flow // QoS 2, until PUBREL
-	open  int              // QoS 1 and 2 not yet acknowledged on this connection
+	// QoS 2 of an earlier run: a client that goes on with one says so by its DUP flag.
+	before map[uint16]*flow
+	open   int // QoS 1 and 2 not yet acknowledged on this connection
 
 	pend   map[string]*pending // owed, until the answer is handed over; by identity
 	queue  []*pending          // answered, not yet sent
@@ -213,7 +215,7 @@
 		}
 		if qos == 0 {
 			s.conn.later(s.encode(p, 0, false))
-			delete(s.pend, p.identity)
+			s.handed(p)
 			continue
 		}
 		for s.nextID++; s.nextID == 0 || s.sent[s.nextID] != nil; s.nextID++ {
@@ -285,7 +287,7 @@
 	case a.Kind == mqtt.PUBACK && p.qos == 1, a.Kind == mqtt.PUBCOMP && p.qos == 2 && p.rel,
 		a.Kind == mqtt.PUBREC && p.qos == 2:
 		delete(s.sent, a.ID)
-		delete(s.pend, p.identity)
+		s.handed(p)
 		s.pump()
 		s.dismiss()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"basaltcross.example/basaltcross/internal/directory"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/keys"
 	"basaltcross.example/basaltcross/internal/member"
 	"basaltcross.example/basaltcross/internal/mqttfront"
@@ -40,6 +41,10 @@
 	Caller func(core.Caller) core.Caller
 	Sink   func(directory.Sink) directory.Sink
 	Door   func(front.Door) front.Door
+	// Broken is told that the journal failed; the process should end then.
+	Broken func(error)
+	// Journal stands between core and journal.
+	Journal func(core.Journal) core.Journal
 }
 
 // Relay is a running relay.
@@ -51,6 +56,7 @@
 	front  *mqttfront.Front
 	push   *webpush.Front // nil where it is not configured
 	zones  *zone.Reporter
+	log    *journal.Journal // nil where nothing is kept
 	names  *resolve.Follower
 	list   *directory.Directory
 	fleet  *follower // nil where the fleet is a setting
@@ -194,9 +200,22 @@
 	if toll != nil {
 		opt.Toll = toll
 	}
+	var kept *journal.Kept
+	if cfg.Journal != nil {
+		if r.log, kept, err = openJournal(cfg, r.obs, hooks.Broken); err != nil {
+			r.caller.Close()
+			return nil, fmt.Errorf("relay: %w", err)
+		}
+		opt.Journal, opt.Names = r.log, core.Names{Classes: classes, Partners: partners, Zones: zones}
+		if hooks.Journal != nil {
+			opt.Journal = hooks.Journal(opt.Journal)
+		}
+		r.obs.Serves("/journal", func() any { return r.log.Stats() })
+	}
 	r.core, err = core.New(opt)
 	if err != nil {
 		r.caller.Close()
+		r.closeJournal()
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r.zones = &zone.Reporter{Relay: cfg.Relay.Name, Classes: classes, Partners: partners, Zones: zones, Own: own,
@@ -221,6 +240,7 @@
 	if err != nil {
 		cancel()
 		r.caller.Close()
+		r.closeJournal()
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r.list = directory.New(directory.Options{Names: names, Sources: sources, Saved: cfg.Directory.Saved,
@@ -234,6 +254,7 @@
 		cancel()
 		r.done.Wait()
 		r.caller.Close()
+		r.closeJournal()
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	if cfg.Metrics.Listen != "" {
@@ -241,7 +262,7 @@
 			return fail(err)
 		}
 	}
-	r.done.Add(5)
+	r.done.Add(4)
 	go func() {
 		defer r.done.Done()
 		r.names.Run(ctx)
@@ -254,10 +275,6 @@
 		defer r.done.Done()
 		ring.Run(ctx)
 	}()
-	go func() {
-		defer r.done.Done()
-		r.core.Run(ctx, cfg.Relay.Shutdown.D())
-	}()
 	go func() {
 		defer r.done.Done()
 		r.list.Run(ctx)
@@ -269,7 +286,23 @@
 	m := &cfg.MQTT
 	doors := front.Names{Classes: index(cfg.Classes, func(k config.Class) string { return k.Name }),
 		Partners: names.Partners, Lives: lives}
-	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen,
+	run := func() {
+		r.done.Add(1)
+		go func() {
+			defer r.done.Done()
+			r.core.Run(ctx, cfg.Relay.Shutdown.D())
+		}()
+	}
+	var keeper front.Keeper
+	if r.log != nil {
+		keeper = r.log
+	}
+	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen, Keeper: keeper, Before: func(f *mqttfront.Front) {
+		if kept != nil {
+			r.restore(kept, f, doors)
+		}
+		run()
+	},
 		TLSListen: m.TLSListen, TLS: mqttTLS, Slots: slots, Names: doors, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
 		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
 		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
@@ -408,6 +441,7 @@
 		}
 		r.front.Close()
 		r.caller.Close()
+		r.closeJournal()
 	})
 }
 
--- /dev/null
+++ b/internal/relay/restore.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/config"
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/front"
+	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/mqttfront"
+	"basaltcross.example/basaltcross/internal/obs"
+	"basaltcross.example/basaltcross/internal/recover"
+)
+
+func openJournal(cfg *config.Config, o *obs.Relay, broken func(error)) (*journal.Journal, *journal.Kept, error) {
+	return journal.Open(journal.Options{Dir: cfg.Journal.Dir, Most: cfg.Journal.Bytes, Queue: cfg.Journal.Queue,
+		NoSync: !cfg.Journal.Sync, Broken: func(err error) {
+			o.Unlisted("journal", fmt.Errorf("nothing more is taken, nor answered: %w", err))
+			if broken != nil {
+				broken(err)
+			}
+		}})
+}
+
+func (r *Relay) closeJournal() {
+	if r.log == nil {
+		return
+	}
+	if err := r.log.Close(); err != nil {
+		r.obs.Logf("%v", err)
+	}
+}
+
+// restore goes on with what an earlier run left.
+func (r *Relay) restore(k *journal.Kept, f *mqttfront.Front, names front.Names) {
+	began := time.Now()
+	classes := map[string]recover.Class{}
+	for _, c := range r.cfg.Classes {
+		classes[c.Name] = recover.Class{Deadline: c.Deadline.D(), Keep: c.Effect != "safe"}
+	}
+	plan := recover.Decide(k, classes, r.cfg.Limits.Identities.Keep.D(), r.cfg.Rules.Cold.D())
+	sessions := map[string][]byte{}
+	for _, s := range k.Sessions {
+		if s.Front == mqttfront.Name {
+			sessions[s.ID] = s.Value
+		}
+	}
+	f.Restore(sessions)
+	owe := func(name string, o front.Owed) core.Reply {
+		if name == mqttfront.Name {
+			return f.Owe(o)
+		}
+		return front.Nobody{}
+	}
+	var ended []core.Ended
+	for _, e := range plan.Ends {
+		a := ledger.Answer{Verdict: ledger.Verdict(e.Verdict), After: time.Duration(e.After)}
+		owe(e.Front, front.Owed{Identity: e.Identity, Way: e.Way, Answer: a, Handed: e.Handed})
+		ended = append(ended, core.Ended{Identity: e.Identity, Answer: a, Age: e.Age, Forget: !classes[e.Class].Keep})
+	}
+	for _, identity := range plan.Drop {
+		r.log.Forget(identity)
+	}
+	var messages []core.Restored
+	for _, m := range plan.Messages {
+		class, known := names.Classes[m.Class]
+		partner, there := names.Partners[m.Partner]
+		reply := owe(m.Front, front.Owed{Identity: m.Identity, Way: m.Way})
+		if !known || !there { // the configuration changed: nobody can deliver it any more
+			a := ledger.Answer{Verdict: ledger.Refused}
+			if m.Ran {
+				a.Verdict = ledger.Failed
+			}
+			r.log.Ended(journal.End{Seq: m.Seq, Identity: m.Identity, Class: m.Class, Verdict: uint8(a.Verdict), At: r.log.Stamp(),
+				Front: m.Front, Way: m.Way})
+			r.log.Then(func() { reply.Answer(a) })
+			continue
+		}
+		zone := slices.IndexFunc(r.cfg.Zones, func(z config.Zone) bool { return z.Name == m.Zone })
+		messages = append(messages, core.Restored{Message: core.Message{Source: m.Source, Identity: m.Identity, Class: class,
+			Partner: partner, Key: m.Key, Left: m.Left, Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way, Reply: reply},
+			Seq: m.Seq, Attempts: m.Attempts, Ran: m.Ran, Since: m.Since, Zone: zone})
+	}
+	var waits []choice.Waited
+	for _, w := range plan.Waits {
+		waits = append(waits, choice.Waited{Host: w.Host, Left: w.Left, Failing: w.Failing})
+	}
+	r.core.Restore(messages, ended, waits, k.Last)
+	r.obs.Info(fmt.Sprintf("journal: %d messages, %d ended identities, %d sessions, %d waits restored in %v", len(messages),
+		len(ended), len(sessions), len(waits), time.Since(began).Round(time.Millisecond)))
+}
