--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/fxamacker/cbor/v2"
@@ -55,6 +56,8 @@
 	over   chan struct{}
 	full   bool
 	stats  Stats
+	group  uint64         // number of the last one
+	mark   vfs.File       // which says that it was on disk
 	ends   map[string]End // by identity: those that may still be changed
 }
 
@@ -78,6 +81,11 @@
 	Last     uint64 // highest number of a message
 }
 
+// ErrDamaged says that records which were on disk are missing. The library takes a
+// damaged log for one whose end was torn off by a crash, and opens without its
+// rest; the mark beside it tells. To go on with what is left, remove the mark.
+var ErrDamaged = errors.New("journal: records that were on disk are missing")
+
 // ErrLocked says that another process has the journal.
 var ErrLocked = errors.New("journal: another process has this directory")
 
@@ -119,6 +127,9 @@
 	}
 	j.db = db
 	kept, err := j.read()
+	if err == nil {
+		err = j.openMark()
+	}
 	if err != nil {
 		_ = db.Close()
 		return nil, nil, err
@@ -158,6 +169,12 @@
 				err = fmt.Errorf("format version %d, this program reads %d", r.Version, Version)
 			}
 			k.Runs[r.Number] = r
+		case kindGroup:
+			if len(value) != 8 {
+				err = errors.New("no number")
+				break
+			}
+			j.group = binary.BigEndian.Uint64(value)
 		case kindMessage:
 			var m Message
 			err = cbor.Unmarshal(value, &m)
@@ -307,7 +324,8 @@
 		if len(ops) > 0 {
 			b := j.db.NewBatch()
 			size := 0
-			var err error
+			j.group++
+			err := b.Set([]byte{kindGroup}, binary.BigEndian.AppendUint64(nil, j.group), nil)
 			for _, o := range ops {
 				switch {
 				case o.end != nil:
@@ -319,7 +337,10 @@
 				}
 				size += len(o.key) + len(o.value)
 			}
-			if err = errors.Join(err, b.Commit(how)); err != nil {
+			if err = errors.Join(err, b.Commit(how)); err == nil && !j.opt.NoSync {
+				err = j.marked()
+			}
+			if err != nil {
 				j.fail(fmt.Errorf("journal: %w", err))
 				return
 			}
@@ -343,6 +364,41 @@
 	}
 }
 
+// The mark is a file of two slots, used in turn: a group's number and a checksum.
+// It is written after the group's sync, so that it never runs ahead of the
+// records, and not synced itself: a machine that stops may lose the last marks, and
+// with them only what they could tell.
+const (
+	markName = "MARK"
+	slotSize = 16
+)
+
+func (j *Journal) openMark() error {
+	name := j.opt.FS.PathJoin(j.opt.Dir, markName)
+	f, err := j.opt.FS.OpenReadWrite(name, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	var slots [2 * slotSize]byte
+	n, _ := f.ReadAt(slots[:], 0)
+	for at := 0; at+slotSize <= n; at += slotSize {
+		group, sum := binary.BigEndian.Uint64(slots[at:]), binary.BigEndian.Uint64(slots[at+8:])
+		if group > j.group && sum == xxhash.Sum64(slots[at:at+8]) { // a slot torn by a crash tells nothing
+			_ = f.Close()
+			return fmt.Errorf("%w: group %d was, group %d is the last that is there (%s tells)", ErrDamaged, group, j.group, name)
+		}
+	}
+	j.mark = f
+	return nil
+}
+
+func (j *Journal) marked() error {
+	slot := binary.BigEndian.AppendUint64(nil, j.group)
+	slot = binary.BigEndian.AppendUint64(slot, xxhash.Sum64(slot))
+	_, err := j.mark.WriteAt(slot, int64(j.group%2)*slotSize)
+	return err
+}
+
 // look compares the disk's use with its bound: past it nothing new is taken until
 // compaction has freed a tenth.
 func (j *Journal) look() {
@@ -387,6 +443,7 @@
 		return broken
 	}
 	<-j.over
+	_ = j.mark.Close()
 	if err := j.db.Close(); err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -95,6 +95,7 @@
 	kindEnd     = 'e'
 	kindWait    = 'w'
 	kindSession = 's'
+	kindGroup   = 'g' // number of the last group
 )
 
 func seqKey(kind byte, seq uint64) []byte { return binary.BigEndian.AppendUint64([]byte{kind}, seq) }
--- /dev/null
+++ b/internal/recover/recover_test.go
@@ -0,0 +1,120 @@
+package recover
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"basaltcross.example/basaltcross/internal/journal"
+)
+
+const s = time.Second
+
+var classes = map[string]Class{"charge": {Deadline: 6 * s, Keep: true}, "status": {Deadline: 6 * s}}
+
+// kept is one message with an attempt, taken 2 s and sent 1 s before the crash, and
+// what the clocks say after it.
+func kept(sameBoot bool, away, jump time.Duration) *journal.Kept {
+	run := journal.Run{Number: 1, Boot: "x", Clock: int64(100 * s), Wall: int64(1_000_000 * s)}
+	now := journal.Run{Number: 2, Boot: "x", Clock: int64(110*s + away), Wall: int64(1_000_010*s + away + jump)}
+	if !sameBoot {
+		now.Boot, now.Clock = "y", int64(5*s)
+	}
+	at := func(before time.Duration) journal.Stamp { return journal.Stamp{Run: 1, Clock: int64(110*s - before)} }
+	return &journal.Kept{Runs: map[uint32]journal.Run{1: run, 2: now}, Now: now,
+		Messages: []journal.Message{{Seq: 1, Identity: "i", Class: "charge", At: at(2 * s), Left: int64(5 * s)}},
+		Attempts: map[uint64][]journal.Attempt{1: {{Seq: 1, N: 0, At: at(2 * s), Clear: true}, {Seq: 1, N: 1, Zone: "z", At: at(s)}}},
+		Ends:     []journal.End{{Seq: 9, Identity: "e", Class: "charge", At: at(s), Handed: true}},
+		Waits:    []journal.Wait{{Host: "h", At: at(s), Left: int64(4 * s)}}}
+}
+
+// Within one run of the machine a wall clock that jumped changes nothing; across
+// them, time that cannot be told is taken as gone for a message, as past for a
+// keyed window, and as not gone for a wait.
+func TestClocks(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		same       bool
+		away, jump time.Duration
+		left       time.Duration
+		since      time.Duration
+		wait       time.Duration
+	}{
+		{"short crash", true, s / 2, 0, 2500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		{"wall an hour back", true, s / 2, -time.Hour, 2500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		{"wall an hour on", true, s / 2, time.Hour, 2500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		{"new boot", false, s, 0, 2 * s, 2 * s, 2 * s},
+		{"new boot, wall back", false, s, -time.Hour, 0, Unknown, 4 * s},
+		{"new boot, wall on", false, s, time.Hour, 0, time.Hour + 2*s, 0},
+		{"a day away", true, 24 * time.Hour, 0, 0, 24*time.Hour + s, 0},
+	} {
+		p := Decide(kept(c.same, c.away, c.jump), classes, time.Hour, 10*s)
+		m := p.Messages[0]
+		if m.Left != c.left || !m.Ran || m.Since != c.since || m.Zone != "z" || m.Attempts != 2 {
+			t.Errorf("%s: left %v, ran %v since %v in %q after %d", c.name, m.Left, m.Ran, m.Since, m.Zone, m.Attempts)
+		}
+		wait := time.Duration(0)
+		if len(p.Waits) > 0 {
+			wait = p.Waits[0].Left
+		}
+		if wait != c.wait {
+			t.Errorf("%s: wait %v", c.name, wait)
+		}
+		if len(p.Ends)+len(p.Drop) != 1 {
+			t.Errorf("%s: %v, %v", c.name, p.Ends, p.Drop)
+		}
+	}
+}
+
+// Whatever the records and clocks: a message with an attempt that is not clear
+// may have run, one without may not; nothing gets more time than it had; the order
+// is that of taking; what ended does not go on; what is owed is not dropped.
+func TestPlans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := &journal.Kept{Runs: map[uint32]journal.Run{}, Attempts: map[uint64][]journal.Attempt{}}
+		for n := range uint32(rapid.IntRange(1, 4).Draw(t, "runs")) {
+			r := journal.Run{Number: n + 1, Boot: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "boot"),
+				Clock: int64(rapid.IntRange(0, 1000).Draw(t, "clock")) * int64(s), Wall: int64(rapid.IntRange(0, 1000).Draw(t, "wall")) * int64(s)}
+			k.Runs[r.Number], k.Now = r, r
+		}
+		stamp := func() journal.Stamp {
+			return journal.Stamp{Run: uint32(rapid.IntRange(0, 5).Draw(t, "run")), Clock: int64(rapid.IntRange(0, 1000).Draw(t, "at")) * int64(s)}
+		}
+		ran, ended := map[uint64]bool{}, map[uint64]bool{}
+		owed := map[string]bool{}
+		for seq := range uint64(rapid.IntRange(1, 8).Draw(t, "messages")) {
+			m := journal.Message{Seq: seq, Class: rapid.SampledFrom([]string{"charge", "status"}).Draw(t, "class"), At: stamp(),
+				Left: int64(rapid.IntRange(0, 10).Draw(t, "left")) * int64(s)}
+			for n := range rapid.IntRange(0, 3).Draw(t, "tries") {
+				a := journal.Attempt{Seq: seq, N: n, At: stamp(), Clear: rapid.Bool().Draw(t, "clear")}
+				ran[seq] = ran[seq] || !a.Clear
+				k.Attempts[seq] = append(k.Attempts[seq], a)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "ends") == 0 {
+				e := journal.End{Seq: seq, Identity: string(rune('a' + seq)), Class: m.Class, At: stamp(), Handed: rapid.Bool().Draw(t, "handed")}
+				k.Ends, ended[seq] = append(k.Ends, e), true
+				owed[e.Identity] = !e.Handed
+			}
+			k.Messages = append([]journal.Message{m}, k.Messages...)
+		}
+		p := Decide(k, classes, time.Minute, 10*s)
+		last := int64(-1)
+		for _, m := range p.Messages {
+			if int64(m.Seq) <= last || ended[m.Seq] || m.Ran != ran[m.Seq] || m.Attempts != len(k.Attempts[m.Seq]) {
+				t.Fatalf("%+v", m)
+			}
+			if last = int64(m.Seq); m.Left < 0 || m.Left > min(time.Duration(m.Message.Left), 6*s) || m.Since < 0 {
+				t.Fatalf("left %v, since %v: %+v", m.Left, m.Since, m)
+			}
+		}
+		for _, id := range p.Drop {
+			if owed[id] {
+				t.Fatalf("%s is owed and dropped", id)
+			}
+		}
+		if len(p.Messages)+len(ended) != len(k.Messages) || len(p.Ends)+len(p.Drop) != len(k.Ends) {
+			t.Fatal("something is missing")
+		}
+	})
+}
