Crash schedules of the core against a plain reference; an attempt that ends late

Cause: an attempt that ended after its message's answer left a record behind, which a later message of the same number would have got.

Change: no record after the answer, numbers are counted over attempts too. A rapid test plays hand-ins, outcomes, syncs and crashes with any part of the unsynced records left.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -707,7 +707,7 @@
 	}
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
 	c.note(a.host, e)
-	if sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent; sure && c.harmful(m) {
+	if sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent; sure && c.harmful(m) && !m.answered {
 		c.tried(a, true)
 	}
 	served := e.Outcome == choice.Served
--- /dev/null
+++ b/internal/core/crash_test.go
@@ -0,0 +1,259 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/recover"
+)
+
+// disk is a journal whose records reach it only as the test says; it is the plain
+// reference for what a crash leaves.
+type disk struct {
+	now      func() time.Duration
+	pending  []func(*disk) // records, and what waits for them, in order
+	messages map[uint64]journal.Message
+	attempts map[uint64]map[int]journal.Attempt
+	ends     map[string]journal.End
+	waits    map[string]journal.Wait
+	dead     bool
+}
+
+func (d *disk) Stamp() journal.Stamp    { return journal.Stamp{Run: 1, Clock: int64(d.now())} }
+func (d *disk) Room() bool              { return true }
+func (d *disk) put(f func(*disk))       { d.pending = append(d.pending, f) }
+func (d *disk) Taken(m journal.Message) { d.put(func(d *disk) { d.messages[m.Seq] = m }) }
+func (d *disk) Waits(w journal.Wait)    { d.put(func(d *disk) { d.waits[w.Host] = w }) }
+func (d *disk) Forget(identity string)  { d.put(func(d *disk) { delete(d.ends, identity) }) }
+func (d *disk) Ended(e journal.End) {
+	d.put(func(d *disk) {
+		delete(d.messages, e.Seq)
+		delete(d.attempts, e.Seq)
+		d.ends[e.Identity] = e
+	})
+}
+
+func (d *disk) Tried(a journal.Attempt) {
+	d.put(func(d *disk) {
+		if d.attempts[a.Seq] == nil {
+			d.attempts[a.Seq] = map[int]journal.Attempt{}
+		}
+		d.attempts[a.Seq][a.N] = a
+	})
+}
+
+func (d *disk) Then(done func()) {
+	d.put(func(d *disk) {
+		if !d.dead { // a crashed process hears nothing
+			done()
+		}
+	})
+}
+
+// sync lets the first n records reach the disk.
+func (d *disk) sync(n int) {
+	for range n {
+		f := d.pending[0]
+		d.pending = d.pending[1:]
+		f(d)
+	}
+}
+
+func (d *disk) kept() *journal.Kept {
+	now := journal.Run{Number: 1, Boot: "x", Clock: int64(d.now())}
+	k := &journal.Kept{Runs: map[uint32]journal.Run{1: {Number: 1, Boot: "x"}}, Now: now, Attempts: map[uint64][]journal.Attempt{}}
+	for seq, m := range d.messages {
+		k.Messages = append(k.Messages, m)
+		k.Last = max(k.Last, seq)
+	}
+	for seq, l := range d.attempts {
+		for n := range 50 {
+			if a, ok := l[n]; ok {
+				k.Attempts[seq] = append(k.Attempts[seq], a)
+			}
+		}
+	}
+	for _, e := range d.ends {
+		k.Ends = append(k.Ends, e)
+		k.Last = max(k.Last, e.Seq)
+	}
+	for _, w := range d.waits {
+		k.Waits = append(k.Waits, w)
+	}
+	return k
+}
+
+// item is one message as its client and its partner know it.
+type item struct {
+	id      string
+	class   int
+	taken   bool
+	answers []ledger.Verdict
+	ran     int // times that it took effect
+	again   int // sends after it may have run
+	served  bool
+	boot    int // the run in which it was handed in last
+}
+
+func (i *item) Taken(err error) {
+	if err == nil {
+		i.taken = true
+	}
+}
+func (i *item) Answer(a ledger.Answer) { i.answers = append(i.answers, a.Verdict) }
+
+var crashClasses = []choice.Class{{Name: "status", Aim: time.Second, Deadline: 6 * time.Second, Worth: 1},
+	{Name: "order", Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: choice.Keyed, Window: 10 * time.Second},
+	{Name: "charge", Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: choice.Unsafe, Ordered: true}}
+
+// Any schedule of hand-ins, outcomes, syncs and crashes, with any part of what
+// was not synced on disk: no charge takes effect twice or goes out again after it may
+// have run, what was taken is answered, no answer changes, delivered is true.
+func TestCrashSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		d := &disk{now: func() time.Duration { return now }, messages: map[uint64]journal.Message{},
+			attempts: map[uint64]map[int]journal.Attempt{}, ends: map[string]journal.End{}, waits: map[string]journal.Wait{}}
+		items := map[string]*item{}
+		var list []*item
+		var r *rig
+		seen := 0 // calls of this run that were counted
+		boots := 0
+		boot := func() {
+			r = &rig{}
+			boots++
+			seen = 0
+			c, err := New(Options{Seed: 1, Apart: []bool{false}, Arrivals: 100, Identities: 100, Keep: time.Hour, Caller: r, Observer: r,
+				Clock: d.now, Journal: d, Names: Names{[]string{"status", "order", "charge"}, []string{"p"}, []string{"z"}},
+				Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Cancels: true, Certain: true,
+					ReportLimit: -1, MaxRetryAfter: time.Second, Classes: crashClasses, Kinds: []choice.Kind{{PerCall: 1}},
+					Rules: choice.Rules{Fall: time.Second, Cold: 2 * time.Second, ColdFrom: 0.2, OverloadFactor: 2}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Core = c
+			plan := recover.Decide(d.kept(), map[string]recover.Class{"status": {Deadline: 6 * time.Second},
+				"order": {Deadline: 6 * time.Second, Keep: true}, "charge": {Deadline: 6 * time.Second, Keep: true}}, time.Hour, 2*time.Second)
+			var messages []Restored
+			var ended []Ended
+			var waits []choice.Waited
+			for _, m := range plan.Messages {
+				class := map[string]int{"status": 0, "order": 1, "charge": 2}[m.Class]
+				items[m.Identity].taken = true // a front that owes it says so itself to who comes again
+				messages = append(messages, Restored{Message: Message{Identity: m.Identity, Class: class, Key: m.Key, Left: m.Left, Body: m.Body,
+					Reply: items[m.Identity]}, Seq: m.Seq, Attempts: m.Attempts, Ran: m.Ran, Since: m.Since})
+			}
+			for _, e := range plan.Ends {
+				a := ledger.Answer{Verdict: ledger.Verdict(e.Verdict), After: time.Duration(e.After)}
+				ended = append(ended, Ended{Identity: e.Identity, Answer: a, Age: e.Age})
+				items[e.Identity].Answer(a) // as a front hands over what is owed
+			}
+			for _, w := range plan.Waits {
+				waits = append(waits, choice.Waited{Host: w.Host, Left: w.Left, Failing: w.Failing})
+			}
+			r.Restore(messages, ended, waits, d.kept().Last)
+			r.List(choice.Listing{Whole: true, Hosts: []choice.Host{{Addr: "h1", State: choice.Ready}, {Addr: "h2", State: choice.Ready}}})
+			r.Step()
+		}
+		boot()
+		count := func() { // what the partner sees go out
+			for ; seen < len(r.calls); seen++ {
+				c := r.calls[seen]
+				i := list[int(c.Body[0])]
+				if i.class == 2 && i.ran > 0 {
+					i.again++
+				}
+				c.started = true
+				if rapid.IntRange(0, 3).Draw(t, "runs") > 0 {
+					i.ran++
+					c.Head = []byte{1}
+				}
+			}
+		}
+		finish := func(c *fakeCall) {
+			if c.ended {
+				return
+			}
+			ran := len(c.Head) > 0
+			switch o := rapid.IntRange(0, 3).Draw(t, "outcome"); {
+			case ran && o < 2:
+				list[int(c.Body[0])].served = true
+				c.finish(choice.Served, 0)
+			case ran:
+				c.finish([]choice.Outcome{choice.Error, choice.Reset}[o-2], 0)
+			default:
+				c.finish([]choice.Outcome{choice.Refused, choice.NoConnection, choice.Error, choice.Reset}[o], time.Duration(o)*500*ms)
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1:
+				if len(list) < 12 {
+					i := &item{id: fmt.Sprint("i", len(list)), class: rapid.IntRange(0, 2).Draw(t, "class"), boot: boots}
+					items[i.id], list = i, append(list, i)
+					_ = r.Submit(&Message{Source: "c", Identity: i.id, Class: i.class, Key: "k", Left: 6 * time.Second,
+						Body: []byte{byte(len(list) - 1)}, Reply: i})
+				}
+			case 2: // a client that heard nothing comes again
+				for n, i := range list {
+					if !i.taken && len(i.answers) == 0 && i.boot < boots { // its connection broke
+						i.boot = boots
+						_ = r.Submit(&Message{Source: "c", Identity: i.id, Class: i.class, Key: "k", Left: 6 * time.Second, Body: []byte{byte(n)}, Reply: i})
+					}
+				}
+			case 3, 4:
+				if len(r.calls) > 0 {
+					finish(r.calls[rapid.IntRange(0, len(r.calls)-1).Draw(t, "call")])
+				}
+			case 5, 6:
+				d.sync(rapid.IntRange(0, len(d.pending)).Draw(t, "synced"))
+			case 7, 8:
+				now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * ms
+			case 9:
+				d.dead = true
+				d.sync(rapid.IntRange(0, len(d.pending)).Draw(t, "left"))
+				d.pending, d.dead = nil, false
+				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "away")) * ms
+				boot()
+			}
+			r.Step()
+			count()
+		}
+		for range 160 { // on to the end
+			now += 50 * ms
+			d.sync(len(d.pending))
+			r.Step()
+			count()
+			for _, c := range r.calls {
+				if ran := len(c.Head) > 0; !c.ended && ran {
+					list[int(c.Body[0])].served = true
+					c.finish(choice.Served, 0)
+				} else if !c.ended {
+					c.finish(choice.Refused, 0)
+				}
+			}
+		}
+		for _, i := range list {
+			if i.class == 2 && (i.ran > 1 || i.again > 0) {
+				t.Fatalf("%s: a charge ran %d times, and went out again %d times after it may have", i.id, i.ran, i.again)
+			}
+			if i.taken && len(i.answers) == 0 {
+				t.Fatalf("%s was taken and never answered", i.id)
+			}
+			for _, a := range i.answers {
+				if a != i.answers[0] {
+					t.Fatalf("%s: answers %v", i.id, i.answers)
+				}
+			}
+			if len(i.answers) > 0 && i.answers[0] == ledger.Delivered && !i.served {
+				t.Fatalf("%s: delivered, but nobody served it", i.id)
+			}
+		}
+	})
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -184,6 +184,7 @@
 			var a Attempt
 			err = cbor.Unmarshal(value, &a)
 			k.Attempts[a.Seq] = append(k.Attempts[a.Seq], a)
+			k.Last = max(k.Last, a.Seq)
 		case kindEnd:
 			var e End
 			err = cbor.Unmarshal(value, &e)
