--- a/cmd/basaltcross/load.go
+++ b/cmd/basaltcross/load.go
@@ -19,7 +19,7 @@
 
 func loadCommand() *cobra.Command {
 	o := load.Options{}
-	var asJSON bool
+	var asJSON, withJournal bool
 	c := &cobra.Command{Use: "load", Short: "Measure a relay beside straight calls and a reverse proxy, on loopback",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			self, err := os.Executable()
@@ -27,6 +27,17 @@
 				return err
 			}
 			o.Binary, o.Log = self, c.ErrOrStderr()
+			if withJournal {
+				results, err := load.Journal(c.Context(), o)
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					return json.NewEncoder(c.OutOrStdout()).Encode(results)
+				}
+				load.PrintJournal(c.OutOrStdout(), results)
+				return nil
+			}
 			r, err := load.Run(c.Context(), o)
 			if err != nil {
 				return err
@@ -46,6 +57,7 @@
 	f.IntVar(&o.Burst, "burst", 10000, "TLS handshakes to begin at once; 0 leaves them out")
 	f.IntVar(&o.Partners, "partners", 8, "partners")
 	f.DurationVar(&o.Service, "service", 0, "service time of the stand-in")
+	f.BoolVar(&withJournal, "journal", false, "compare a relay without a journal, with one, and with one that is synced")
 	f.BoolVar(&asJSON, "json", false, "print the report as JSON")
 	return c
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -30,8 +30,9 @@
 	// more and nothing that waits is done: what a disk said after that is not to be
 	// trusted, and the process is to end and recover.
 	Broken func(error)
-	// Now tells the clocks; nil for the machine's.
-	Now func() Run
+	// Now tells the clocks at the start, Clock the machine's alone; nil for the machine's.
+	Now   func() Run
+	Clock func() int64
 }
 
 // op is one change.
@@ -101,10 +102,15 @@
 
 // machine reads the clocks of the machine.
 func machine() Run {
+	boot, _ := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	return Run{Boot: strings.TrimSpace(string(boot)), Clock: clock(), Wall: time.Now().UnixNano()}
+}
+
+// clock goes on while the machine sleeps, and starts anew with it.
+func clock() int64 {
 	var t unix.Timespec
 	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
-	boot, _ := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	return Run{Boot: strings.TrimSpace(string(boot)), Clock: t.Nano(), Wall: time.Now().UnixNano()}
+	return t.Nano()
 }
 
 // Open opens or makes a journal and reads what it holds.
@@ -115,6 +121,9 @@
 	if opt.Now == nil {
 		opt.Now = machine
 	}
+	if opt.Clock == nil {
+		opt.Clock = clock
+	}
 	j := &Journal{opt: opt, over: make(chan struct{}), ends: map[string]End{}}
 	j.wake = sync.NewCond(&j.mu)
 	db, err := pebble.Open(opt.Dir, &pebble.Options{FS: opt.FS, Logger: quiet{j}, MemTableSize: 16 << 20,
@@ -148,6 +157,28 @@
 	return j, kept, nil
 }
 
+// Read reads a journal that no process has open; nothing in it changes.
+func Read(dir string) (*Kept, error) {
+	j := &Journal{opt: Options{Dir: dir, FS: vfs.Default}, ends: map[string]End{}}
+	if _, err := os.Stat(dir); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	db, err := pebble.Open(dir, &pebble.Options{Logger: quiet{j}, ReadOnly: true, ErrorIfNotExists: true})
+	if err != nil {
+		return nil, fmt.Errorf("journal: %s: %w", dir, err)
+	}
+	defer db.Close()
+	j.db = db
+	k, err := j.read()
+	if err == nil {
+		err = j.openMark()
+	}
+	if j.mark != nil {
+		_ = j.mark.Close()
+	}
+	return k, err
+}
+
 // read takes in everything; a record that cannot be read is an error, for the
 // library's checksums held.
 func (j *Journal) read() (*Kept, error) {
@@ -213,7 +244,7 @@
 }
 
 // Stamp is the moment now.
-func (j *Journal) Stamp() Stamp { return Stamp{j.run.Number, j.opt.Now().Clock} }
+func (j *Journal) Stamp() Stamp { return Stamp{j.run.Number, j.opt.Clock()} }
 
 func (j *Journal) put(ops ...op) {
 	j.mu.Lock()
--- /dev/null
+++ b/internal/load/journal.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/journal"
+)
+
+// JournalResult is a relay under load with one kind of journal.
+type JournalResult struct {
+	Journal  string  `json:"journal"` // off, unsynced, synced
+	Class    string  `json:"class"`
+	Full     Result  `json:"full"`
+	Open     Result  `json:"open"` // at the rate asked for
+	OfOff    float64 `json:"of_off"`
+	Bytes    float64 `json:"bytes_a_message"` // of records
+	PerGroup float64 `json:"records_a_group"`
+}
+
+// Journal measures a relay without a journal, with one that is not synced, and
+// with one that is, one after the other, for a class whose attempts are recorded
+// and for one whose are not.
+func Journal(ctx context.Context, o Options) ([]JournalResult, error) {
+	dir, err := os.MkdirTemp("", "basaltcross-load-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	args := []string{"standin", "--quick", "--service", o.Service.String()}
+	for range o.Partners {
+		args = append(args, "--listen", "127.0.0.1:0")
+	}
+	host, err := o.start(ctx, dir, "standin", args...)
+	if err != nil {
+		return nil, err
+	}
+	defer host.stop()
+	var out []JournalResult
+	off := map[string]float64{}
+	for _, kind := range []string{"off", "unsynced", "synced"} {
+		for _, class := range []string{"status", "charge"} {
+			name := kind + "-" + class
+			if err := o.journalConfig(dir, name, kind, host.addrs); err != nil {
+				return nil, err
+			}
+			relay, err := o.start(ctx, dir, name, "relay", "--config", filepath.Join(dir, name+".cue"))
+			if err != nil {
+				return nil, err
+			}
+			var topics []string
+			for i := range o.Partners {
+				topics = append(topics, fmt.Sprintf("send/%s/p%d", class, i))
+			}
+			r := JournalResult{Journal: kind, Class: class}
+			for _, saturated := range []bool{false, true} {
+				s, err := dialMQTT(relay.addrs[0], nil, o.Connections, name, topics)
+				if err != nil {
+					relay.stop()
+					return nil, err
+				}
+				if saturated {
+					r.Full = relay.measured(func() Result { return full(ctx, name, s, o.Window, o.Lasts) })
+				} else {
+					r.Open = relay.measured(func() Result { return open(ctx, name, s, o.Rate, o.Lasts) })
+				}
+				s.close()
+			}
+			if stats, err := journalStats(relay.named["metrics"]); err == nil {
+				r.Bytes = float64(stats.Bytes) / float64(max(1, r.Full.OK+r.Open.OK))
+				r.PerGroup = float64(stats.Records) / float64(max(1, stats.Groups))
+			}
+			relay.stop()
+			if kind == "off" {
+				off[class] = r.Full.PerSec
+			}
+			r.OfOff = r.Full.PerSec / off[class]
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+func journalStats(addr string) (s journal.Stats, err error) {
+	r, err := http.Get("http://" + addr + "/journal")
+	if err != nil {
+		return s, err
+	}
+	defer r.Body.Close()
+	return s, json.NewDecoder(r.Body).Decode(&s)
+}
+
+func (o *Options) journalConfig(dir, name, kind string, ends []string) error {
+	var b, list strings.Builder
+	fmt.Fprintf(&b, `relay: {workers: %d, held: 100000, attempts: 4}
+classes: [
+	{name: "status", aim: "2s", deadline: "10s", effect: "safe"},
+	{name: "charge", aim: "2s", deadline: "10s", effect: "unsafe"},
+]
+kinds: [{name: "fast", refusalNeverRan: true}]
+limits: {arrivals: 100000, identities: {count: 4000000, keep: "5s"}}
+mqtt: {listen: ["127.0.0.1:0"], receiveMaximum: 65535, pending: 65535}
+partnerCalls: idlePerHost: 1024
+directory: file: "%s.list"
+metrics: listen: "127.0.0.1:0"
+log: level: "error"
+`, max(64, o.Window), name)
+	if kind != "off" {
+		fmt.Fprintf(&b, "journal: {dir: %q, sync: %v}\n", name, kind == "synced")
+	}
+	b.WriteString("partners: [\n")
+	list.WriteString("endpoints: [\n")
+	for i, e := range ends {
+		fmt.Fprintf(&b, "\t{name: \"p%d\", kind: \"fast\"},\n", i)
+		fmt.Fprintf(&list, "\t{addr: %q, partner: \"p%d\"},\n", e, i)
+	}
+	b.WriteString("]\n")
+	list.WriteString("]\n")
+	if err := os.WriteFile(filepath.Join(dir, name+".list"), []byte(list.String()), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, name+".cue"), []byte(b.String()), 0o600)
+}
+
+// PrintJournal writes results as a table.
+func PrintJournal(w io.Writer, results []JournalResult) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "journal\tclass\tsaturated\tof off\tCPU a message\tp50 at rate\tp99 at rate\tbytes a message\trecords a group\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%s\t%.0f/s\t%.2f\t%v\t%v\t%v\t%.0f\t%.1f\t\n", r.Journal, r.Class, r.Full.PerSec, r.OfOff,
+			r.Full.CPU.Round(time.Microsecond), r.Open.P50.Round(10*time.Microsecond), r.Open.P99.Round(10*time.Microsecond), r.Bytes, r.PerGroup)
+	}
+	_ = t.Flush()
+}
