Web Push messages, receipts and subscriptions survive a kill too

Need: what was taken over Web Push ended with the process.

Change: a message's record has its resource, owner, subscription, topic; subscriptions are records; receipts of each run are numbered above all earlier ones, so that an old acknowledgement lets none of them go. The front is made first and listens once all is restored.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -297,26 +297,12 @@
 	if r.log != nil {
 		keeper = r.log
 	}
-	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen, Keeper: keeper, Before: func(f *mqttfront.Front) {
-		if kept != nil {
-			r.restore(kept, f, doors)
-		}
-		run()
-	},
-		TLSListen: m.TLSListen, TLS: mqttTLS, Slots: slots, Names: doors, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
-		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
-		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
-		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users, Pollers: pollers,
-		Door: door, Observer: r.obs})
-	if err != nil {
-		return fail(err)
-	}
 	if w := &cfg.WebPush; len(w.Listen)+len(w.TLSListen) > 0 {
 		o := webpush.Options{Listen: w.Listen, TLSListen: w.TLSListen, TLS: pushTLS, Slots: slots, Names: doors,
 			Audience: w.Audience, Anyone: len(w.Keys) == 0, Body: cfg.Limits.Body, Header: w.HeaderBytes,
 			Connections: w.Connections, Streams: w.Streams, Messages: w.Messages, Boxes: w.Receipts, Pending: w.Pending,
 			Polls: w.Polls, Keep: cfg.Limits.Identities.Keep.D(), Poll: w.Poll.D(), Handshake: w.Handshake.D(),
-			Idle: w.Idle.D(), WriteBuffer: w.WriteBuffer, Pollers: pollers, Door: door, Observer: r.obs}
+			Idle: w.Idle.D(), WriteBuffer: w.WriteBuffer, Pollers: pollers, Door: door, Observer: r.obs, Keeper: keeper}
 		for _, k := range cfg.Classes {
 			o.Unsafe = append(o.Unsafe, k.Effect == "unsafe")
 		}
@@ -326,7 +312,24 @@
 				o.Keys[k.Key] = k.Resources
 			}
 		}
-		if r.push, err = webpush.New(o); err != nil {
+		r.push = webpush.New(o)
+	}
+	r.front, err = mqttfront.New(mqttfront.Options{Listen: m.Listen, Keeper: keeper, Before: func(f *mqttfront.Front) {
+		if kept != nil {
+			r.restore(kept, f, r.push, doors)
+		}
+		run()
+	},
+		TLSListen: m.TLSListen, TLS: mqttTLS, Slots: slots, Names: doors, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
+		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
+		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
+		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users, Pollers: pollers,
+		Door: door, Observer: r.obs})
+	if err != nil {
+		return fail(err)
+	}
+	if r.push != nil {
+		if err := r.push.Start(); err != nil {
 			r.front.Close()
 			return fail(err)
 		}
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -14,6 +14,7 @@
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
 	"basaltcross.example/basaltcross/internal/recover"
+	"basaltcross.example/basaltcross/internal/webpush"
 )
 
 func openJournal(cfg *config.Config, o *obs.Relay, broken func(error)) (*journal.Journal, *journal.Kept, error) {
@@ -36,23 +37,29 @@
 }
 
 // restore goes on with what an earlier run left.
-func (r *Relay) restore(k *journal.Kept, f *mqttfront.Front, names front.Names) {
+func (r *Relay) restore(k *journal.Kept, f *mqttfront.Front, push *webpush.Front, names front.Names) {
 	began := time.Now()
 	classes := map[string]recover.Class{}
 	for _, c := range r.cfg.Classes {
 		classes[c.Name] = recover.Class{Deadline: c.Deadline.D(), Keep: c.Effect != "safe"}
 	}
 	plan := recover.Decide(k, classes, r.cfg.Limits.Identities.Keep.D(), r.cfg.Rules.Cold.D())
-	sessions := map[string][]byte{}
+	sessions := map[string]map[string][]byte{mqttfront.Name: {}, webpush.Name: {}}
 	for _, s := range k.Sessions {
-		if s.Front == mqttfront.Name {
-			sessions[s.ID] = s.Value
+		if of := sessions[s.Front]; of != nil {
+			of[s.ID] = s.Value
 		}
 	}
-	f.Restore(sessions)
+	f.Restore(sessions[mqttfront.Name])
+	if push != nil {
+		push.Restore(sessions[webpush.Name])
+	}
 	owe := func(name string, o front.Owed) core.Reply {
-		if name == mqttfront.Name {
+		switch {
+		case name == mqttfront.Name:
 			return f.Owe(o)
+		case name == webpush.Name && push != nil:
+			return push.Owe(o)
 		}
 		return front.Nobody{}
 	}
@@ -91,5 +98,5 @@
 	}
 	r.core.Restore(messages, ended, waits, k.Last)
 	r.obs.Info(fmt.Sprintf("journal: %d messages, %d ended identities, %d sessions, %d waits restored in %v", len(messages),
-		len(ended), len(sessions), len(waits), time.Since(began).Round(time.Millisecond)))
+		len(ended), len(k.Sessions), len(waits), time.Since(began).Round(time.Millisecond)))
 }
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -62,6 +62,7 @@
 	Pollers     int
 	Door        front.Door
 	Observer    Observer
+	Keeper      front.Keeper // nil: nothing outlives the process
 }
 
 // Front serves Web Push.
@@ -90,14 +91,20 @@
 	calls      []func() // responses, for when mu is let go
 }
 
-// New opens the listeners.
-func New(opt Options) (*Front, error) {
-	f := &Front{opt: opt, vapid: newVAPID(opt.Audience), out: front.NewOutbox[*push](), stop: make(chan struct{}),
+// New makes a front that does not listen yet: what an earlier run kept may be
+// restored first.
+func New(opt Options) *Front {
+	return &Front{opt: opt, vapid: newVAPID(opt.Audience), out: front.NewOutbox[*push](), stop: make(chan struct{}),
 		conns: map[*conn]struct{}{}, pushes: map[string]*push{}, byIdentity: map[string]*push{},
 		topics: map[string]*push{}, ended: list.New(), boxes: map[string]*box{},
 		h2: &http2.Server{MaxConcurrentStreams: uint32(opt.Streams), MaxReadFrameSize: 16 << 10, IdleTimeout: opt.Idle,
 			MaxUploadBufferPerConnection: 1 << 20, MaxUploadBufferPerStream: 256 << 10,
 			MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096}}
+}
+
+// Start opens the listeners.
+func (f *Front) Start() error {
+	opt := &f.opt
 	for i, addrs := range [][]string{opt.Listen, opt.TLSListen} {
 		if len(addrs) == 0 {
 			continue
@@ -107,7 +114,7 @@
 			Failed: func(err error) { opt.Observer.Logf("webpush: accept: %v", err) }})
 		if err != nil {
 			f.closeAll()
-			return nil, err
+			return err
 		}
 		if f.listeners = append(f.listeners, l); i == 1 {
 			f.tlsAt = l.Addrs
@@ -127,7 +134,7 @@
 		})
 	}()
 	go f.janitor()
-	return f, nil
+	return nil
 }
 
 // Addrs and TLSAddrs are the addresses listened on.
--- a/internal/webpush/push.go
+++ b/internal/webpush/push.go
@@ -72,8 +72,9 @@
 	id      string
 	owner   string
 	used    time.Time
-	owed    int // receipts to come
-	next    uint64
+	owed    int    // receipts to come
+	next    uint64 // sequence number of the last receipt
+	base    uint64 // where this run began to count
 	ready   []receipt
 	waiting map[*waiter]bool
 }
@@ -86,6 +87,7 @@
 	Status       int    `json:"status"`
 	Answer       string `json:"answer"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	identity     string
 }
 
 // waiter is a long poll.
@@ -95,7 +97,7 @@
 }
 
 func receiptOf(p *push) receipt {
-	r := receipt{Message: "/message/" + p.id, Status: http.StatusGone, Answer: p.answer.Verdict.String(),
+	r := receipt{identity: p.identity, Message: "/message/" + p.id, Status: http.StatusGone, Answer: p.answer.Verdict.String(),
 		RetryAfterMS: int64(math.Ceil(float64(p.answer.After) / float64(time.Millisecond)))}
 	if p.answer.Verdict == ledger.Delivered {
 		r.Status = http.StatusNoContent
@@ -253,7 +255,13 @@
 			return
 		}
 	}
+	if topic != "" {
+		p.topic = front.Identity('t', who.Key, path, topic)
+	}
 	m.Identity, m.Reply = p.identity, front.Reply[*push]{Box: f.out, To: p}
+	if f.opt.Keeper != nil {
+		m.Front, m.Way = Name, p.way()
+	}
 	p.posts = append(p.posts, func(err error) { respond(f.created(p, async, err)) })
 	if err := f.opt.Door.Submit(&m); err != nil {
 		respond(f.created(p, async, err))
@@ -264,7 +272,6 @@
 	}
 	f.pushes[p.id], f.byIdentity[p.identity] = p, p
 	if topic != "" {
-		p.topic = front.Identity('t', who.Key, path, topic)
 		if old := f.topics[p.topic]; old != nil { // a newer one replaces it (5.4)
 			f.opt.Door.Withdraw(old.identity)
 		}
@@ -321,6 +328,7 @@
 	}
 	b := &box{id: rand.Text(), owner: owner, used: now}
 	f.boxes[b.id] = b
+	f.keep(b)
 	return b, nil
 }
 
@@ -351,15 +359,20 @@
 	}
 	if b := p.box; b != nil {
 		b.owed--
-		b.next++
-		r := receiptOf(p)
-		r.Seq = b.next
-		b.ready = append(b.ready, r)
+		b.receipt(p)
 		release(&b.waiting)
 	}
 	release(&p.waiting)
 }
 
+// receipt is ready to be fetched.
+func (b *box) receipt(p *push) {
+	b.next++
+	r := receiptOf(p)
+	r.Seq = b.next
+	b.ready = append(b.ready, r)
+}
+
 // drop takes a push off the tables; under mu.
 func (f *Front) drop(p *push) {
 	delete(f.pushes, p.id)
@@ -388,6 +401,9 @@
 	for id, b := range f.boxes {
 		if b.owed == 0 && len(b.waiting) == 0 && now.Sub(b.used) >= f.opt.Keep {
 			delete(f.boxes, id)
+			if k := f.opt.Keeper; k != nil {
+				k.Session(Name, id, nil)
+			}
 		}
 	}
 }
@@ -484,6 +500,9 @@
 			return
 		}
 		for len(b.ready) > 0 && b.ready[0].Seq <= seq {
+			if k := f.opt.Keeper; k != nil {
+				k.Handed(b.ready[0].identity)
+			}
 			b.ready = b.ready[1:]
 		}
 	}
