What is left of the zone budget survives a restart

Need: a relay that was killed began with its full part of the budget and could spend more than that over a window.

Change: the levels of the book are recorded with each send that crosses; after a restart they go on from there by the time that passed.

Measured: with a crash every 0.7 s the most that passed within any window stays within the budget (TestResume).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -283,6 +283,31 @@
 	}
 }
 
+// Levels are what the buckets hold, that of all first, for Resume.
+func (b *Book) Levels() []float64 {
+	out := []float64{b.all.have}
+	for _, k := range b.own {
+		out = append(out, k.have)
+	}
+	return out
+}
+
+// Resume goes on from the levels of an earlier run, so long ago: what was spent then
+// stays spent. Levels of other classes than now count for the bucket of all alone.
+func (b *Book) Resume(levels []float64, ago time.Duration) {
+	resume := func(k *bucket, have float64) {
+		k.have = math.Min(k.size, have+k.rate*max(0, ago).Seconds())
+	}
+	if len(levels) > 0 {
+		resume(&b.all, levels[0])
+	}
+	for i := range b.own {
+		if len(levels) == len(b.own)+1 && b.set.Classes[i].Limit > 0 {
+			resume(&b.own[i], levels[i+1])
+		}
+	}
+}
+
 // Have is what the relay's bucket holds, bytes; below 0 while it is overdrawn.
 func (b *Book) Have(now time.Duration) float64 {
 	b.tick(now)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -136,3 +136,44 @@
 		t.Error("a clock that runs backwards fills it")
 	}
 }
+
+// A relay that crashes and comes back, again and again, spends no more than one
+// that runs on: over any window no more than the budget.
+func TestResume(t *testing.T) {
+	set := Settings{Bytes: 10_000, Window: 10 * time.Second, Burst: 0.25, Held: 0, First: 100, Classes: []Class{{Worth: 1}}}
+	var spent []time.Duration
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Duration(0)
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		if left, k := b.Tolls(now - start); left-k[0].Cost >= k[0].Floor {
+			b.Settle(now-start, b.Reserve(now-start, 0, 0), 100, true)
+			spent = append(spent, now)
+		}
+		if now%(700*time.Millisecond) == 0 { // a crash, half a second away
+			levels := b.Levels()
+			if b, err = New(set, 1); err != nil {
+				t.Fatal(err)
+			}
+			now += 500 * time.Millisecond
+			start = now
+			b.Resume(levels, 500*time.Millisecond)
+		}
+	}
+	for i, from := range spent {
+		n := 0
+		for _, at := range spent[i:] {
+			if at-from < set.Window {
+				n++
+			}
+		}
+		if float64(n*100) > set.Bytes {
+			t.Fatalf("%d bytes in a window from %v", n*100, from)
+		}
+	}
+	if len(spent) < 300 {
+		t.Errorf("%d exchanges only", len(spent))
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -79,6 +79,7 @@
 	Ends     []End
 	Waits    []Wait
 	Sessions []Session
+	Spent    *Spent // nil for none
 	Last     uint64 // highest number of a message
 }
 
@@ -206,6 +207,9 @@
 				break
 			}
 			j.group = binary.BigEndian.Uint64(value)
+		case kindSpent:
+			k.Spent = &Spent{}
+			err = cbor.Unmarshal(value, k.Spent)
 		case kindMessage:
 			var m Message
 			err = cbor.Unmarshal(value, &m)
@@ -307,6 +311,11 @@
 	j.put(o)
 }
 
+// Spent records what is left of the zone budget.
+func (j *Journal) Spent(levels []float64) {
+	j.put(op{key: []byte{kindSpent}, value: encode(Spent{j.Stamp(), levels})})
+}
+
 // Session records what a front keeps for a client; nothing drops it.
 func (j *Journal) Session(front, id string, value []byte) {
 	o := op{key: textKey(kindSession, front, id)}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -87,6 +87,12 @@
 	Value []byte `cbor:"4,keyasint"`
 }
 
+// Spent is what is left of the relay's part of the zone budget.
+type Spent struct {
+	At     Stamp     `cbor:"1,keyasint"`
+	Levels []float64 `cbor:"2,keyasint"`
+}
+
 // Kinds of keys.
 const (
 	kindRun     = 'r'
@@ -95,6 +101,7 @@
 	kindEnd     = 'e'
 	kindWait    = 'w'
 	kindSession = 's'
+	kindSpent   = 'b'
 	kindGroup   = 'g' // number of the last group
 )
 
--- a/internal/recover/recover.go
+++ b/internal/recover/recover.go
@@ -78,7 +78,11 @@
 	Messages []Message // in the order in which they were taken
 	Ends     []End     // the oldest first
 	Waits    []Wait
-	Drop     []string // identities that count no more
+	// Levels of the zone budget, nil for none, and how long ago; an unknown time
+	// counts as none.
+	Levels []float64
+	Ago    time.Duration
+	Drop   []string // identities that count no more
 }
 
 // Decide makes the plan. keep is how long ended identities count, cold how long a
@@ -86,6 +90,12 @@
 func Decide(k *journal.Kept, classes map[string]Class, keep, cold time.Duration) Plan {
 	clock := Clock{k.Runs, k.Now}
 	var p Plan
+	if k.Spent != nil {
+		p.Levels = k.Spent.Levels
+		if p.Ago = clock.Age(k.Spent.At); p.Ago == Unknown {
+			p.Ago = 0
+		}
+	}
 	ended := map[uint64]bool{}
 	for _, e := range k.Ends {
 		ended[e.Seq] = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,7 @@
 	front  *mqttfront.Front
 	push   *webpush.Front // nil where it is not configured
 	zones  *zone.Reporter
+	toll   *zone.Toll       // nil without a budget
 	log    *journal.Journal // nil where nothing is kept
 	names  *resolve.Follower
 	list   *directory.Directory
@@ -206,6 +207,9 @@
 			r.caller.Close()
 			return nil, fmt.Errorf("relay: %w", err)
 		}
+		if r.toll = toll; toll != nil {
+			toll.Keep = r.log.Spent
+		}
 		opt.Journal, opt.Names = r.log, core.Names{Classes: classes, Partners: partners, Zones: zones}
 		if hooks.Journal != nil {
 			opt.Journal = hooks.Journal(opt.Journal)
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -96,6 +96,9 @@
 	for _, w := range plan.Waits {
 		waits = append(waits, choice.Waited{Host: w.Host, Left: w.Left, Failing: w.Failing})
 	}
+	if r.toll != nil && plan.Levels != nil {
+		r.toll.Resume(plan.Levels, plan.Ago)
+	}
 	r.core.Restore(messages, ended, waits, k.Last)
 	r.obs.Info(fmt.Sprintf("journal: %d messages, %d ended identities, %d sessions, %d waits restored in %v", len(messages),
 		len(ended), len(k.Sessions), len(waits), time.Since(began).Round(time.Millisecond)))
--- a/internal/zone/toll.go
+++ b/internal/zone/toll.go
@@ -13,6 +13,9 @@
 // for concurrent use, so that a report may look while the core runs.
 type Toll struct {
 	own int
+	// Keep, if set before use, takes the levels of the book after each send that
+	// crosses; it must not block.
+	Keep func(levels []float64)
 
 	mu    sync.Mutex
 	book  *budget.Book
@@ -53,7 +56,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.book.Reserve(now, class, partner)
-	t.dirty = true
+	if t.dirty = true; t.Keep != nil {
+		t.Keep(t.book.Levels())
+	}
 	return func(now time.Duration, passed int64, whole bool) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -70,6 +75,14 @@
 	t.dirty = true
 }
 
+// Resume goes on from the levels of an earlier run.
+func (t *Toll) Resume(levels []float64, ago time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.book.Resume(levels, ago)
+	t.dirty = true
+}
+
 // State is what the relay's part of the budget is at, bytes.
 type State struct {
 	Have      float64 `json:"have"` // below 0 while overdrawn
