--- a/choice/choice.go
+++ b/choice/choice.go
@@ -83,7 +83,8 @@
 		case Restored:
 			m := c.arrive(e.Arrival)
 			if m.attempts = e.Attempts; e.Ran {
-				m.ran, m.ranAt, m.ranZone, m.unsure = true, c.now-min(e.Since, math.MaxInt64/4), e.Zone, c.now
+				m.ran, m.ranAt, m.ranZone = true, c.now-min(e.Since, math.MaxInt64/4), e.Zone
+				m.unsure = c.now
 			}
 		case Waited:
 			if h := c.hosts[e.Host]; h != nil {
@@ -115,8 +116,8 @@
 	return c.acts
 }
 
-// fleet takes in its new size. What this relay found out to be its part of a limit is less in a larger one; in
-// a smaller one it finds out.
+// fleet takes in its new size. What this relay found out to be its part of a limit is less in a larger one;
+// in a smaller one it finds out.
 func (c *Chooser) fleet(e Fleet) {
 	if e.Size < 1 || e.Size == c.set.Fleet {
 		return
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -97,6 +97,9 @@
 func (quiet) Infof(string, ...any)  {}
 func (quiet) Errorf(string, ...any) {}
 func (q quiet) Fatalf(f string, v ...any) {
+	if q.j.opt.Broken == nil {
+		panic(fmt.Sprintf("journal: "+f, v...))
+	}
 	q.j.fail(fmt.Errorf("journal: "+f, v...))
 	select {} // the library must not go on; the process is about to end
 }
