--- a/internal/badday/trouble.go
+++ b/internal/badday/trouble.go
@@ -184,7 +184,9 @@
 		partners = append(partners, p)
 		p.Outage(true, names...)
 		for _, e := range d.endsOf(p) {
-			e.Close()
+			for _, a := range e.addresses() {
+				a.Close()
+			}
 			struck = append(struck, e)
 		}
 	}
@@ -193,12 +195,22 @@
 		p.Outage(false)
 	}
 	for _, e := range struck {
-		if err := e.Reopen(); err != nil {
-			d.opt.Out.Write([]byte(err.Error() + "\n"))
+		for _, a := range e.addresses() {
+			if err := a.Reopen(); err != nil {
+				d.opt.Out.Write([]byte(err.Error() + "\n"))
+			}
 		}
 	}
 }
 
+// addresses are all that an endpoint listens on.
+func (e *end) addresses() []*standin.Endpoint {
+	if e.second == nil {
+		return []*standin.Endpoint{e.Endpoint}
+	}
+	return []*standin.Endpoint{e.Endpoint, e.second}
+}
+
 // deploy drains endpoints and replaces them, one after the other. Without
 // drain time the old one goes away soon after it is listed as draining.
 func (d *day) deploy(ctx context.Context, t Trouble, drain time.Duration) {
