--- a/internal/relay/journal_test.go
+++ b/internal/relay/journal_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"basaltcross.example/basaltcross/internal/client"
 	"basaltcross.example/basaltcross/internal/config"
 	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/mqtt"
 	"basaltcross.example/basaltcross/internal/relay"
 	"basaltcross.example/basaltcross/internal/standin"
 	"basaltcross.example/basaltcross/internal/testutil"
@@ -143,3 +147,62 @@
 	b.ReportMetric(serving.Seconds()*1000, "ms-decided")
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/message")
 }
+
+// 8,000 sessions that come back at once to a relay that was restarted: how many
+// were kept, and how long until the last one is greeted.
+func BenchmarkSessionsReturn(b *testing.B) {
+	const n = 8_000 // twice as many descriptors in this process
+	dir := b.TempDir()
+	all := func(addr string) (present int) {
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		var conns []net.Conn
+		defer func() {
+			for _, c := range conns {
+				_ = c.Close()
+			}
+		}()
+		slots := make(chan struct{}, 500)
+		for i := range n {
+			wait.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				mu.Lock()
+				conns = append(conns, c)
+				mu.Unlock()
+				_, _ = c.Write(mqtt.AppendConnect(nil, &mqtt.Connect{Version: mqtt.V5, ClientID: fmt.Sprint("c", i),
+					Props: mqtt.Props{SessionExpiry: 600}}))
+				buf := make([]byte, 4)
+				if _, err := io.ReadFull(c, buf); err != nil { // CONNACK: kind, length, flags, code (MQTT 5.0, 3.2)
+					b.Error(err)
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				present += int(buf[2] & 1)
+			})
+		}
+		wait.Wait()
+		return present
+	}
+	r := journaled(b, dir, `mqtt: {connections: 20000, sessions: 20000}`)
+	if all(r.Addrs()[0]) != 0 {
+		b.Fatal("sessions before the first connection")
+	}
+	r.Stop()
+	began := time.Now()
+	r = journaled(b, dir, `mqtt: {connections: 20000, sessions: 20000}`)
+	up := time.Since(began)
+	present := all(r.Addrs()[0])
+	b.ReportMetric(float64(present), "kept")
+	b.ReportMetric(up.Seconds()*1000, "ms-listening")
+	b.ReportMetric((time.Since(began)-up).Seconds()*1000, "ms-all-greeted")
+	if present != n {
+		b.Errorf("%d of %d sessions were kept", present, n)
+	}
+}
