--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -247,7 +247,7 @@
 	// survive the process and not the machine.
 	journal?: {
 		dir:   string & !=""
-		bytes: int & >=16777216 | *4294967296
+		bytes: int & >=134217728 | *4294967296
 		queue: int & >=65536 | *67108864
 		sync:  bool | *true
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -263,15 +263,25 @@
 
 // Past its bound on disk there is no room, and what ends makes room again.
 func TestBound(t *testing.T) {
-	j, _ := open(t, Options{Dir: t.TempDir(), Most: 8 << 20, Queue: 1 << 30})
-	for i := range uint64(200) {
-		j.Taken(Message{Seq: i + 1, Identity: fmt.Sprint(i), Body: make([]byte, 100_000)})
+	// Well above the logs that the library keeps to write anew, 16 MB each; nothing
+	// that it could compress.
+	j, _ := open(t, Options{Dir: t.TempDir(), Most: 96 << 20, Queue: 1 << 30})
+	body := make([]byte, 100_000)
+	chance := rand.New(rand.NewPCG(1, 1))
+	for i := range body {
+		body[i] = byte(chance.Uint32())
+	}
+	for i := range uint64(1600) {
+		j.Taken(Message{Seq: i + 1, Identity: fmt.Sprint(i), Body: body})
+		if i%100 == 99 {
+			synced(t, j)
+		}
 	}
 	synced(t, j)
 	if j.Stats(); j.Room() {
 		t.Error("room past the bound")
 	}
-	for i := range uint64(200) {
+	for i := range uint64(1600) {
 		j.Ended(End{Seq: i + 1, Identity: fmt.Sprint(i)})
 		j.Forget(fmt.Sprint(i))
 	}
