--- a/choice/choice.go
+++ b/choice/choice.go
@@ -119,7 +119,7 @@
 // fleet takes in its new size. What this relay found out to be its part of a limit is less in a larger one;
 // in a smaller one it finds out.
 func (c *Chooser) fleet(e Fleet) {
-	if e.Size < 1 || e.Size == c.set.Fleet {
+	if e.Size < 1 {
 		return
 	}
 	for _, d := range c.order {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -778,3 +778,59 @@
 		t.Errorf("%d sends at home", n)
 	}
 }
+
+// What an earlier run may have sent stays as careful as this run's own: an unsafe
+// message is not sent again, a keyed one within its window only, attempts count.
+func TestRestored(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		m     Restored
+		sent  bool
+	}{
+		{"unsafe, never ran", 2, Restored{Attempts: 1}, true},
+		{"unsafe, may have run", 2, Restored{Attempts: 1, Ran: true, Since: time.Second}, false},
+		{"keyed, in its window", 1, Restored{Attempts: 1, Ran: true, Since: time.Second}, true},
+		{"keyed, in another zone", 1, Restored{Attempts: 1, Ran: true, Since: time.Second, Zone: 1}, false},
+		{"keyed, past its window", 1, Restored{Attempts: 1, Ran: true, Since: 4 * time.Second}, false},
+		{"keyed, for ever ago", 1, Restored{Attempts: 1, Ran: true, Since: math.MaxInt64}, false},
+		{"safe, may have run", 0, Restored{Attempts: 1, Ran: true, Since: time.Hour}, true},
+		{"no attempts left", 0, Restored{Attempts: 4, Ran: true}, false},
+	} {
+		r := newRig(t, settings(), Host{Addr: "a", State: Ready})
+		c.m.Arrival = Arrival{ID: "m", Class: c.class, Left: 9 * time.Second}
+		if got := sends(append(r.step(c.m), r.after(time.Second)...)); (len(got) > 0) != c.sent {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// A wait that an earlier run was told is heeded, an endpoint that failed then gets a
+// trial and not a crowd, and a larger fleet leaves each relay less of a limit.
+func TestEarlierRun(t *testing.T) {
+	r := newRig(t, settings(), Host{Addr: "a", State: Ready})
+	r.step(Waited{Host: "a", Left: time.Second}, Waited{Host: "gone", Left: time.Hour})
+	if got := sends(append(r.step(Arrival{ID: "m", Left: 9 * time.Second}), r.after(950*ms)...)); len(got) > 0 {
+		t.Errorf("within the wait: %v", got)
+	}
+	if got := sends(r.after(200 * ms)); len(got) != 1 {
+		t.Errorf("after the wait: %v", got)
+	}
+	r = newRig(t, settings(), Host{Addr: "a", State: Ready})
+	r.step(Waited{Host: "a", Failing: true})
+	var all []Event
+	for i := range 4 {
+		all = append(all, Arrival{ID: fmt.Sprint(i), Left: 9 * time.Second})
+	}
+	if got := sends(append(r.step(all...), r.after(time.Second)...)); len(got) != 1 {
+		t.Errorf("to one that failed: %v", got)
+	}
+	r = newRig(t, settings(), Host{Addr: "a", Rate: 40, State: Ready})
+	u := r.c.hosts["a"].unit
+	if r.step(Fleet{Index: 3, Size: 8}); u.limit != 10 || r.c.set.Fleet != 8 {
+		t.Errorf("limit %v in a fleet of %d", u.limit, r.c.set.Fleet)
+	}
+	if r.step(Fleet{Index: 0, Size: 1}, Fleet{}); u.limit > 11 || r.c.set.Fleet != 1 {
+		t.Errorf("limit %v in a fleet of %d", u.limit, r.c.set.Fleet)
+	}
+}
--- a/internal/addr/addr.go
+++ b/internal/addr/addr.go
@@ -303,6 +303,23 @@
 	return len(b.list)
 }
 
+// Handshake tells how long the handshake at one address may take, of what is left of
+// an attempt, and whether it is the last address to be tried: others need their part.
+// A nil book has one address.
+func (b *Book) Handshake(tries int, left time.Duration) (within time.Duration, last bool) {
+	if b == nil || tries >= b.Len() {
+		return left, true
+	}
+	return left / 2, false
+}
+
+// Pause is how long to wait where nothing is left here to open a connection with;
+// TryAgain tells whether to go on after that: for half of the attempt's time.
+const Pause = 10 * time.Millisecond
+
+// TryAgain is described at Pause.
+func TryAgain(passed, within time.Duration) bool { return passed <= within/2 }
+
 // Has tells whether an address is still listed.
 func (b *Book) Has(a Address) bool {
 	b.mu.Lock()
--- a/internal/addr/keep.go
+++ b/internal/addr/keep.go
@@ -26,8 +26,16 @@
 	well   bool          // the last call was answered
 	served time.Duration // when
 	unused int           // spares in a row that went without having carried a call
+	barred time.Duration // no spares until then
 }
 
+// SpareTime is how long a connection that nobody waits for may take to come up.
+const SpareTime = 5 * time.Second
+
+// dismissal is how long an endpoint whose idle connections were to be closed gets no
+// spares: it may be one that takes few connections, idle ones counted.
+const dismissal = time.Minute
+
 // fade is the time in which a peak of calls falls to a third, and how long after
 // its last answer an endpoint is worth a spare, doubled down by spares that
 // nobody used.
@@ -65,6 +73,10 @@
 	}
 }
 
+// Dismissed takes in that the idle connections were closed because the decision
+// module said so.
+func (k *Keep) Dismissed(now time.Duration) { k.barred = now + dismissal }
+
 // Life draws how old a connection may get: within a tenth of the setting, so that
 // connections opened together do not all end together. 0 for no end.
 func (k *Keep) Life() time.Duration {
@@ -89,7 +101,7 @@
 // calls would find one, while the endpoint is well and its spares get used. An
 // endpoint that failed gets none: a cold one must not meet connections before calls.
 func (k *Keep) Spares(now time.Duration, out, idle, connecting int) int {
-	if !k.well || now-k.served > fade>>k.unused {
+	if !k.well || now < k.barred || now-k.served > fade>>k.unused {
 		return 0
 	}
 	want := int(math.Ceil(k.now(now)-0.5)) - out - idle - connecting
--- a/internal/addr/keep_test.go
+++ b/internal/addr/keep_test.go
@@ -37,6 +37,11 @@
 	if n := k.Spares(time.Second, 0, 0, 0); n == 0 {
 		t.Error("none once they are used again")
 	}
+	k.Dismissed(time.Second)
+	if n := k.Spares(time.Second, 0, 0, 0); n != 0 {
+		t.Errorf("%d after the module had them closed", n)
+	}
+	k.barred = 0
 	if n := k.Spares(11*time.Second, 0, 0, 0); n != 0 {
 		t.Errorf("%d long after the last answer", n)
 	}
--- a/internal/badday/crash.go
+++ b/internal/badday/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,6 +19,8 @@
 	"basaltcross.example/basaltcross/internal/client"
 	"basaltcross.example/basaltcross/internal/keys"
 	"basaltcross.example/basaltcross/internal/standin"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // CrashOptions of a run in which one relay with a journal is killed again and again.
@@ -120,7 +123,7 @@
 		}
 		cancel()
 		if err != nil {
-			wait(ctx, 10*time.Millisecond)
+			pause.For(ctx, 10*time.Millisecond)
 			continue
 		}
 		lost := false
@@ -148,14 +151,14 @@
 				c.sent = append(c.sent, m.ID)
 				c.mu.Unlock()
 				m = next()
-				wait(ctx, time.Duration(chance.ExpFloat64()*float64(3*time.Millisecond)))
+				pause.For(ctx, time.Duration(chance.ExpFloat64()*float64(3*time.Millisecond)))
 			} else {
 				lost = true
 			}
 		}
 		cl.Cut()
 		if lost && c.push != nil { // the client itself looks again only when it sends
-			wait(ctx, 5*time.Millisecond)
+			pause.For(ctx, 5*time.Millisecond)
 		}
 	}
 }
@@ -260,7 +263,7 @@
 			if _, err := os.Stat(filepath.Join(dir, "ready")); err == nil {
 				return true
 			}
-			wait(ctx, 5*time.Millisecond)
+			pause.For(ctx, 5*time.Millisecond)
 		}
 		return false
 	}
@@ -271,7 +274,7 @@
 		}
 		if early := chance.IntN(10) == 0; early { // while it starts and recovers
 			r.Early++
-			wait(ctx, time.Duration(chance.Float64()*float64(60*time.Millisecond)))
+			pause.For(ctx, time.Duration(chance.Float64()*float64(60*time.Millisecond)))
 		} else {
 			if !up() {
 				_ = cmd.Process.Kill()
@@ -279,7 +282,7 @@
 				out, _ := os.ReadFile(log.Name())
 				return nil, fmt.Errorf("badday: the relay did not come up:\n%s", out[max(0, len(out)-2000):])
 			}
-			wait(ctx, time.Duration(chance.ExpFloat64()*float64(150*time.Millisecond)))
+			pause.For(ctx, time.Duration(chance.ExpFloat64()*float64(150*time.Millisecond)))
 		}
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
@@ -291,7 +294,11 @@
 	if err != nil {
 		return nil, err
 	}
-	up()
+	if !up() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		return nil, errors.New("badday: the relay did not come up after the last kill")
+	}
 	close(stop)
 	time.AfterFunc(3*crashDeadline, cancel) // what is owed comes by then
 	done.Wait()
--- a/internal/badday/day.go
+++ b/internal/badday/day.go
@@ -20,6 +20,8 @@
 
 	"basaltcross.example/basaltcross/internal/keys"
 	"basaltcross.example/basaltcross/internal/standin"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // Options of a run.
@@ -177,22 +179,13 @@
 	r.mu.Unlock()
 	from := time.Now()
 	_ = cmd.Process.Signal(syscall.SIGSTOP)
-	wait(ctx, d)
+	pause.For(ctx, d)
 	_ = cmd.Process.Signal(syscall.SIGCONT)
 	r.mu.Lock()
 	r.stalls = append(r.stalls, [2]time.Time{from, time.Now()})
 	r.mu.Unlock()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // weight of a partner's part of the traffic: a few get much.
 func weight(i int) float64 { return 1 / float64(i+1) }
 
@@ -392,14 +385,14 @@
 	}
 	for _, t := range s.Troubles {
 		troubles.Go(func() {
-			wait(day, time.Until(begin.Add(t.At.D())))
+			pause.For(day, time.Until(begin.Add(t.At.D())))
 			fmt.Fprintf(opt.Out, "%6.1f s  %s for %v\n", time.Since(begin).Seconds(), t.Name, t.For.D())
 			d.trouble(day, t)
 		})
 	}
 	d.traffic(day)
 	troubles.Wait()
-	wait(day, deadline+time.Second) // what is owed comes by then
+	pause.For(day, deadline+time.Second) // what is owed comes by then
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -442,7 +435,7 @@
 		if at.After(d.until) {
 			return
 		}
-		wait(ctx, time.Until(at))
+		pause.For(ctx, time.Until(at))
 		s := d.senders[d.rand.IntN(len(d.senders))]
 		if d.rand.Float64() < caller {
 			s = d.senders[0]
--- a/internal/badday/trouble.go
+++ b/internal/badday/trouble.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/standin"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // some picks a part of n things, one at least, by chance.
@@ -24,7 +26,7 @@
 		d.mu.Lock()
 		on()
 		d.mu.Unlock()
-		wait(ctx, lasts)
+		pause.For(ctx, lasts)
 		d.mu.Lock()
 		off()
 		d.mu.Unlock()
@@ -74,7 +76,7 @@
 					cl.Cut()
 				}
 			}
-			wait(ctx, lasts/3)
+			pause.For(ctx, lasts/3)
 		}
 	case "address_dead":
 		d.deadAddresses(ctx, t)
@@ -101,14 +103,14 @@
 	case "balancer_crash":
 		for _, i := range d.some(len(d.relays), t.Part) {
 			d.relays[i].stop(syscall.SIGKILL)
-			wait(ctx, lasts)
+			pause.For(ctx, lasts)
 			d.restart(ctx, i)
 		}
 	case "balancer_roll":
 		for i := range d.relays {
 			d.relays[i].stop(syscall.SIGTERM)
 			d.restart(ctx, i)
-			wait(ctx, lasts/time.Duration(2*len(d.relays)))
+			pause.For(ctx, lasts/time.Duration(2*len(d.relays)))
 		}
 	case "balancer_stall":
 		var all sync.WaitGroup
@@ -144,7 +146,7 @@
 			e.Set(what)
 		}
 	}
-	wait(ctx, t.For.D())
+	pause.For(ctx, t.For.D())
 	for _, p := range struck {
 		for _, e := range d.endsOf(p) {
 			e.Set(standin.Trouble{})
@@ -164,7 +166,7 @@
 	for _, e := range struck {
 		e.Set(what)
 	}
-	wait(ctx, t.For.D())
+	pause.For(ctx, t.For.D())
 	for _, e := range struck {
 		e.Set(standin.Trouble{})
 	}
@@ -190,7 +192,7 @@
 			struck = append(struck, e)
 		}
 	}
-	wait(ctx, t.For.D())
+	pause.For(ctx, t.For.D())
 	for _, p := range partners {
 		p.Outage(false)
 	}
@@ -219,7 +221,7 @@
 		parts = append(parts, d.endsOf(p)...)
 	}
 	chosen := d.some(len(parts), t.Part)
-	pause := t.For.D() / time.Duration(len(chosen))
+	each := t.For.D() / time.Duration(len(chosen))
 	for _, i := range chosen {
 		old := parts[i]
 		if drain > 0 {
@@ -230,18 +232,18 @@
 		d.set(old, "draining")
 		_ = d.list()
 		go func() {
-			wait(ctx, drainGrace+max(drain, 200*time.Millisecond))
+			pause.For(ctx, drainGrace+max(drain, 200*time.Millisecond))
 			d.set(old, "gone")
 			_ = d.list()
 			if drain > 0 {
-				wait(ctx, deadline)
+				pause.For(ctx, deadline)
 			} else {
 				_, _ = d.newEnd(old.Partner)
 				_ = d.list()
 			}
 			// It stays open for the audit: what still comes is seen.
 		}()
-		wait(ctx, pause)
+		pause.For(ctx, each)
 	}
 }
 
@@ -260,7 +262,7 @@
 			e.Close()
 		}
 	}
-	wait(ctx, t.For.D())
+	pause.For(ctx, t.For.D())
 	for _, i := range struck {
 		if e := all[i].second; i%3 == 0 {
 			e.Set(standin.Trouble{})
@@ -273,7 +275,7 @@
 // astray makes trouble at the catalogue for a while.
 func (d *day) astray(ctx context.Context, lasts time.Duration, t standin.CatalogTrouble) {
 	d.consul.Set(t)
-	wait(ctx, lasts)
+	pause.For(ctx, lasts)
 	d.consul.Set(standin.CatalogTrouble{})
 }
 
@@ -288,7 +290,7 @@
 			for _, e := range ends {
 				d.consul.Put(e.instance(draining))
 			}
-			wait(ctx, 50*time.Millisecond)
+			pause.For(ctx, 50*time.Millisecond)
 		}
 	}
 	for _, e := range ends {
--- a/internal/catalog/consul.go
+++ b/internal/catalog/consul.go
@@ -20,6 +20,8 @@
 	"github.com/hashicorp/consul/api"
 
 	"basaltcross.example/basaltcross/internal/member"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // Options of a Client.
@@ -184,23 +186,12 @@
 				report(fresh)
 			}
 		}
-		if after > 0 && !sleep(ctx, after) {
+		if after > 0 && !pause.For(ctx, after) {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // draining is the tag, and the value of the metadata key "state", by which
 // an instance is taken out of service.
 const draining = "draining"
@@ -316,7 +307,7 @@
 			failed(fmt.Errorf("catalog: %w", err))
 			after = min(after, p.Failed())
 		}
-		if !sleep(ctx, after) {
+		if !pause.For(ctx, after) {
 			break
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,6 +170,7 @@
 	m       *message
 	n       int
 	host    string
+	zone    int // of the host as it was sent to
 	partner int
 	sent    time.Duration
 	end     time.Duration // time-out
@@ -218,10 +219,11 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
-	deferred int                      // what waits for the journal
-	failing  map[string]bool          // endpoints, as recorded
-	waited   map[string]choice.Waited // from an earlier run, for endpoints not yet listed
-	nows     []string                 // messages that go in this step or not at all
+	deferred int              // what waits for the journal
+	noted    map[string]noted // by endpoint, as recorded
+	waited   map[string]noted // from an earlier run, for endpoints not yet listed
+	lastAt   time.Duration    // while shutting down: what waits for the journal is given up then
+	nows     []string         // messages that go in this step or not at all
 	spare    []event
 }
 
@@ -244,7 +246,7 @@
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
 		outs: map[*attempt]struct{}{}, zones: map[string]int{}, wakeAt: -1, stopAt: -1,
-		failing: map[string]bool{}, waited: map[string]choice.Waited{}}, nil
+		noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
 }
 
 // Now is the core's monotonic clock.
@@ -335,13 +337,15 @@
 			c.stopping = true
 			c.mu.Unlock()
 			c.stopAt, c.draining = c.Now()+grace, true
+			c.lastAt = c.stopAt + grace
 		}
 		if c.Now()-time.Duration(c.beat.Load()) > stall {
 			c.settle()
 		}
 		c.now = c.Now()
 		c.work()
-		if c.draining && len(c.msgs) == 0 && c.deferred == 0 {
+		// A journal that failed never says that something is on disk.
+		if c.draining && len(c.msgs) == 0 && (c.deferred == 0 || c.now >= c.lastAt) {
 			return
 		}
 	}
@@ -393,6 +397,9 @@
 	if c.stopAt >= 0 && (at < 0 || c.stopAt < at) {
 		at = c.stopAt
 	}
+	if c.draining && (at < 0 || c.lastAt < at) {
+		at = c.lastAt
+	}
 	return at
 }
 
@@ -569,32 +576,52 @@
 // tried records an attempt of a message.
 func (c *Core) tried(a *attempt, clear bool) {
 	zone := ""
-	if z := c.zones[a.host]; z < len(c.opt.Names.Zones) {
-		zone = c.opt.Names.Zones[z]
+	if a.zone < len(c.opt.Names.Zones) {
+		zone = c.opt.Names.Zones[a.zone]
 	}
 	c.opt.Journal.Tried(journal.Attempt{Seq: a.m.seq, N: a.n, Host: a.host, Zone: zone, At: c.opt.Journal.Stamp(), Clear: clear})
 }
 
-// note records waits that an endpoint told, and whether it fails.
+// noted is what is recorded of an endpoint.
+type noted struct {
+	until   time.Duration // of a told wait
+	failing bool
+}
+
+// note records waits that an endpoint told, and whether it fails. A wait that is in
+// force stays in the record whatever else happens there.
 func (c *Core) note(host string, e Ending) {
-	failed := e.Outcome != choice.Served && e.Outcome != choice.Refused && e.Outcome != choice.NotSent
-	if c.opt.Journal == nil || e.Wait <= 0 && failed == c.failing[host] {
+	if c.opt.Journal == nil {
 		return
 	}
-	if c.failing[host] = failed; !failed {
-		delete(c.failing, host)
+	was := c.noted[host]
+	n := noted{was.until, e.Outcome != choice.Served && e.Outcome != choice.Refused && e.Outcome != choice.NotSent}
+	if e.Wait > 0 {
+		n.until = max(n.until, c.now+e.Wait)
+	}
+	if n != was {
+		c.noted[host] = n
+		c.opt.Journal.Waits(journal.Wait{Host: host, At: c.opt.Journal.Stamp(), Left: int64(max(0, n.until-c.now)), Failing: n.failing})
 	}
-	c.opt.Journal.Waits(journal.Wait{Host: host, At: c.opt.Journal.Stamp(), Left: int64(e.Wait), Failing: failed})
 }
 
-// remember tells the module what an earlier run knew of endpoints that are listed now.
+// remember tells the module what an earlier run knew of endpoints that are listed
+// now, and drops the records of those that went.
 func (c *Core) remember(l *choice.Listing) {
 	for _, h := range l.Hosts {
 		if w, ok := c.waited[h.Addr]; ok && h.State != choice.Gone {
-			c.batch = append(c.batch, w)
+			c.batch = append(c.batch, choice.Waited{Host: h.Addr, Left: max(0, w.until-c.now), Failing: w.failing})
 			delete(c.waited, h.Addr)
 		}
 	}
+	for host, n := range c.noted {
+		if _, listed := c.zones[host]; !listed && n.until <= c.now && c.opt.Journal != nil {
+			if _, later := c.waited[host]; !later {
+				delete(c.noted, host)
+				c.opt.Journal.Waits(journal.Wait{Host: host})
+			}
+		}
+	}
 }
 
 // gated is an attempt that waits for its record; not a byte is out before.
@@ -651,8 +678,8 @@
 		c.led.Restore(c.now-e.Age, e.Identity, e.Answer, e.Forget)
 	}
 	for _, w := range waits {
-		c.waited[w.Host] = w
-		c.failing[w.Host] = w.Failing
+		n := noted{c.now + w.Left, w.Failing}
+		c.waited[w.Host], c.noted[w.Host] = n, n
 	}
 	var first []choice.Event
 	for i := range messages {
@@ -660,12 +687,8 @@
 		k := &c.opt.Settings.Classes[r.Class]
 		m := &message{Message: r.Message, taken: c.now, due: c.now + r.Message.Left, seq: r.Seq, kept: true, tries: r.Attempts,
 			id: strconv.FormatUint(r.Seq, 36)}
-		e, err := c.led.Open(c.now, m.Identity, m.id, k.Effect == choice.Safe)
-		if err != nil {
-			c.opt.Observer.Log("a message of an earlier run finds no room: " + err.Error())
-			continue
-		}
-		m.entry, c.byEntry[e] = e, m
+		m.entry = c.led.Reopen(m.Identity, m.id, k.Effect == choice.Safe)
+		c.byEntry[m.entry] = m
 		c.msgs[m.id] = m
 		c.owed++
 		first = append(first, choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
@@ -748,9 +771,13 @@
 	}
 	for _, h := range l.Hosts {
 		c.zones[h.Addr] = h.Zone
-		if h.State == choice.Ready {
+		switch h.State {
+		case choice.Ready:
 			ready[h.Addr] = true
-		} else {
+		case choice.Gone:
+			delete(c.zones, h.Addr)
+			fallthrough
+		default:
 			recall[h.Addr] = true
 		}
 	}
@@ -839,11 +866,11 @@
 	m.tries++
 	m.out = a
 	c.outs[a] = struct{}{}
-	zone := c.zones[s.Host]
+	a.zone = c.zones[s.Host]
 	if c.opt.Toll != nil {
-		a.settle = c.opt.Toll.Sent(c.now, m.Class, m.Partner, zone)
+		a.settle = c.opt.Toll.Sent(c.now, m.Class, m.Partner, a.zone)
 	}
-	call := Call{ID: m.id, Zone: zone, Passed: &a.passed, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Head: m.Head, Body: m.Body,
+	call := Call{ID: m.id, Zone: a.zone, Passed: &a.passed, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Head: m.Head, Body: m.Body,
 		Patient: s.Timeout, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
 	if c.opt.Settings.Classes[m.Class].Effect == choice.Keyed {
 		call.Idem = m.idem()
--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -139,7 +140,7 @@
 			}
 			r.Core = c
 			plan := recover.Decide(d.kept(), map[string]recover.Class{"status": {Deadline: 6 * time.Second},
-				"order": {Deadline: 6 * time.Second, Keep: true}, "charge": {Deadline: 6 * time.Second, Keep: true}}, time.Hour, 2*time.Second)
+				"order": {Deadline: 6 * time.Second, Keep: true}, "charge": {Deadline: 6 * time.Second, Keep: true}}, map[string]bool{"p": true}, time.Hour, 2*time.Second)
 			var messages []Restored
 			var ended []Ended
 			var waits []choice.Waited
@@ -257,3 +258,62 @@
 		}
 	})
 }
+
+// A told wait stays in the record when another call to the endpoint fails, and both
+// go when the endpoint does; a journal that never answers does not hold the end up.
+func TestRecordOfWaits(t *testing.T) {
+	now := time.Duration(0)
+	d := &disk{now: func() time.Duration { return now }, messages: map[uint64]journal.Message{},
+		attempts: map[uint64]map[int]journal.Attempt{}, ends: map[string]journal.End{}, waits: map[string]journal.Wait{}}
+	r := &rig{}
+	c, err := New(Options{Seed: 1, Apart: []bool{false}, Arrivals: 100, Identities: 100, Keep: time.Hour, Caller: r, Observer: r,
+		Clock: d.now, Journal: d, Names: Names{[]string{"status", "order", "charge"}, []string{"p"}, []string{"z"}},
+		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Certain: true, ReportLimit: -1,
+			Classes: crashClasses, Kinds: []choice.Kind{{PerCall: 1}},
+			Rules: choice.Rules{Fall: time.Second, Cold: 2 * time.Second, ColdFrom: 0.2, OverloadFactor: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Core = c
+	list := func(s choice.State) { r.List(choice.Listing{Hosts: []choice.Host{{Addr: "h", State: s}}}); r.Step() }
+	list(choice.Ready)
+	for i := range 2 {
+		_ = r.Submit(&Message{Source: "c", Identity: fmt.Sprint(i), Left: 6 * time.Second, Reply: &item{}})
+	}
+	r.Step()
+	if len(r.calls) != 2 {
+		t.Fatalf("%d calls", len(r.calls))
+	}
+	r.calls[0].finish(choice.Refused, 5*time.Second)
+	r.Step()
+	now += time.Second
+	r.calls[1].finish(choice.Error, 0)
+	r.Step()
+	d.sync(len(d.pending))
+	if w := d.waits["h"]; time.Duration(w.Left) != 4*time.Second || !w.Failing {
+		t.Errorf("%+v", w)
+	}
+	list(choice.Gone)
+	if len(c.noted) != 1 || len(c.zones) != 0 {
+		t.Errorf("within the wait: %v, zones %v", c.noted, c.zones)
+	}
+	now += 10 * time.Second
+	list(choice.Gone)
+	d.sync(len(d.pending))
+	if len(c.noted) != 0 || d.waits["h"].Left != 0 || d.waits["h"].Failing {
+		t.Errorf("gone: %v, %v", c.noted, d.waits)
+	}
+	end := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.clock = func() time.Duration { return time.Since(begun) }
+	_ = r.Submit(&Message{Source: "c", Identity: "late", Left: time.Second, Reply: &item{}})
+	go func() { c.Run(ctx, 20*ms); close(end) }()
+	cancel()
+	select {
+	case <-end:
+	case <-time.After(20 * time.Second):
+		t.Error("the end waits for a journal that never answers")
+	}
+}
+
+var begun = time.Now().Add(-time.Hour)
--- a/internal/directory/consul.go
+++ b/internal/directory/consul.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"basaltcross.example/basaltcross/internal/catalog"
 	"basaltcross.example/basaltcross/internal/member"
@@ -26,8 +25,5 @@
 
 // Follow watches the service.
 func (c *Consul) Follow(ctx context.Context, to News) {
-	c.Client.Follow(ctx, c.Mapping, catalog.News{Report: func(r member.Report) {
-		r.Entries = slices.Clone(r.Entries)
-		to.Report(r)
-	}, Heard: to.Heard, Failed: to.Failed})
+	c.Client.Follow(ctx, c.Mapping, catalog.News{Report: to.Report, Heard: to.Heard, Failed: to.Failed})
 }
--- a/internal/directory/saved.go
+++ b/internal/directory/saved.go
@@ -68,9 +68,16 @@
 		_ = os.Remove(f.Name())
 		return fmt.Errorf("directory: %w", err)
 	}
-	if dir, err := os.Open(filepath.Dir(path)); err == nil {
-		_ = dir.Sync()
-		_ = dir.Close()
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return fmt.Errorf("directory: %w", err)
+	}
+	err = dir.Sync()
+	if e := dir.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("directory: %w", err)
 	}
 	return nil
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -69,3 +69,33 @@
 	t.Logf("worth %.0f of %.0f, free %.0f; charges %.0f of %.0f, free %.0f; worst window %.0f, free %.0f", kept.Delivered,
 		kept.Asked, free.Delivered, kept.Charge, kept.ChargeAsked, free.Charge, kept.Worst, free.Worst)
 }
+
+// While IPv6 is dead everywhere, family health spares nearly all calls the wait
+// that books alone do not; when it is back, it is used again.
+func TestFamilyDies(t *testing.T) {
+	run := func(l Learns) AddressResult {
+		return Addresses(AddressSettings{Seed: 1, Learns: l, Relays: 10, Endpoints: 100, Rate: 100, Lasts: 10 * time.Minute,
+			Dead: 1, Keep: 5 * time.Second})
+	}
+	all, books, none := run(All), run(Books), run(NoMemory)
+	if all.Delayed*5 > books.Delayed || books.Delayed*2 > none.Delayed || all.Mean*5 > books.Mean {
+		t.Errorf("%+v\n%+v\n%+v", all, books, none)
+	}
+	if all.Returned < 0.8 || books.Returned < 0.8 {
+		t.Errorf("IPv6 again: %.2f and %.2f", all.Returned, books.Returned)
+	}
+}
+
+// A fleet that doubles and does not know it runs into the partners' limits more
+// often than one that follows its size.
+func TestSizeFollowed(t *testing.T) {
+	lines, err := Sizes(Settings{Seed: 1, Partners: 5, Zones: 2, Rate: 1000, Lasts: 24 * time.Second, Late: 5 * time.Second},
+		[]Size{{Name: "followed", From: 10, To: 20, Follow: true, Think: 1, Limit: 1.3, Listed: true},
+			{Name: "fixed", From: 10, To: 20, Think: 1, Limit: 1.3, Listed: true}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if followed, fixed := lines[0], lines[1]; followed.Shut.Value*1.5 > fixed.Shut.Value || followed.Worth.Value < 0.5 {
+		t.Errorf("%+v\n%+v", followed, fixed)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,8 +26,6 @@
 	Session(front, id string, value []byte)
 	// Handed says that the client has the answer of an identity.
 	Handed(identity string)
-	// Then calls done once all that was handed in is on disk.
-	Then(done func())
 }
 
 // Owed is a message of an earlier run, or its answer, that a client waits for.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -83,6 +84,20 @@
 	Last     uint64 // highest number of a message
 }
 
+// refers tells whether a record is dated by a run; one that none is, is forgotten.
+func (k *Kept) refers(run uint32) bool {
+	is := func(s Stamp) bool { return s.Run == run }
+	for _, l := range k.Attempts {
+		if slices.ContainsFunc(l, func(a Attempt) bool { return is(a.At) }) {
+			return true
+		}
+	}
+	return k.Spent != nil && is(k.Spent.At) || slices.ContainsFunc(k.Messages, func(m Message) bool { return is(m.At) }) ||
+		slices.ContainsFunc(k.Ends, func(e End) bool { return is(e.At) }) ||
+		slices.ContainsFunc(k.Waits, func(w Wait) bool { return is(w.At) }) ||
+		slices.ContainsFunc(k.Sessions, func(s Session) bool { return is(s.At) })
+}
+
 // ErrDamaged says that records which were on disk are missing. The library takes a
 // damaged log for one whose end was torn off by a crash, and opens without its
 // rest; the mark beside it tells. To go on with what is left, remove the mark.
@@ -152,8 +167,16 @@
 	for n := range kept.Runs {
 		j.run.Number = max(j.run.Number, n+1)
 	}
+	b := db.NewBatch()
+	for n := range kept.Runs {
+		if !kept.refers(n) {
+			delete(kept.Runs, n)
+			err = errors.Join(err, b.Delete(runKey(n), nil))
+		}
+	}
 	kept.Now, kept.Runs[j.run.Number] = j.run, j.run
-	if err := db.Set(binary.BigEndian.AppendUint32([]byte{kindRun}, j.run.Number), encode(j.run), pebble.Sync); err != nil {
+	err = errors.Join(err, b.Set(runKey(j.run.Number), encode(j.run), nil))
+	if err = errors.Join(err, b.Commit(pebble.Sync)); err != nil {
 		_ = db.Close()
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -314,11 +314,20 @@
 	j.Handed("e")
 	_ = j.Close()
 	j, k := open(t, Options{Dir: dir})
-	defer j.Close()
+	defer func() { _ = j.Close() }()
 	if len(k.Messages) != 1 || !reflect.DeepEqual(k.Messages[0], m) || len(k.Ends) != 1 || !k.Ends[0].Handed || k.Last != 7 ||
 		k.Now.Number != 2 || len(k.Runs) != 2 {
 		t.Errorf("%+v", k)
 	}
+	// Runs that no record is dated by are not kept for ever.
+	for range 5 {
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if j, k = open(t, Options{Dir: dir}); len(k.Runs) > 3 || len(k.Messages) != 1 {
+			t.Fatalf("%d runs, %d messages", len(k.Runs), len(k.Messages))
+		}
+	}
 }
 
 // 100,000 held messages: until they are read, with the memory that takes.
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -105,6 +105,8 @@
 	kindGroup   = 'g' // number of the last group
 )
 
+func runKey(n uint32) []byte { return binary.BigEndian.AppendUint32([]byte{kindRun}, n) }
+
 func seqKey(kind byte, seq uint64) []byte { return binary.BigEndian.AppendUint64([]byte{kind}, seq) }
 
 func attemptKey(seq uint64, n int) []byte {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -108,18 +108,18 @@
 	return true
 }
 
-// Restore takes in an identity that ended in an earlier run; the oldest come first.
-// Past the count the oldest go that may.
-func (l *Ledger) Restore(ended time.Duration, identity string, a Answer, forget bool) {
-	if len(l.entries) >= l.count {
-		if l.loose.Len() == 0 {
-			return
-		}
-		l.drop(l.loose, l.loose.Front())
-	}
-	e := &Entry{Identity: identity, Forget: forget}
+// Reopen takes in an identity that was under way in an earlier run, and Restore one
+// that ended then; the oldest come first. Both hold what was promised, also past
+// the count: then Open finds no room until they have ended or are forgotten.
+func (l *Ledger) Reopen(identity, id string, forget bool) *Entry {
+	e := &Entry{Identity: identity, ID: id, Forget: forget}
 	l.entries[identity] = e
-	l.End(ended, e, a)
+	return e
+}
+
+// Restore takes in an identity that ended at a time.
+func (l *Ledger) Restore(ended time.Duration, identity string, a Answer, forget bool) {
+	l.End(ended, l.Reopen(identity, "", forget), a)
 }
 
 func (l *Ledger) expire(now time.Duration) {
--- a/internal/load/journal.go
+++ b/internal/load/journal.go
@@ -74,7 +74,12 @@
 				}
 				s.close()
 			}
-			if stats, err := journalStats(relay.named["metrics"]); err == nil {
+			if kind != "off" {
+				stats, err := journalStats(relay.named["metrics"])
+				if err != nil {
+					relay.stop()
+					return nil, fmt.Errorf("load: %w", err)
+				}
 				r.Bytes = float64(stats.Bytes) / float64(max(1, r.Full.OK+r.Open.OK))
 				r.PerGroup = float64(stats.Records) / float64(max(1, stats.Groups))
 			}
@@ -90,7 +95,7 @@
 }
 
 func journalStats(addr string) (s journal.Stats, err error) {
-	r, err := http.Get("http://" + addr + "/journal")
+	r, err := (&http.Client{Timeout: 10 * time.Second}).Get("http://" + addr + "/journal")
 	if err != nil {
 		return s, err
 	}
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -477,7 +477,7 @@
 	}
 	present := s != nil
 	if s == nil {
-		s = &session{id: in.ClientID, user: in.User, front: f, subs: map[string]byte{}, pend: map[string]*pending{}}
+		s = &session{id: in.ClientID, user: in.User, born: time.Now().UnixNano(), front: f, subs: map[string]byte{}, pend: map[string]*pending{}}
 		f.sessions[in.ClientID] = s
 		s.mu.Lock()
 	}
--- a/internal/mqttfront/keep.go
+++ b/internal/mqttfront/keep.go
@@ -19,6 +19,7 @@
 	Version byte            `cbor:"2,keyasint"`
 	Expiry  time.Duration   `cbor:"3,keyasint"`
 	Subs    map[string]byte `cbor:"4,keyasint"`
+	Born    int64           `cbor:"5,keyasint"`
 }
 
 // way back to a session, as a message's record has it.
@@ -29,10 +30,11 @@
 	Corr    []byte `cbor:"4,keyasint"` // nil for none
 	Packet  uint16 `cbor:"5,keyasint"`
 	QoS     byte   `cbor:"6,keyasint"`
+	Born    int64  `cbor:"7,keyasint"` // of the session
 }
 
 func (p *pending) way(qos byte) []byte {
-	b, _ := cbor.Marshal(way{p.s.id, p.s.user, p.topic, p.corr, p.packet, qos}) // plain fields: cannot fail
+	b, _ := cbor.Marshal(way{p.s.id, p.s.user, p.topic, p.corr, p.packet, qos, p.s.born}) // plain fields: cannot fail
 	return b
 }
 
@@ -47,7 +49,7 @@
 		k.Session(Name, s.id, nil)
 		return
 	}
-	b, _ := cbor.Marshal(keptSession{s.user, s.version, s.expiry, maps.Clone(s.subs)})
+	b, _ := cbor.Marshal(keptSession{s.user, s.version, s.expiry, maps.Clone(s.subs), s.born})
 	k.Session(Name, s.id, b)
 }
 
@@ -68,9 +70,12 @@
 		var k keptSession
 		if err := cbor.Unmarshal(value, &k); err != nil || len(f.sessions) >= f.opt.Sessions {
 			f.opt.Observer.Logf("mqtt: session %q of an earlier run is not restored: %v", id, err)
+			if f.opt.Keeper != nil {
+				f.opt.Keeper.Session(Name, id, nil)
+			}
 			continue
 		}
-		s := &session{id: id, user: k.User, front: f, version: k.Version, expiry: k.Expiry, away: time.Now(),
+		s := &session{id: id, user: k.User, born: k.Born, front: f, version: k.Version, expiry: k.Expiry, away: time.Now(),
 			subs: k.Subs, pend: map[string]*pending{}}
 		if s.subs == nil {
 			s.subs = map[string]byte{}
@@ -91,7 +96,7 @@
 	f.mu.Lock()
 	s := f.sessions[w.Session]
 	f.mu.Unlock()
-	if s == nil || s.user != w.User {
+	if s == nil || s.user != w.User || s.born != w.Born {
 		return nowhere{} // its session ended: nobody waits
 	}
 	s.mu.Lock()
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -22,6 +22,7 @@
 type session struct {
 	id    string
 	user  string
+	born  int64 // tells it from earlier sessions of the same client
 	front *Front
 	dueAt atomic.Int64 // next time that something ends, unix ns
 
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -112,13 +113,10 @@
 		return
 	}
 	for range p.keep.Spares(p.c.now(), p.out-len(p.waiting), len(p.idle), p.connecting) {
-		p.dial(nil, spareTime)
+		p.dial(nil, addr.SpareTime)
 	}
 }
 
-// spareTime is how long a connection that nobody waits for may take to come up.
-const spareTime = 5 * time.Second
-
 // dial begins a connection; under mu.
 func (p *pool) dial(k *call, within time.Duration) {
 	ctx, cancel := context.WithTimeout(p.c.ctx, within)
@@ -260,6 +258,7 @@
 				p.mu.Lock()
 				if p.open == 0 && p.out == 0 {
 					delete(c.pools, host)
+					delete(c.barred, host)
 				}
 				p.mu.Unlock()
 			}
@@ -284,6 +283,9 @@
 	p := c.pools[host]
 	c.mu.Unlock()
 	if p != nil {
+		p.mu.Lock()
+		p.keep.Dismissed(c.now())
+		p.mu.Unlock()
 		closeAll(p.drain(func(*conn) bool { return true }))
 	}
 }
@@ -321,7 +323,9 @@
 		}
 	}
 	for _, h := range l.Hosts {
-		if delete(c.barred, h.Addr); h.State != choice.Ready {
+		delete(c.barred, h.Addr)
+		// Of one that went, only as long as there are connections: the sweep forgets it.
+		if h.State == choice.Draining || h.State == choice.Gone && c.pools[h.Addr] != nil {
 			c.barred[h.Addr] = true
 		}
 	}
@@ -362,9 +366,9 @@
 // connect sets up one connection: the race of its addresses, then TLS, then the
 // engine. It never carries a byte of a request, so an address whose handshake
 // fails may be followed by another; with others left it gets half of the time.
-func (c *Caller) connect(ctx context.Context, p *pool, within time.Duration) (*conn, error) {
+func (c *Caller) connect(ctx context.Context, p *pool, all time.Duration) (*conn, error) {
 	book := c.book(p.host)
-	end := time.Now().Add(within)
+	end := time.Now().Add(all)
 	for tries := 1; ; tries++ {
 		left := time.Until(end)
 		raw, at, err := c.race(ctx, p.host, left, book)
@@ -376,11 +380,8 @@
 		if cfg == nil {
 			return c.plain(cn, raw)
 		}
-		last := book == nil || tries >= book.Len()
-		shake, cancel := ctx, context.CancelFunc(func() {})
-		if !last {
-			shake, cancel = context.WithTimeout(ctx, left/2)
-		}
+		within, last := book.Handshake(tries, left)
+		shake, cancel := context.WithTimeout(ctx, within)
 		err = c.secure(shake, cn, raw, cfg())
 		cancel()
 		if err == nil {
@@ -518,7 +519,7 @@
 		s.roots[partner] = roots
 		s.turn[partner]++
 	}
-	return scoped{s.ClientSessionCache, string(rune(partner)) + string(rune(s.turn[partner])) + where + " "}
+	return scoped{s.ClientSessionCache, fmt.Sprintf("%d %d %s ", partner, s.turn[partner], where)}
 }
 
 func (s scoped) Get(key string) (*tls.ClientSessionState, bool) { return s.all.Get(s.prefix + key) }
--- a/internal/partner/race.go
+++ b/internal/partner/race.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 func (c *Caller) now() time.Duration { return time.Since(c.epoch) }
@@ -79,18 +80,6 @@
 	closeAll(cn.pool.drain(func(o *conn) bool { return o.addr == cn.addr }))
 }
 
-// pause tells whether the time passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 type dialed struct {
 	step addr.Step
 	conn net.Conn
@@ -105,9 +94,6 @@
 	errOurs = errors.New("partner: nothing left to open a connection with")
 )
 
-// pauseOurs is how long a race waits where descriptors have run out.
-const pauseOurs = 10 * time.Millisecond
-
 func ours(err error) bool {
 	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, e) {
@@ -129,7 +115,7 @@
 			if err == nil || !ours(err) {
 				return conn, at, err
 			}
-			if time.Since(began) > within/2 || !pause(ctx, pauseOurs) {
+			if !addr.TryAgain(time.Since(began), within) || !pause.For(ctx, addr.Pause) {
 				return nil, at, errOurs
 			}
 		}
@@ -209,7 +195,7 @@
 			if err = d.err; ours(err) {
 				book.Left(c.now(), d.step.Address, 0)
 				count(d.step.Family, "ours")
-				if time.Since(began) > within/2 || !pause(ctx, pauseOurs) {
+				if !addr.TryAgain(time.Since(began), within) || !pause.For(ctx, addr.Pause) {
 					err = errOurs
 					continue
 				}
--- a/internal/recover/recover.go
+++ b/internal/recover/recover.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
 )
 
 // Clock tells how long ago a record was written. Within one run of the machine
@@ -58,6 +59,9 @@
 	Since    time.Duration // ago the first of those was sent; Unknown counts as for ever
 	Zone     string        // where
 	Host     string
+	// Verdict, if there is one, ends it at once: the configuration has no such class
+	// or partner any more, so that nobody can deliver it.
+	Verdict ledger.Verdict
 }
 
 // Wait is in force.
@@ -82,12 +86,13 @@
 	// counts as none.
 	Levels []float64
 	Ago    time.Duration
+	Over   []string // endpoints of which nothing is in force any more
 	Drop   []string // identities that count no more
 }
 
 // Decide makes the plan. keep is how long ended identities count, cold how long a
 // failing endpoint is remembered as one.
-func Decide(k *journal.Kept, classes map[string]Class, keep, cold time.Duration) Plan {
+func Decide(k *journal.Kept, classes map[string]Class, partners map[string]bool, keep, cold time.Duration) Plan {
 	clock := Clock{k.Runs, k.Now}
 	var p Plan
 	if k.Spent != nil {
@@ -114,7 +119,7 @@
 		if ended[m.Seq] {
 			continue // its answer was recorded
 		}
-		c := classes[m.Class]
+		c, known := classes[m.Class]
 		x := Message{Message: m}
 		if age := clock.Age(m.At); age < Unknown {
 			x.Left = max(0, min(time.Duration(m.Left), c.Deadline)-age)
@@ -126,6 +131,13 @@
 			}
 			x.Ran, x.Since, x.Zone, x.Host = true, clock.Age(a.At), a.Zone, a.Host
 		}
+		switch {
+		case known && partners[m.Partner]:
+		case x.Ran:
+			x.Verdict = ledger.Failed
+		default:
+			x.Verdict = ledger.Refused
+		}
 		p.Messages = append(p.Messages, x)
 	}
 	slices.SortFunc(p.Messages, func(x, y Message) int { return cmp.Compare(x.Seq, y.Seq) })
@@ -140,6 +152,8 @@
 		}
 		if x.Left > 0 || x.Failing {
 			p.Waits = append(p.Waits, x)
+		} else {
+			p.Over = append(p.Over, w.Host)
 		}
 	}
 	return p
--- a/internal/recover/recover_test.go
+++ b/internal/recover/recover_test.go
@@ -7,10 +7,13 @@
 	"pgregory.net/rapid"
 
 	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
 )
 
 const s = time.Second
 
+var partners = map[string]bool{"": true}
+
 var classes = map[string]Class{"charge": {Deadline: 6 * s, Keep: true}, "status": {Deadline: 6 * s}}
 
 // kept is one message with an attempt, taken 2 s and sent 1 s before the crash, and
@@ -49,7 +52,7 @@
 		{"new boot, wall on", false, s, time.Hour, 0, time.Hour + 2*s, 0},
 		{"a day away", true, 24 * time.Hour, 0, 0, 24*time.Hour + s, 0},
 	} {
-		p := Decide(kept(c.same, c.away, c.jump), classes, time.Hour, 10*s)
+		p := Decide(kept(c.same, c.away, c.jump), classes, partners, time.Hour, 10*s)
 		m := p.Messages[0]
 		if m.Left != c.left || !m.Ran || m.Since != c.since || m.Zone != "z" || m.Attempts != 2 {
 			t.Errorf("%s: left %v, ran %v since %v in %q after %d", c.name, m.Left, m.Ran, m.Since, m.Zone, m.Attempts)
@@ -67,6 +70,19 @@
 	}
 }
 
+// A message that nobody can deliver any more ends at once: refused, unless it may
+// have run.
+func TestConfigurationChanged(t *testing.T) {
+	for ran, want := range map[bool]ledger.Verdict{true: ledger.Failed, false: ledger.Refused} {
+		k := kept(true, s/2, 0)
+		k.Messages[0].Partner = "gone"
+		k.Attempts[1][1].Clear = !ran
+		if m := Decide(k, classes, partners, time.Hour, 10*s).Messages[0]; m.Verdict != want {
+			t.Errorf("ran %v: %v", ran, m.Verdict)
+		}
+	}
+}
+
 // Whatever the records and clocks: a message with an attempt that is not clear
 // may have run, one without may not; nothing gets more time than it had; the order
 // is that of taking; what ended does not go on; what is owed is not dropped.
@@ -98,7 +114,7 @@
 			}
 			k.Messages = append([]journal.Message{m}, k.Messages...)
 		}
-		p := Decide(k, classes, time.Minute, 10*s)
+		p := Decide(k, classes, partners, time.Minute, 10*s)
 		last := int64(-1)
 		for _, m := range p.Messages {
 			if int64(m.Seq) <= last || ended[m.Seq] || m.Ran != ran[m.Seq] || m.Attempts != len(k.Attempts[m.Seq]) {
--- a/internal/relay/consul_test.go
+++ b/internal/relay/consul_test.go
@@ -256,9 +256,8 @@
 	eventually(t, "the list", func() bool { return r.Directory().Endpoints == 6 })
 	r.Stop()
 	b.Set(standin.CatalogTrouble{Down: true})
-	if r = b.start("r", relay.Hooks{}); true {
-		eventually(t, "the old list", func() bool { return r.Directory().Endpoints == 6 })
-	}
+	r = b.start("r", relay.Hooks{})
+	eventually(t, "the old list", func() bool { return r.Directory().Endpoints == 6 })
 	stop := make(chan struct{})
 	time.AfterFunc(300*ms, func() { close(stop) })
 	if n, answers := b.load(r, "c", ms, stop); n == 0 || answers["delivered"] != n {
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -43,7 +43,11 @@
 	for _, c := range r.cfg.Classes {
 		classes[c.Name] = recover.Class{Deadline: c.Deadline.D(), Keep: c.Effect != "safe"}
 	}
-	plan := recover.Decide(k, classes, r.cfg.Limits.Identities.Keep.D(), r.cfg.Rules.Cold.D())
+	partners := map[string]bool{}
+	for _, p := range r.cfg.Partners {
+		partners[p.Name] = true
+	}
+	plan := recover.Decide(k, classes, partners, r.cfg.Limits.Identities.Keep.D(), r.cfg.Rules.Cold.D())
 	sessions := map[string]map[string][]byte{mqttfront.Name: {}, webpush.Name: {}}
 	for _, s := range k.Sessions {
 		if of := sessions[s.Front]; of != nil {
@@ -72,24 +76,22 @@
 	for _, identity := range plan.Drop {
 		r.log.Forget(identity)
 	}
+	for _, host := range plan.Over {
+		r.log.Waits(journal.Wait{Host: host})
+	}
 	var messages []core.Restored
 	for _, m := range plan.Messages {
-		class, known := names.Classes[m.Class]
-		partner, there := names.Partners[m.Partner]
 		reply := owe(m.Front, front.Owed{Identity: m.Identity, Way: m.Way})
-		if !known || !there { // the configuration changed: nobody can deliver it any more
-			a := ledger.Answer{Verdict: ledger.Refused}
-			if m.Ran {
-				a.Verdict = ledger.Failed
-			}
+		if m.Verdict != 0 {
+			a := ledger.Answer{Verdict: m.Verdict}
 			r.log.Ended(journal.End{Seq: m.Seq, Identity: m.Identity, Class: m.Class, Verdict: uint8(a.Verdict), At: r.log.Stamp(),
 				Front: m.Front, Way: m.Way})
 			r.log.Then(func() { reply.Answer(a) })
 			continue
 		}
 		zone := slices.IndexFunc(r.cfg.Zones, func(z config.Zone) bool { return z.Name == m.Zone })
-		messages = append(messages, core.Restored{Message: core.Message{Source: m.Source, Identity: m.Identity, Class: class,
-			Partner: partner, Key: m.Key, Left: m.Left, Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way, Reply: reply},
+		messages = append(messages, core.Restored{Message: core.Message{Source: m.Source, Identity: m.Identity, Class: names.Classes[m.Class],
+			Partner: names.Partners[m.Partner], Key: m.Key, Left: m.Left, Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way, Reply: reply},
 			Seq: m.Seq, Attempts: m.Attempts, Ran: m.Ran, Since: m.Since, Zone: zone})
 	}
 	var waits []choice.Waited
--- a/internal/standin/consul.go
+++ b/internal/standin/consul.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // Instance is one instance of a service in a stand-in catalogue.
@@ -275,7 +277,7 @@
 	case t.Slow > 0:
 		_, _ = w.Write(body[:half])
 		_ = http.NewResponseController(w).Flush()
-		sleep(r.Context(), t.Slow)
+		pause.For(r.Context(), t.Slow)
 		_, _ = w.Write(body[half:])
 	default:
 		_, _ = w.Write(body)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -21,6 +21,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // Model is how a partner behaves while nothing is wrong.
@@ -358,7 +360,7 @@
 	st.mu.Unlock()
 	defer func() { st.mu.Lock(); st.last = time.Now(); st.mu.Unlock() }()
 	if first && t.Handshake > 0 {
-		sleep(r.Context(), t.Handshake)
+		pause.For(r.Context(), t.Handshake)
 	}
 	silent := func() {
 		<-r.Context().Done()
@@ -437,15 +439,6 @@
 	return l.Addr().String(), func() { _ = srv.Close() }, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (p *Partner) chance() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/webpush/keep.go
+++ b/internal/webpush/keep.go
@@ -57,6 +57,9 @@
 		var k keptBox
 		if err := cbor.Unmarshal(value, &k); err != nil || len(f.boxes) >= f.opt.Boxes {
 			f.opt.Observer.Logf("webpush: receipt subscription %q of an earlier run is not restored: %v", id, err)
+			if f.opt.Keeper != nil {
+				f.opt.Keeper.Session(Name, id, nil)
+			}
 			continue
 		}
 		b := &box{id: id, owner: k.Owner, used: time.Now(), base: k.Base + perRun, next: k.Base + perRun}
@@ -77,6 +80,9 @@
 	defer f.mu.Unlock()
 	p := &push{id: w.ID, identity: o.Identity, owner: w.Owner, box: f.boxes[w.Box], topic: w.Topic, life: w.Life, taken: true,
 		answer: o.Answer}
+	if len(f.pushes) >= f.opt.Messages {
+		f.forget() // one that ended; what is owed is held past the bound
+	}
 	f.pushes[p.id], f.byIdentity[p.identity] = p, p
 	if o.Answer.Verdict != 0 {
 		p.ended = time.Now()
