--- a/choice/api.go
+++ b/choice/api.go
@@ -74,6 +74,8 @@
 	Cancels       bool      // Cancel is allowed
 	Subscribe     bool      // list changes come only after Subscribe
 	Certain       bool      // refuse only what certainly never ran; else also what may safely come again
+	// Acknowledged: a message that was refused or failed keeps its place in the order of its key until Settled.
+	Acknowledged bool
 	// ReportLimit is the place in Result.Report of the limit in calls a second;
 	// below 0 where it is not reported.
 	ReportLimit int
@@ -112,6 +114,7 @@
 type Restored struct {
 	Arrival
 	Attempts int
+	Answered bool          // refused or failed then, and not Settled yet
 	Ran      bool          // one of them may have run
 	Since    time.Duration // ago the first of those was sent
 	Zone     int           // to which zone; below 0 if it is not known any more
@@ -133,6 +136,7 @@
 	Took    time.Duration // since the attempt went out
 	Wait    time.Duration // told: send nothing there for so long; 0 if none was told
 	Done    bool          // the message is finished; no answer is owed any more
+	Spent   bool          // with NotSent: the message has had all its attempts
 	Report  []float64     // load report, if any
 }
 
@@ -192,9 +196,12 @@
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
+// Settled says that the final answer of a message has reached who is owed it; see Settings.Acknowledged.
+type Settled struct{ ID string }
+
 // Stop says that the relay shuts down: nothing further may be sent. Messages that wait get their final answer
-// in this step, those that are out with their result.
-type Stop struct{}
+// in this step, those that are out with their result; with Keep a later run goes on with all that is not over.
+type Stop struct{ Keep bool }
 
 func (Arrival) event()   {}
 func (Result) event()    {}
@@ -202,6 +209,7 @@
 func (Listing) event()   {}
 func (Woken) event()     {}
 func (Stop) event()      {}
+func (Settled) event()   {}
 func (Tolls) event()     {}
 func (Fleet) event()     {}
 func (Restored) event()  {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("choice: settings: %w", err)
 	}
 	c := &Chooser{set: s, minAim: math.MaxInt64, msgs: map[string]*message{}, dests: map[int]*dest{},
-		hosts: map[string]*host{}, lines: map[string]*line{},
+		hosts: map[string]*host{}, lines: map[string]*line{}, owing: map[string]*message{},
 		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}}
 	for _, k := range s.Classes {
 		c.bound, c.minAim = max(c.bound, k.Aim), min(c.minAim, k.Aim)
@@ -75,7 +75,12 @@
 		case Listing:
 			c.list(e)
 		case Stop:
-			c.stopped = true
+			c.stopped, c.parked = !e.Keep, e.Keep
+		case Settled:
+			if m := c.owing[e.ID]; m != nil {
+				delete(c.owing, e.ID)
+				c.leave(m)
+			}
 		case Tolls:
 			c.tolls = &e
 		case Fleet:
@@ -86,6 +91,10 @@
 				m.ran, m.ranAt, m.ranZone = true, c.now-min(e.Since, math.MaxInt64/4), e.Zone
 				m.unsure = c.now
 			}
+			if e.Answered {
+				c.owing[m.ID] = m
+				c.end(m)
+			}
 		case Waited:
 			if h := c.hosts[e.Host]; h != nil {
 				h.unit.waitUntil = max(h.unit.waitUntil, c.now+e.Left)
@@ -583,6 +592,9 @@
 	k, h, u, d := m.call, m.call.host, m.call.host.unit, m.dest
 	m.call, m.last = nil, h
 	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // with an error too: a told wait is heeded
+	if e.Spent {
+		m.attempts = c.set.MaxAttempts
+	}
 	if k.members = remove(k.members, m); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
 		u.outs = remove(u.outs, k)
@@ -699,6 +711,9 @@
 	} else {
 		c.act(Fail{m.ID})
 	}
+	if c.set.Acknowledged && m.class.Ordered && m.Key != "" {
+		c.owing[m.ID] = m
+	}
 	c.end(m)
 }
 
@@ -733,6 +748,14 @@
 		return
 	}
 	delete(c.msgs, m.ID)
+	c.leave(m)
+}
+
+// leave gives up a message's place in the order of its key, once nothing of it is out or owed.
+func (c *Chooser) leave(m *message) {
+	if m.call != nil || c.owing[m.ID] == m {
+		return
+	}
 	if l := c.lines[m.Key]; l != nil && m.class.Ordered {
 		l.queue = remove(l.queue, m)
 		if m.unsure >= 0 {
@@ -915,13 +938,22 @@
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
 	}
-	c.send(m, k)
+	c.join(m, k)
 	for len(k.members) < d.kind.PerCall && u.state != suspect {
 		m := c.best(d, func(m *message) bool { return c.fits(m, h) })
 		if m == nil {
 			break
 		}
-		c.send(m, k)
+		c.join(m, k)
+	}
+	// They share one end: the most patient among them is waited for, until the first one's time is up.
+	longest, left := time.Duration(0), time.Duration(math.MaxInt64)
+	for _, m := range k.members {
+		longest, left = max(longest, m.timeout), min(left, m.due-c.now)
+	}
+	for _, m := range k.members {
+		m.timeout = min(longest, left)
+		c.act(Send{m.ID, h.Addr, m.timeout})
 	}
 	if len(k.members) > 1 {
 		u.sends = append(u.sends, c.now) // further messages weigh a little: counted as one more call
@@ -929,7 +961,8 @@
 	return true
 }
 
-func (c *Chooser) send(m *message, k *call) {
+// join puts a message into a call.
+func (c *Chooser) join(m *message, k *call) {
 	d := m.dest
 	m.timeout = c.timeout(m, k.host.unit)
 	if c.tolls != nil && k.host.Zone != c.tolls.Home {
@@ -940,7 +973,6 @@
 	m.attempts++
 	m.call = k
 	k.members = append(k.members, m)
-	c.act(Send{m.ID, k.host.Addr, m.timeout})
 }
 
 // passes tells whether a zone is open to a message; if not, it comes with the time until when. The last
@@ -976,7 +1008,7 @@
 	if _, open := c.passes(m, h.Zone); !open {
 		return false
 	}
-	if h.State != Ready || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
+	if h.State != Ready || c.parked || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
 		return false
 	}
 	if m.class.Effect == Keyed && m.class.SameZone && m.ran && h.Zone != m.ranZone {
--- a/choice/state.go
+++ b/choice/state.go
@@ -141,8 +141,10 @@
 	keep    time.Duration // longest that an idle connection is trusted
 	pool    table         // of all destinations together, for those that have few samples yet
 	stopped bool
-	tolls   *Tolls        // nil: all zones are open
-	askAt   time.Duration // ask for list changes then; below 0 for never
+	parked  bool                // stopped, and a later run goes on with what is held
+	owing   map[string]*message // refused or failed, not settled yet: they hold their place in the order
+	tolls   *Tolls              // nil: all zones are open
+	askAt   time.Duration       // ask for list changes then; below 0 for never
 	acts    []Action
 }
 
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,213 @@
+// Package agent speaks with the platform's agent on the relay's own machine: it
+// follows the list of hosts and hands over notices. The agent's address may change
+// while the relay runs.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"basaltcross.example/basaltcross/internal/http1"
+)
+
+// Client opens connections to the agent.
+type Client struct {
+	engine *nbio.Engine
+	fence  atomic.Uint64
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed when the address changes
+}
+
+// New starts the poller for an agent at host:port.
+func New(addr string) (*Client, error) {
+	c := &Client{addr: addr, moved: make(chan struct{})}
+	c.engine = nbio.NewEngine(nbio.Config{Name: "agent", NPoller: 1, ReadBufferSize: 16 << 10})
+	c.engine.OnData(func(nb *nbio.Conn, b []byte) {
+		c.fence.Load()
+		if l, ok := nb.Session().(*link); ok {
+			l.data(b)
+		}
+	})
+	c.engine.OnClose(func(nb *nbio.Conn, _ error) {
+		c.fence.Load()
+		if l, ok := nb.Session().(*link); ok {
+			l.closed()
+		}
+	})
+	if err := c.engine.Start(); err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	return c, nil
+}
+
+// Close ends all connections.
+func (c *Client) Close() { c.engine.Stop() }
+
+// Move has everything go to another address from now on.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.addr {
+		c.addr = addr
+		close(c.moved)
+		c.moved = make(chan struct{})
+	}
+}
+
+// at is the address in force, and what is closed once it is no more.
+func (c *Client) at() (addr string, moved <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addr, c.moved
+}
+
+var (
+	errSilent = errors.New("agent: silent for too long")
+	errEnded  = errors.New("agent: the connection ended")
+	errMoved  = errors.New("agent: its address has changed")
+)
+
+// link is one connection. What it reads waits, bounded, until it is asked for.
+type link struct {
+	nb    *nbio.Conn
+	to    string
+	wake  chan struct{}
+	mu    sync.Mutex
+	buf   []byte
+	ended bool
+}
+
+// mostUnread bytes wait for the reader; an agent that sends more without being
+// heard is cut off.
+const mostUnread = 4 << 20
+
+func (c *Client) dial(ctx context.Context, addr string, within time.Duration) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	raw, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	nb, err := nbio.NBConn(raw)
+	if err != nil {
+		_ = raw.Close()
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	l := &link{nb: nb, to: addr, wake: make(chan struct{}, 1)}
+	nb.SetSession(l)
+	c.fence.Add(1)
+	if _, err := c.engine.AddConn(nb); err != nil {
+		_ = nb.Close()
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	return l, nil
+}
+
+func (l *link) data(b []byte) {
+	l.mu.Lock()
+	l.buf = append(l.buf, b...)
+	over := len(l.buf) > mostUnread
+	l.mu.Unlock()
+	l.nudge()
+	if over {
+		_ = l.nb.Close()
+	}
+}
+
+func (l *link) closed() {
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
+	l.nudge()
+}
+
+func (l *link) nudge() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) close() { _ = l.nb.Close() }
+
+// read waits for bytes: at most so long, until the agent moves, or ctx ends.
+func (l *link) read(ctx context.Context, within time.Duration, moved <-chan struct{}) ([]byte, error) {
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		b, ended := l.buf, l.ended
+		l.buf = nil
+		l.mu.Unlock()
+		if len(b) > 0 {
+			return b, nil
+		}
+		if ended {
+			return nil, errEnded
+		}
+		select {
+		case <-l.wake:
+		case <-timer.C:
+			return nil, errSilent
+		case <-moved:
+			return nil, errMoved
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// answer is a response while it is parsed; its content goes to a function.
+type answer struct {
+	http1.Parser
+	status  int
+	keep    bool
+	content func([]byte) error
+}
+
+func (a *answer) Start(line string) error {
+	var version string
+	if _, err := fmt.Sscanf(line, "%s %d", &version, &a.status); err != nil || version != "HTTP/1.1" {
+		return http1.Malformed("status line %.40q", line)
+	}
+	a.keep = true
+	return nil
+}
+
+func (a *answer) Field(name, value string) error {
+	if (name == "Connection" || name == "connection") && http1.Closes(value) {
+		a.keep = false
+	}
+	return nil
+}
+
+func (a *answer) Head() (http1.Framing, error) {
+	switch {
+	case a.status < 200:
+		return http1.Interim, nil
+	case a.status == 204 || a.status == 304:
+		return http1.NoContent, nil
+	}
+	return http1.ToClose, nil
+}
+
+func (a *answer) Content(b []byte) error {
+	if a.content != nil {
+		return a.content(b)
+	}
+	return nil
+}
+
+// backOff before the next try after so many that failed.
+func backOff(fails int) time.Duration {
+	return min(20*time.Millisecond<<min(fails, 6), time.Second)
+}
--- /dev/null
+++ b/internal/agent/notices.go
@@ -0,0 +1,181 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// notice is one line to the platform.
+type notice struct {
+	Ref    string `json:"ref"`
+	Result string `json:"result"`
+	WaitMs int64  `json:"wait_ms,omitempty"`
+}
+
+// Notices hands final answers to the platform, in order and in batches, until each
+// batch was answered with 204.
+type Notices struct {
+	client *Client
+	most   int
+	over   func(identity string)
+	failed func(error)
+
+	mu   sync.Mutex
+	list []notice
+	wake chan struct{}
+}
+
+// most notices in one request, and how long its answer may take.
+const (
+	mostBatch  = 64
+	answerTime = time.Second
+)
+
+// NewNotices makes a queue for most notices; over is told, from Run, of each that
+// was handed over.
+func NewNotices(client *Client, most int, over func(identity string), failed func(error)) *Notices {
+	return &Notices{client: client, most: most, over: over, failed: failed, wake: make(chan struct{}, 1)}
+}
+
+// Room tells whether a message may be taken that may come to need a notice.
+// Notices of those that were taken are never turned away.
+func (n *Notices) Room() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.list) < n.most
+}
+
+// Len is the number of notices that are owed.
+func (n *Notices) Len() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.list)
+}
+
+// Add puts one at the end; it never blocks.
+func (n *Notices) Add(identity string, a ledger.Answer) {
+	one := notice{Ref: identity, Result: "dead"}
+	if a.Verdict == ledger.Refused {
+		one.Result = "bounced"
+		one.WaitMs = int64((a.After + time.Millisecond - 1) / time.Millisecond)
+	}
+	n.mu.Lock()
+	n.list = append(n.list, one)
+	n.mu.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run hands over until ctx ends.
+func (n *Notices) Run(ctx context.Context) {
+	var l *link
+	defer func() {
+		if l != nil {
+			l.close()
+		}
+	}()
+	for fails := 0; ; {
+		n.mu.Lock()
+		batch := append([]notice(nil), n.list[:min(len(n.list), mostBatch)]...)
+		n.mu.Unlock()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-n.wake:
+			}
+			continue
+		}
+		addr, moved := n.client.at()
+		var err error
+		if l, err = n.post(ctx, l, addr, moved, batch); err == nil {
+			fails = 0
+			n.mu.Lock()
+			n.list = n.list[len(batch):]
+			if len(n.list) == 0 {
+				n.list = nil
+			}
+			n.mu.Unlock()
+			for _, one := range batch {
+				n.over(one.Ref)
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, errMoved) {
+			continue
+		}
+		if n.failed(err); errors.Is(err, errEnded) && fails == 0 {
+			fails++ // a kept connection that had ended: at once on a new one
+			continue
+		}
+		timer := time.NewTimer(backOff(fails))
+		fails++
+		select {
+		case <-ctx.Done():
+		case <-moved:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// post sends one batch, on the connection kept if there is one.
+func (n *Notices) post(ctx context.Context, l *link, addr string, moved <-chan struct{}, batch []notice) (*link, error) {
+	if l != nil && l.to != addr {
+		l.close()
+		l = nil
+	}
+	var body []byte
+	for _, one := range batch {
+		line, _ := json.Marshal(one) // of checked strings: it cannot fail
+		body = append(append(body, line...), '\n')
+	}
+	var err error
+	if l == nil {
+		if l, err = n.client.dial(ctx, addr, answerTime); err != nil {
+			return nil, err
+		}
+	}
+	drop := func(err error) (*link, error) {
+		l.close()
+		return nil, err
+	}
+	head := fmt.Sprintf("POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\nContent-Length: %d\r\n\r\n",
+		addr, len(body))
+	if _, err := l.nb.Write(append([]byte(head), body...)); err != nil {
+		return drop(errEnded)
+	}
+	a := &answer{}
+	a.Prefix = "HTTP/"
+	a.Reset(http1.Limits{Header: 16 << 10, Body: 64 << 10})
+	for !a.Done() {
+		b, err := l.read(ctx, answerTime, moved)
+		if err != nil {
+			return drop(err)
+		}
+		rest, err := a.Feed(b, a)
+		if err != nil || len(rest) > 0 {
+			return drop(errors.Join(errEnded, err))
+		}
+	}
+	if a.status != 204 {
+		return drop(fmt.Errorf("agent: %d notices were answered with %d", len(batch), a.status))
+	}
+	if !a.keep {
+		l.close()
+		l = nil
+	}
+	return l, nil
+}
--- a/internal/badday/plant.go
+++ b/internal/badday/plant.go
@@ -143,4 +143,7 @@
 func (h *hastyJournal) Ended(e journal.End) {
 	time.AfterFunc(80*time.Millisecond, func() { h.Journal.Ended(e) })
 }
-func (h *hastyJournal) Then(done func()) { go done() }
+func (h *hastyJournal) Then(done func()) bool {
+	go done()
+	return false
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	Key      string // key of the order
 	Left     time.Duration
 	Now      bool   // sent at once or not at all, and not again
+	Once     bool   // a further hand-in of an identity that is known is turned away with ErrKnown
 	Front    string // which front, and
 	Way      []byte // what it needs to find the way back after a restart
 	Head     []byte // further header lines for the partner, each with its CRLF
@@ -47,16 +49,31 @@
 	Answer(a ledger.Answer)
 }
 
+// Decider is a Reply that is told when the step that took its message is over: an
+// Answer that the module gave at once has come by then.
+type Decider interface{ Decided() }
+
 // Why a hand-in was not taken.
 var (
 	ErrBusy       = errors.New("core: inbox is full, or this client's share of it")
 	ErrJournal    = errors.New("core: the journal takes nothing more now")
 	ErrStopping   = errors.New("core: relay is stopping")
+	ErrKnown      = errors.New("core: this identity was handed in before")
 	ErrNoIdentity = errors.New("core: a class that must never take effect twice needs an identity")
 )
 
-// Call is one attempt as the caller of partners sees it.
+// Item is one message of a call that carries several.
+type Item struct {
+	ID   string // as its client named it
+	Key  string
+	Body []byte
+}
+
+// Call is one attempt as the caller of partners sees it, or one each of several
+// messages that travel together.
 type Call struct {
+	Name    string // of the message as its client gave it
+	Several []Item // nil for one message; else all of them, and Body is empty
 	ID      string // message, the same for each attempt
 	Host    string // endpoint address
 	Class   int
@@ -77,6 +94,11 @@
 	Outcome choice.Outcome
 	Took    time.Duration
 	Wait    time.Duration // told with a refusal
+	Over    bool          // with NotSent: the message is over, nothing more is owed
+	Spent   bool          // with NotSent: it has had all its attempts
+	Report  []float64     // load report, nil for none
+	// Each tells of the messages of a call apart, in their order; nil where all fared the same.
+	Each []Ending
 }
 
 // Attempt is a call that is out.
@@ -113,21 +135,25 @@
 	Sent(now time.Duration, class, partner, zone int) func(now time.Duration, passed int64, whole bool)
 }
 
-// Journal makes records durable; journal.Journal is one. None of its methods blocks.
+// Journal makes records durable; journal.Journal and journal.Log are. None of its methods blocks.
 type Journal interface {
 	Stamp() journal.Stamp
-	Room() bool
+	Room(bytes int) bool // for a message of that size
 	Taken(journal.Message)
 	Tried(journal.Attempt)
 	Ended(journal.End)
 	Waits(journal.Wait)
 	Forget(identity string)
-	// Then calls done from any goroutine once all that was handed in is on disk.
-	Then(done func())
+	// Then calls done from any goroutine once all that was handed in is on disk; where
+	// it is there already, Then returns true instead.
+	Then(done func()) bool
 }
 
-// Names are the configuration's, for records.
-type Names struct{ Classes, Partners, Zones []string }
+// Names are those that records have.
+type Names struct {
+	Partner func(int) string
+	Zones   []string
+}
 
 // Sharer is a Toll that is shared by the fleet.
 type Sharer interface {
@@ -142,14 +168,18 @@
 	// Clock is the monotonic time; nil for the machine's. With a clock of its own
 	// a core is driven by Step instead of Run.
 	Clock      func() time.Duration
-	Apart      []bool // by partner: its endpoints are routes apart
-	Arrivals   int    // hand-ins that wait for the core; past a client's share they are turned away with ErrBusy
+	Arrivals   int // hand-ins that wait for the core; past a client's share they are turned away with ErrBusy
 	Identities int
 	Keep       time.Duration
 	Caller     Caller
 	Observer   Observer
 	Journal    Journal // nil: nothing survives a crash
 	Names      Names   // needed with a Journal
+	// Every attempt is recorded, not only those whose repeat would do harm: then
+	// those spent count in the next run too.
+	Every bool
+	// Forgetful: waits and failures that endpoints told end with the process.
+	Forgetful bool
 }
 
 // message is one message from hand-in to final answer and last outcome.
@@ -177,9 +207,15 @@
 	sock    Attempt
 	passed  atomic.Int64
 	settle  func(now time.Duration, passed int64, whole bool)
-	place   int // in the heap, -1 if not there
+	place   int        // in the heap, -1 if not there
+	lead    *attempt   // with which it travels; nil for one that goes alone or leads
+	with    []*attempt // those that travel with it
+	off     bool       // called off by the module
 }
 
+// all are the attempts of one call.
+func (a *attempt) all() []*attempt { return append([]*attempt{a}, a.with...) }
+
 // event is one entry of the inbox.
 type event struct {
 	arrival *Message
@@ -189,6 +225,7 @@
 	listing *choice.Listing
 	fleet   *choice.Fleet
 	drop    string // identity withdrawn
+	by      Reply  // nobody is owed its answer, if it came with this; nil: it is still wanted
 	call    func()
 }
 
@@ -213,6 +250,7 @@
 	waits    timers
 	outs     map[*attempt]struct{}
 	zones    map[string]int // by endpoint
+	kinds    map[string]int
 	wakeAt   time.Duration
 	next     uint64
 	owed     int
@@ -224,6 +262,9 @@
 	waited   map[string]noted // from an earlier run, for endpoints not yet listed
 	lastAt   time.Duration    // while shutting down: what waits for the journal is given up then
 	nows     []string         // messages that go in this step or not at all
+	fresh    []Decider        // taken in this step
+	idle     func()           // to be called once nothing is out
+	parked   bool             // a later run goes on with what is held
 	spare    []event
 }
 
@@ -245,7 +286,7 @@
 	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: led,
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
-		outs: map[*attempt]struct{}{}, zones: map[string]int{}, wakeAt: -1, stopAt: -1,
+		outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
 		noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
 }
 
@@ -290,6 +331,30 @@
 // sent no further; its final answer says what became of it.
 func (c *Core) Withdraw(identity string) { _ = c.put(event{drop: identity}) }
 
+// Abandon is Withdraw where nobody is owed an answer any more. It does nothing
+// unless the message came with that Reply.
+func (c *Core) Abandon(identity string, by Reply) { _ = c.put(event{drop: identity, by: by}) }
+
+// Settled says that a refusal or failure has reached who was owed it.
+func (c *Core) Settled(identity string) {
+	_ = c.put(event{call: func() { c.settled(identity) }})
+}
+
+func (c *Core) settled(identity string) {
+	if e := c.led.Find(c.now, identity); e != nil {
+		c.batch = append(c.batch, choice.Settled{ID: e.ID})
+	}
+}
+
+// Park says that this run ends soon and a later one goes on with what is held:
+// nothing further is sent. idle is called, once, when nothing is out any more.
+func (c *Core) Park(idle func()) {
+	_ = c.put(event{call: func() {
+		c.batch = append(c.batch, choice.Stop{Keep: true})
+		c.idle, c.parked = idle, true
+	}})
+}
+
 // Inspect runs f on the core's goroutine and waits for it.
 func (c *Core) Inspect(ctx context.Context, f func(held, out int)) error {
 	done := make(chan struct{})
@@ -332,7 +397,9 @@
 		case <-c.wake:
 		case <-timer.C:
 		case <-done:
-			done = nil
+			if done = nil; c.parked {
+				return
+			}
 			c.mu.Lock()
 			c.stopping = true
 			c.mu.Unlock()
@@ -415,7 +482,7 @@
 	for i := range events {
 		switch e := &events[i]; {
 		case e.ended != nil:
-			c.end(e.ended, e.ending)
+			c.over(e.ended, e.ending)
 			if e.ending.Wait > 0 {
 				c.hold(e.ended, recall)
 			}
@@ -431,7 +498,7 @@
 				t.Fleet(c.now, e.fleet.Size)
 			}
 		case e.drop != "":
-			c.withdraw(e.drop)
+			c.withdraw(e.drop, e.by)
 		case e.call != nil:
 			e.call()
 		}
@@ -449,7 +516,9 @@
 		c.stopAt = -1
 		c.batch = append(c.batch, choice.Stop{})
 		for a := range c.outs {
-			c.abort(a, choice.Cancelled)
+			if a.lead == nil {
+				c.abort(a, choice.Cancelled)
+			}
 		}
 	}
 	if c.wakeAt >= 0 && c.wakeAt <= c.now {
@@ -471,6 +540,15 @@
 		}
 		c.nows = c.nows[:0]
 	}
+	for _, d := range c.fresh {
+		d.Decided()
+	}
+	clear(c.fresh)
+	c.fresh = c.fresh[:0]
+	if c.idle != nil && len(c.outs) == 0 {
+		c.idle()
+		c.idle = nil
+	}
 	c.opt.Observer.Gauge(c.owed, len(c.outs), c.led.Len(), len(events))
 }
 
@@ -487,6 +565,10 @@
 	m := &message{Message: *in, taken: c.now, due: at + min(in.Left, k.Deadline)}
 	if in.Identity != "" {
 		if e := c.led.Find(c.now, in.Identity); e != nil {
+			if in.Once {
+				in.Reply.Taken(ErrKnown)
+				return
+			}
 			if e.Answer.Verdict == 0 && c.byEntry[e] != nil {
 				c.byEntry[e].Reply = in.Reply
 			}
@@ -500,7 +582,7 @@
 			return
 		}
 	}
-	if c.opt.Journal != nil && in.Identity != "" && !c.opt.Journal.Room() {
+	if c.opt.Journal != nil && in.Identity != "" && !c.opt.Journal.Room(len(in.Body)) {
 		in.Reply.Taken(ErrJournal)
 		return
 	}
@@ -519,13 +601,16 @@
 	c.owed++
 	if m.kept {
 		c.opt.Journal.Taken(journal.Message{Seq: m.seq, Identity: m.Identity, Source: m.Source, Class: k.Name,
-			Partner: c.opt.Names.Partners[m.Partner], Key: m.Key, At: c.opt.Journal.Stamp(), Left: int64(m.due - c.now),
+			Partner: c.opt.Names.Partner(m.Partner), Key: m.Key, At: c.opt.Journal.Stamp(), Left: int64(m.due - c.now),
 			Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way})
 	}
 	c.durable(m.kept, func() { in.Reply.Taken(nil) })
 	c.opt.Observer.Taken(in.Class)
 	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
 		Left: m.due - c.now, Key: in.Key})
+	if d, ok := in.Reply.(Decider); ok {
+		c.fresh = append(c.fresh, d)
+	}
 	if in.Now {
 		c.nows = append(c.nows, m.id)
 	}
@@ -558,19 +643,22 @@
 		do()
 		return
 	}
-	c.deferred++
-	c.opt.Journal.Then(func() {
+	if c.opt.Journal.Then(func() {
 		_ = c.put(event{call: func() {
 			c.deferred--
 			do()
 		}})
-	})
+	}) {
+		do()
+		return
+	}
+	c.deferred++
 }
 
 // harmful tells whether a second effect of a message would do harm: then each
 // attempt is recorded before its first byte.
 func (c *Core) harmful(m *message) bool {
-	return m.kept && c.opt.Settings.Classes[m.Class].Effect != choice.Safe
+	return m.kept && (c.opt.Every || c.opt.Settings.Classes[m.Class].Effect != choice.Safe)
 }
 
 // tried records an attempt of a message.
@@ -591,7 +679,7 @@
 // note records waits that an endpoint told, and whether it fails. A wait that is in
 // force stays in the record whatever else happens there.
 func (c *Core) note(host string, e Ending) {
-	if c.opt.Journal == nil {
+	if c.opt.Journal == nil || c.opt.Forgetful {
 		return
 	}
 	was := c.noted[host]
@@ -662,6 +750,12 @@
 
 // Ended is an identity of an earlier run that got its final answer.
 type Ended struct {
+	// Owed: the answer has not reached who is owed it. Until Settled its message
+	// holds its place in the order of its key.
+	Owed     bool
+	Seq      uint64
+	Class    int
+	Key      string
 	Identity string
 	Answer   ledger.Answer
 	Age      time.Duration
@@ -674,8 +768,14 @@
 func (c *Core) Restore(messages []Restored, ended []Ended, waits []choice.Waited, last uint64) {
 	c.now = c.Now()
 	c.next = last
+	var owed []choice.Event
 	for _, e := range ended {
-		c.led.Restore(c.now-e.Age, e.Identity, e.Answer, e.Forget)
+		id := ""
+		if e.Owed {
+			id = strconv.FormatUint(e.Seq, 36)
+			owed = append(owed, choice.Restored{Arrival: choice.Arrival{ID: id, Class: e.Class, Key: e.Key}, Answered: true})
+		}
+		c.led.Restore(c.now-e.Age, e.Identity, id, e.Answer, e.Forget)
 	}
 	for _, w := range waits {
 		n := noted{c.now + w.Left, w.Failing}
@@ -694,7 +794,7 @@
 		first = append(first, choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
 			Key: r.Key}, Attempts: r.Attempts, Ran: r.Ran, Since: r.Since, Zone: r.Zone})
 	}
-	_ = c.put(event{call: func() { c.batch = append(c.batch, first...) }})
+	_ = c.put(event{call: func() { c.batch = append(append(c.batch, owed...), first...) }})
 }
 
 // forget frees a message that is answered and has nothing out.
@@ -704,13 +804,31 @@
 	}
 }
 
-func (c *Core) withdraw(identity string) {
+func (c *Core) withdraw(identity string, by Reply) {
 	e := c.led.Find(c.now, identity)
 	if e == nil || e.Answer.Verdict != 0 {
 		return
 	}
 	m := c.byEntry[e]
-	c.batch = append(c.batch, choice.Withdrawn{ID: m.id, Owed: true})
+	if by != nil && m.Reply != by {
+		return
+	}
+	c.batch = append(c.batch, choice.Withdrawn{ID: m.id, Owed: by == nil})
+	if by != nil {
+		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
+	}
+}
+
+// over takes in how a call ended: each of its messages has its own end.
+func (c *Core) over(a *attempt, e Ending) {
+	for i, b := range a.all() {
+		one := e
+		if one.Each = nil; i < len(e.Each) {
+			one = e.Each[i]
+			one.Took = e.Took
+		}
+		c.end(b, one)
+	}
 }
 
 // end takes in an attempt's outcome from its socket.
@@ -730,12 +848,15 @@
 	}
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
 	c.note(a.host, e)
+	if e.Over && !m.answered { // the platform says so: nobody is owed anything
+		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
+	}
 	if sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent; sure && c.harmful(m) && !m.answered {
 		c.tried(a, true)
 	}
 	served := e.Outcome == choice.Served
 	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.n, Outcome: e.Outcome,
-		Took: e.Took, Wait: e.Wait, Done: served || m.answered})
+		Took: e.Took, Wait: e.Wait, Done: served || m.answered, Spent: e.Spent, Report: e.Report})
 	if served {
 		c.answer(m, ledger.Answer{Verdict: ledger.Delivered})
 	}
@@ -757,7 +878,7 @@
 			why = choice.NoConnection
 		}
 	}
-	c.end(a, Ending{Outcome: why, Took: c.now - a.sent})
+	c.over(a, Ending{Outcome: why, Took: c.now - a.sent})
 }
 
 // listed notes endpoints that no longer take new work.
@@ -768,14 +889,16 @@
 	ready := map[string]bool{}
 	if l.Whole {
 		clear(c.zones)
+		clear(c.kinds)
 	}
 	for _, h := range l.Hosts {
-		c.zones[h.Addr] = h.Zone
+		c.zones[h.Addr], c.kinds[h.Addr] = h.Zone, h.Kind
 		switch h.State {
 		case choice.Ready:
 			ready[h.Addr] = true
 		case choice.Gone:
 			delete(c.zones, h.Addr)
+			delete(c.kinds, h.Addr)
 			fallthrough
 		default:
 			recall[h.Addr] = true
@@ -793,7 +916,7 @@
 // hold notes endpoints that a told wait covers.
 func (c *Core) hold(a *attempt, recall map[string]bool) {
 	recall[a.host] = true
-	if c.opt.Apart[a.partner] {
+	if c.kind(a.host).Apart {
 		return
 	}
 	for b := range c.outs {
@@ -803,23 +926,46 @@
 	}
 }
 
+// kind of an endpoint; that of one which has none carries one message a call.
+func (c *Core) kind(host string) choice.Kind {
+	if k := c.kinds[host]; k >= 0 && k < len(c.opt.Settings.Kinds) {
+		return c.opt.Settings.Kinds[k]
+	}
+	return choice.Kind{PerCall: 1}
+}
+
 // recall takes back attempts whose connection is not up yet, where the news
 // of this batch may have changed what the module would say: bytes must not go
 // out long after the decision that sent them.
 func (c *Core) recall(hosts map[string]bool) {
 	for a := range c.outs {
-		if hosts[a.host] && a.sock.Recall() {
-			c.end(a, Ending{Outcome: choice.NotSent, Took: c.now - a.sent})
+		if hosts[a.host] && a.lead == nil && a.sock.Recall() {
+			c.over(a, Ending{Outcome: choice.NotSent, Took: c.now - a.sent})
 		}
 	}
 }
 
 // carryOut does what the module said, in its order.
 func (c *Core) carryOut(actions []choice.Action) {
-	for _, act := range actions {
+	sends := map[string][]*attempt{} // to hosts that take several messages a call
+	for i, act := range actions {
 		switch act := act.(type) {
 		case choice.Send:
-			c.send(act)
+			a := c.attempt(act)
+			most := c.kind(act.Host).PerCall
+			if a == nil || most <= 1 {
+				c.send(a)
+				continue
+			}
+			group := append(sends[act.Host], a)
+			if sends[act.Host] = group; len(group) >= most || !sentLater(actions[i+1:], act.Host) {
+				group[0].with = group[1:]
+				for _, b := range group[1:] {
+					b.lead = group[0]
+				}
+				delete(sends, act.Host)
+				c.send(group[0])
+			}
 		case choice.Refuse:
 			if m := c.msgs[act.ID]; m != nil {
 				c.answer(m, ledger.Answer{Verdict: ledger.Refused, After: act.After})
@@ -831,6 +977,12 @@
 		case choice.Cancel:
 			if m := c.msgs[act.ID]; m != nil && m.out != nil && m.out.n == act.Attempt {
 				a := m.out
+				if a.off = true; a.lead != nil {
+					a = a.lead
+				}
+				if slices.ContainsFunc(a.all(), func(b *attempt) bool { return !b.off && b.m.out == b }) {
+					continue // the others in this call are still wanted
+				}
 				started, ok := a.sock.Abort()
 				if !ok {
 					continue // the answer was first
@@ -856,35 +1008,62 @@
 // later puts an event of the core's own into its next batch.
 func (c *Core) later(e event) { _ = c.put(e) }
 
-func (c *Core) send(s choice.Send) {
+// sentLater tells whether an action sends to a host.
+func sentLater(actions []choice.Action, host string) bool {
+	return slices.ContainsFunc(actions, func(a choice.Action) bool {
+		s, ok := a.(choice.Send)
+		return ok && s.Host == host
+	})
+}
+
+// attempt makes that of a send, nil for a message that is no more.
+func (c *Core) attempt(s choice.Send) *attempt {
 	m := c.msgs[s.ID]
 	if m == nil {
-		return
+		return nil
 	}
 	a := &attempt{m: m, n: m.tries, host: s.Host, partner: m.Partner, sent: c.now,
-		end: c.now + s.Timeout}
+		end: c.now + s.Timeout, zone: c.zones[s.Host], place: -1}
 	m.tries++
 	m.out = a
 	c.outs[a] = struct{}{}
-	a.zone = c.zones[s.Host]
 	if c.opt.Toll != nil {
 		a.settle = c.opt.Toll.Sent(c.now, m.Class, m.Partner, a.zone)
 	}
-	call := Call{ID: m.id, Zone: a.zone, Passed: &a.passed, Host: s.Host, Class: m.Class, Partner: m.Partner, Key: m.Key, Head: m.Head, Body: m.Body,
-		Patient: s.Timeout, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
+	return a
+}
+
+// send begins a call: an attempt, and those that travel with it.
+func (c *Core) send(a *attempt) {
+	if a == nil {
+		return
+	}
+	m := a.m
+	call := Call{ID: m.id, Name: m.Identity, Zone: a.zone, Passed: &a.passed, Host: a.host, Class: m.Class, Partner: m.Partner, Key: m.Key,
+		Head: m.Head, Body: m.Body, Patient: a.end - a.sent, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
 	if c.opt.Settings.Classes[m.Class].Effect == choice.Keyed {
 		call.Idem = m.idem()
 	}
+	first := false // records come before the first byte
+	for _, b := range a.all() {
+		if len(a.with) > 0 {
+			call.Several = append(call.Several, Item{ID: b.m.Identity, Key: b.m.Key, Body: b.m.Body})
+			call.Body = nil
+		}
+		if c.harmful(b.m) {
+			first = true
+			c.tried(b, false)
+		}
+	}
 	heap.Push(&c.waits, a)
-	if !c.harmful(m) {
+	if !first {
 		a.sock = c.opt.Caller.Send(call)
 		return
 	}
 	g := &gated{}
 	a.sock = g
-	c.tried(a, false)
 	c.durable(true, func() {
-		if !g.off && m.out == a {
+		if !g.off && slices.ContainsFunc(a.all(), func(b *attempt) bool { return b.m.out == b }) {
 			call.Patient = max(a.end-c.now, time.Millisecond)
 			g.sock = c.opt.Caller.Send(call)
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -75,7 +75,7 @@
 	class := choice.Class{Aim: time.Second, Deadline: 6 * time.Second, Worth: 1}
 	unsafe := class
 	unsafe.Effect, unsafe.Ordered = choice.Unsafe, true
-	c, err := New(Options{Seed: 1, Apart: []bool{false}, Arrivals: 8, Identities: 8, Keep: time.Minute, Caller: r, Observer: r,
+	c, err := New(Options{Seed: 1, Arrivals: 8, Identities: 8, Keep: time.Minute, Caller: r, Observer: r,
 		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 2, Tick: 5 * ms, Cancels: true,
 			Certain: true, ReportLimit: -1, MaxRetryAfter: time.Second, Classes: []choice.Class{class, unsafe},
 			Kinds: []choice.Kind{{PerCall: 1}},
--- a/internal/core/crash_test.go
+++ b/internal/core/crash_test.go
@@ -27,7 +27,7 @@
 }
 
 func (d *disk) Stamp() journal.Stamp    { return journal.Stamp{Run: 1, Clock: int64(d.now())} }
-func (d *disk) Room() bool              { return true }
+func (d *disk) Room(int) bool           { return true }
 func (d *disk) put(f func(*disk))       { d.pending = append(d.pending, f) }
 func (d *disk) Taken(m journal.Message) { d.put(func(d *disk) { d.messages[m.Seq] = m }) }
 func (d *disk) Waits(w journal.Wait)    { d.put(func(d *disk) { d.waits[w.Host] = w }) }
@@ -49,12 +49,13 @@
 	})
 }
 
-func (d *disk) Then(done func()) {
+func (d *disk) Then(done func()) bool {
 	d.put(func(d *disk) {
 		if !d.dead { // a crashed process hears nothing
 			done()
 		}
 	})
+	return false
 }
 
 // sync lets the first n records reach the disk.
@@ -130,8 +131,8 @@
 			r = &rig{}
 			boots++
 			seen = 0
-			c, err := New(Options{Seed: 1, Apart: []bool{false}, Arrivals: 100, Identities: 100, Keep: time.Hour, Caller: r, Observer: r,
-				Clock: d.now, Journal: d, Names: Names{[]string{"status", "order", "charge"}, []string{"p"}, []string{"z"}},
+			c, err := New(Options{Seed: 1, Arrivals: 100, Identities: 100, Keep: time.Hour, Caller: r, Observer: r,
+				Clock: d.now, Journal: d, Names: Names{func(int) string { return "p" }, []string{"z"}},
 				Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Cancels: true, Certain: true,
 					ReportLimit: -1, MaxRetryAfter: time.Second, Classes: crashClasses, Kinds: []choice.Kind{{PerCall: 1}},
 					Rules: choice.Rules{Fall: time.Second, Cold: 2 * time.Second, ColdFrom: 0.2, OverloadFactor: 2}}})
@@ -266,8 +267,8 @@
 	d := &disk{now: func() time.Duration { return now }, messages: map[uint64]journal.Message{},
 		attempts: map[uint64]map[int]journal.Attempt{}, ends: map[string]journal.End{}, waits: map[string]journal.Wait{}}
 	r := &rig{}
-	c, err := New(Options{Seed: 1, Apart: []bool{false}, Arrivals: 100, Identities: 100, Keep: time.Hour, Caller: r, Observer: r,
-		Clock: d.now, Journal: d, Names: Names{[]string{"status", "order", "charge"}, []string{"p"}, []string{"z"}},
+	c, err := New(Options{Seed: 1, Arrivals: 100, Identities: 100, Keep: time.Hour, Caller: r, Observer: r,
+		Clock: d.now, Journal: d, Names: Names{func(int) string { return "p" }, []string{"z"}},
 		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Certain: true, ReportLimit: -1,
 			Classes: crashClasses, Kinds: []choice.Kind{{PerCall: 1}},
 			Rules: choice.Rules{Fall: time.Second, Cold: 2 * time.Second, ColdFrom: 0.2, OverloadFactor: 2}}})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,10 +44,21 @@
 	Kinds    []int // by partner
 	Zones    map[string]int
 	Secure   []bool // by partner: called over TLS
+	// Host, if set, translates an entry in place of the tables, its state apart.
+	Host func(*member.Entry) (choice.Host, error)
 }
 
 // host translates one entry, and its addresses.
 func (n *Names) host(e *member.Entry) (h choice.Host, at addr.Endpoint, err error) {
+	if n.Host != nil {
+		if h, err = n.Host(e); err != nil {
+			return h, at, err
+		}
+		h.State = choice.Ready
+		at = addr.Endpoint{Host: e.Addr, Partner: h.Dest}
+		at.Addrs, err = ways(e)
+		return h, at, err
+	}
 	p, ok := n.Partners[e.Partner]
 	if !ok {
 		return h, at, fmt.Errorf("partner: %q is no partner of the configuration", e.Partner)
@@ -58,18 +69,24 @@
 	}
 	h = choice.Host{Addr: e.Addr, Dest: p, Kind: n.Kinds[p], Zone: z, Rate: e.Rate, State: choice.Ready}
 	at = addr.Endpoint{Host: e.Addr, Partner: p, Secure: p < len(n.Secure) && n.Secure[p]}
-	ways := e.Addrs
-	if len(ways) == 0 {
-		ways = []string{e.Addr}
+	at.Addrs, err = ways(e)
+	return h, at, err
+}
+
+// ways are the addresses of an entry.
+func ways(e *member.Entry) (all []addr.Address, err error) {
+	list := e.Addrs
+	if len(list) == 0 {
+		list = []string{e.Addr}
 	}
-	for j, s := range ways {
+	for j, s := range list {
 		a, err := addr.Parse(s)
 		if err != nil {
-			return h, at, fmt.Errorf("addrs[%d]: %w", j, err)
+			return nil, fmt.Errorf("addrs[%d]: %w", j, err)
 		}
-		at.Addrs = append(at.Addrs, a)
+		all = append(all, a)
 	}
-	return h, at, nil
+	return all, nil
 }
 
 // Sinks hands news to several sinks, one after the other.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -185,7 +185,7 @@
 	var purse *budget.Book
 	for i := range s.Relays {
 		r := &relay{w: w, index: i, zone: i % s.Zones}
-		opt := core.Options{Seed: s.Seed + uint64(i), Apart: make([]bool, s.Partners), Arrivals: 1 << 20, Identities: 1 << 20,
+		opt := core.Options{Seed: s.Seed + uint64(i), Arrivals: 1 << 20, Identities: 1 << 20,
 			Keep: time.Minute, Caller: r, Observer: r, Clock: func() time.Duration { return w.now },
 			Settings: choice.Settings{Index: i, Fleet: believed, Listed: s.Size != nil && s.Size.Listed, Workers: 64, MaxHeld: 2000, MaxAttempts: 4,
 				Tick: 10 * time.Millisecond, Classes: classes, Kinds: []choice.Kind{{PerCall: 1, Apart: s.Size == nil}}, Cancels: true,
--- /dev/null
+++ b/internal/hookfront/front.go
@@ -0,0 +1,512 @@
+// Package hookfront is the relay's front in the platform's form: POST /api hands in
+// one message, GET /up tells whether the relay may be used. What the module decides
+// in the step that takes a message is the answer; what it decides later is a notice.
+package hookfront
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/front"
+	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// Name is that of the front in records.
+const Name = "hook"
+
+// Door is where messages are handed in; core.Core is one.
+type Door interface {
+	Submit(*core.Message) error
+	Abandon(identity string, by core.Reply)
+	Settled(identity string)
+}
+
+// Keeper is told of answers that have reached their client.
+type Keeper interface{ Handed(identity string) }
+
+// Notices takes the final answers of messages that were taken on.
+type Notices interface {
+	// Room tells whether a message may be taken, which may come to need one.
+	Room() bool
+	Add(identity string, a ledger.Answer)
+}
+
+// Options of a Front.
+type Options struct {
+	Listen  string
+	Lanes   map[string]int   // classes by name
+	Ordered []bool           // by class: keys count
+	Dest    func(n int) bool // whether a destination is known
+	Ready   func() bool
+
+	Header      int           // bytes of a request's header
+	Body        int           // bytes of its content
+	Connections int           // open at once
+	Request     time.Duration // a begun request must be whole by then
+	Idle        time.Duration // a connection without a request closes after it
+	WriteBuffer int
+	Door        Door
+	Keeper      Keeper
+	Notices     Notices
+	Logf        func(format string, args ...any)
+}
+
+// Front serves clients.
+type Front struct {
+	opt      Options
+	sockets  *front.Listeners
+	stop     chan struct{}
+	done     sync.WaitGroup
+	draining atomic.Bool
+	numbers  atomic.Uint64
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+
+	counts Counts
+}
+
+// Counts of a run.
+type Counts struct {
+	Taken, Refused, Failed, Rejected, Closed, Evicted atomic.Int64
+}
+
+// New opens the listener and serves.
+func New(opt Options) (*Front, error) {
+	f := &Front{opt: opt, stop: make(chan struct{}), conns: map[*conn]struct{}{}}
+	var err error
+	f.sockets, err = front.Listen(front.Sockets{Name: Name, Addrs: []string{opt.Listen}, Pollers: 1, ReadBuffer: 16 << 10,
+		WriteBuffer: opt.WriteBuffer, Open: f.open,
+		Failed: func(err error) { opt.Logf("accept: %v", err) }})
+	if err != nil {
+		return nil, err
+	}
+	f.done.Add(1)
+	go f.janitor()
+	return f, nil
+}
+
+// Addr is the address listened on.
+func (f *Front) Addr() string { return f.sockets.Addrs[0] }
+
+// Counts of this run so far.
+func (f *Front) Counts() *Counts { return &f.counts }
+
+// Connections open now.
+func (f *Front) Connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// Drain has every connection close after the answer that comes next.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// Leave closes the listener, and connections that have no request open.
+func (f *Front) Leave() {
+	f.Drain()
+	f.sockets.Refuse()
+	f.closeIdle(func(c *conn) bool { return c.state.Load() == idle })
+}
+
+// Close ends everything.
+func (f *Front) Close() {
+	close(f.stop)
+	f.done.Wait()
+	f.sockets.Close()
+}
+
+func (f *Front) closeIdle(pick func(*conn) bool) {
+	var out []*conn
+	f.mu.Lock()
+	for c := range f.conns {
+		if pick(c) {
+			out = append(out, c)
+		}
+	}
+	f.mu.Unlock()
+	for _, c := range out {
+		_ = c.nb.Close()
+	}
+}
+
+// look is how often connections are looked over.
+const look = 100 * time.Millisecond
+
+func (f *Front) janitor() {
+	defer f.done.Done()
+	tick := time.NewTicker(look)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case now := <-tick.C:
+			f.closeIdle(func(c *conn) bool { return c.overdue(now) })
+		}
+	}
+}
+
+// What a connection does.
+const (
+	idle int32 = iota
+	reading
+	answering
+)
+
+// conn is one client's connection.
+type conn struct {
+	front  *Front
+	nb     *nbio.Conn
+	name   string
+	since  atomic.Int64 // unix ns: of the state
+	state  atomic.Int32
+	served atomic.Bool // a request was answered with 2xx
+
+	mu   sync.Mutex
+	req  http1.Request
+	open *exchange
+	shut bool
+}
+
+// open makes room for a connection: at the bound one without an open request goes,
+// first those that never had a message taken, of them the longest silent.
+func (f *Front) open(nb *nbio.Conn) front.Conn {
+	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
+	c.since.Store(time.Now().UnixNano())
+	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
+	f.mu.Lock()
+	var out *conn
+	if len(f.conns) >= f.opt.Connections {
+		for o := range f.conns {
+			if o.state.Load() != answering && (out == nil || o.before(out)) {
+				out = o
+			}
+		}
+		if out == nil {
+			f.mu.Unlock()
+			f.counts.Closed.Add(1)
+			return nil
+		}
+		delete(f.conns, out)
+	}
+	f.conns[c] = struct{}{}
+	f.mu.Unlock()
+	if out != nil {
+		f.counts.Evicted.Add(1)
+		go out.nb.Close() // not within the poller's opening
+	}
+	return c
+}
+
+// before tells which of two connections goes first.
+func (c *conn) before(o *conn) bool {
+	if c.served.Load() != o.served.Load() {
+		return o.served.Load()
+	}
+	return c.since.Load() < o.since.Load()
+}
+
+// overdue tells whether a connection was silent too long, or its request does not end.
+func (c *conn) overdue(now time.Time) bool {
+	age := now.UnixNano() - c.since.Load()
+	switch c.state.Load() {
+	case idle:
+		return age > int64(c.front.opt.Idle)
+	case reading:
+		return age > int64(c.front.opt.Request)
+	}
+	return false
+}
+
+// Closed takes in the end of the connection. Whoever had a request open there
+// hears no answer any more, so that none is owed.
+func (c *conn) Closed() {
+	c.front.mu.Lock()
+	delete(c.front.conns, c)
+	c.front.mu.Unlock()
+	go func() { // the engine calls this from within a Write or Close of ours, under mu
+		c.mu.Lock()
+		c.shut = true
+		x := c.open
+		c.open = nil
+		c.mu.Unlock()
+		if x != nil {
+			c.front.opt.Door.Abandon(x.id, x)
+		}
+	}()
+}
+
+// Data takes in what the socket gave.
+func (c *conn) Data(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		return
+	}
+	if c.state.Load() == answering { // one request at a time, by the protocol
+		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
+		return
+	}
+	if c.state.CompareAndSwap(idle, reading) {
+		c.since.Store(time.Now().UnixNano())
+	}
+	rest, err := c.req.Feed(b, &c.req)
+	switch {
+	case errors.Is(err, http1.ErrTooLong):
+		c.reject(http.StatusRequestEntityTooLarge, "%v", err)
+	case err != nil:
+		c.reject(http.StatusBadRequest, "%v", err)
+	case !c.req.Done():
+		if c.req.Expect && c.req.InContent() {
+			c.req.Expect = false
+			_, _ = c.nb.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+	case len(rest) > 0:
+		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
+	default:
+		c.state.Store(answering)
+		c.serve()
+	}
+}
+
+// serve answers a whole request; under mu.
+func (c *conn) serve() {
+	f, r := c.front, &c.req
+	switch {
+	case r.Path == "/up" && r.Method == http.MethodGet:
+		if f.opt.Ready() && !f.draining.Load() {
+			c.write(http.StatusOK, "", "ready\n")
+		} else {
+			c.write(http.StatusServiceUnavailable, "", "not ready\n")
+		}
+	case r.Path != "/api":
+		c.say(http.StatusNotFound, "no such resource")
+	case r.Method != http.MethodPost:
+		c.say(http.StatusMethodNotAllowed, "POST a message here")
+	case !f.opt.Ready():
+		c.say(http.StatusServiceUnavailable, "not ready")
+	default:
+		m, err := c.message()
+		if err != nil {
+			c.say(http.StatusBadRequest, "%v", err)
+			return
+		}
+		if !f.opt.Dest(m.Partner) {
+			c.say(http.StatusServiceUnavailable, "dest: %d has no host", m.Partner)
+			return
+		}
+		if !f.opt.Notices.Room() {
+			c.say(http.StatusServiceUnavailable, "notices are owed, and not taken")
+			return
+		}
+		x := &exchange{conn: c, id: m.Identity}
+		m.Reply = x
+		c.open = x
+		if err := f.opt.Door.Submit(m); err != nil {
+			c.open = nil
+			c.say(http.StatusServiceUnavailable, "%v", err)
+		}
+	}
+}
+
+// message reads the fields of a hand-in; the error names the one that is wrong.
+func (c *conn) message() (*core.Message, error) {
+	f, r := c.front, &c.req
+	value := map[string]string{}
+	for _, name := range [...]string{"X-Txn", "X-Lane", "X-Remaining-Ms", "X-Addressing"} {
+		v, n := r.Only(name)
+		if n != 1 {
+			return nil, fmt.Errorf("%s: %d fields, one is needed", name, n)
+		}
+		value[name] = v
+	}
+	id := value["X-Txn"]
+	if len(id) > 128 || !http1.Token(id) {
+		return nil, fmt.Errorf("X-Txn: %.40q is no id of at most 128 characters", id)
+	}
+	class, ok := f.opt.Lanes[value["X-Lane"]]
+	if !ok {
+		return nil, fmt.Errorf("X-Lane: %.40q is no class", value["X-Lane"])
+	}
+	left, err := strconv.ParseUint(value["X-Remaining-Ms"], 10, 40)
+	if err != nil || left == 0 {
+		return nil, fmt.Errorf("X-Remaining-Ms: %.40q is no time in milliseconds", value["X-Remaining-Ms"])
+	}
+	dest, err := destination(value["X-Addressing"])
+	if err != nil {
+		return nil, err
+	}
+	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, Once: true,
+		Left: time.Duration(left) * time.Millisecond, Front: Name, Body: r.Body}
+	if f.opt.Ordered[class] {
+		m.Key = cookie(r.Header("Cookie"), "about")
+		if m.Way = []byte(m.Key); len(m.Key) > 256 {
+			return nil, errors.New("Cookie: the key is over 256 bytes")
+		}
+	}
+	return m, nil
+}
+
+// destination reads dest=N among parameters.
+func destination(v string) (int, error) {
+	for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ';' || r == ',' }) {
+		name, n, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name == "dest" {
+			if d, err := strconv.ParseUint(strings.Trim(n, `"`), 10, 31); err == nil {
+				return int(d), nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("X-Addressing: %.40q names no dest", v)
+}
+
+// cookie finds one by its name (RFC 6265, 4.2.1); empty for none.
+func cookie(v, name string) string {
+	for part := range strings.SplitSeq(v, ";") {
+		if n, value, _ := strings.Cut(strings.TrimSpace(part), "="); n == name {
+			return value
+		}
+	}
+	return ""
+}
+
+func (c *conn) say(status int, format string, args ...any) {
+	c.front.counts.Rejected.Add(1)
+	c.write(status, "", fmt.Sprintf(format, args...)+"\n")
+}
+
+// reject answers what is no request, and closes; under mu. A request that is open
+// on the connection is not answered any more.
+func (c *conn) reject(status int, format string, args ...any) {
+	c.req.Keep = false
+	c.say(status, format, args...)
+}
+
+// write sends an answer and readies the connection for the next request; under mu.
+func (c *conn) write(status int, field, body string) {
+	if c.shut {
+		return
+	}
+	keep := c.req.Keep && !c.front.draining.Load()
+	b := make([]byte, 0, 160+len(body))
+	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10), ' ')
+	b = append(append(b, http.StatusText(status)...), "\r\n"...)
+	b = append(b, field...)
+	b = strconv.AppendInt(append(b, "Content-Length: "...), int64(len(body)), 10)
+	if !keep {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(append(b, "\r\n\r\n"...), body...)
+	_, err := c.nb.Write(b)
+	if !keep || err != nil {
+		c.shut = true
+		_ = c.nb.Close()
+		return
+	}
+	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
+	c.req.Body = nil
+	c.since.Store(time.Now().UnixNano())
+	c.state.Store(idle)
+}
+
+// exchange is one hand-in; the core tells it what becomes of the message.
+type exchange struct {
+	conn    *conn // nil for a message of an earlier run
+	front   *Front
+	id      string
+	decided bool
+	answer  ledger.Answer // given before that
+}
+
+// Owe is the reply of a message of an earlier run.
+func (f *Front) Owe(identity string) core.Reply {
+	return &exchange{front: f, id: identity, decided: true}
+}
+
+// Taken hears whether the core took the message.
+func (x *exchange) Taken(err error) {
+	if err == nil {
+		return
+	}
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, core.ErrKnown) {
+		status = http.StatusConflict
+	}
+	x.respond(func(c *conn) { c.say(status, "%v", err) })
+}
+
+// Answer is the final one: told to the client while it waits, to the platform later.
+func (x *exchange) Answer(a ledger.Answer) {
+	if !x.decided {
+		x.answer = a
+		return
+	}
+	if a.Verdict == ledger.Refused || a.Verdict == ledger.Failed {
+		x.of().opt.Notices.Add(x.id, a)
+	}
+}
+
+func (x *exchange) of() *Front {
+	if x.conn != nil {
+		return x.conn.front
+	}
+	return x.front
+}
+
+// Decided: the step that took the message is over.
+func (x *exchange) Decided() {
+	x.decided = true
+	f := x.of()
+	switch x.answer.Verdict {
+	case ledger.Refused:
+		f.counts.Refused.Add(1)
+		x.respond(func(c *conn) { c.write(http.StatusTooManyRequests, retryAfter(x.answer.After), "") })
+	case ledger.Failed:
+		f.counts.Failed.Add(1)
+		x.respond(func(c *conn) { c.write(http.StatusInternalServerError, "", "") })
+	case ledger.Abandoned:
+		return
+	default:
+		f.counts.Taken.Add(1)
+		x.respond(func(c *conn) {
+			c.served.Store(true)
+			c.write(http.StatusAccepted, "", "")
+		})
+		return
+	}
+	if f.opt.Keeper != nil {
+		f.opt.Keeper.Handed(x.id)
+	}
+	f.opt.Door.Settled(x.id)
+}
+
+// retryAfter is that field, in seconds with milliseconds.
+func retryAfter(d time.Duration) string {
+	if d <= 0 {
+		return ""
+	}
+	return "Retry-After: " + strconv.FormatFloat(math.Ceil(d.Seconds()*1e3)/1e3, 'f', -1, 64) + "\r\n"
+}
+
+// respond answers if the client still waits.
+func (x *exchange) respond(do func(*conn)) {
+	c := x.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == x {
+		c.open = nil
+		do(c)
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// FirstLine is that of a header which is not whole yet, or in which a fault was
+// found; whole tells whether its end has come.
+func (p *Parser) FirstLine() (line string, whole bool) {
+	if p.state != inHead {
+		return "", false
+	}
+	i := bytes.IndexByte(p.line, '\n')
+	if i < 0 {
+		return "", false
+	}
+	return strings.TrimSuffix(string(p.line[:i]), "\r"), true
+}
+
 // Done tells whether the message is whole.
 func (p *Parser) Done() bool { return p.state == finished }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -353,17 +353,18 @@
 
 // Then calls done, from the journal's goroutine, once everything handed in before
 // is on disk. After a failure it never does.
-func (j *Journal) Then(done func()) {
+func (j *Journal) Then(done func()) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.broken == nil && !j.closed {
 		j.done = append(j.done, done)
 		j.wake.Signal()
 	}
+	return false
 }
 
 // Room tells whether more may be taken.
-func (j *Journal) Room() bool {
+func (j *Journal) Room(int) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.broken == nil && !j.full && j.bytes < j.opt.Queue
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -182,7 +182,7 @@
 		mu.Unlock()
 		j.Taken(Message{Seq: 3, Identity: "c"})
 		j.Then(func() { t.Error("told to be on disk after a failure") })
-		if j.Room() {
+		if j.Room(0) {
 			t.Error("takes more")
 		}
 		if err := j.Close(); err == nil {
@@ -278,7 +278,7 @@
 		}
 	}
 	synced(t, j)
-	if j.Stats(); j.Room() {
+	if j.Stats(); j.Room(0) {
 		t.Error("room past the bound")
 	}
 	for i := range uint64(1600) {
@@ -291,7 +291,7 @@
 	}
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		_ = j.db.Compact(t.Context(), []byte{0}, []byte{255}, false)
-		if j.Stats(); j.Room() {
+		if j.Stats(); j.Room(0) {
 			break
 		}
 		if time.Now().After(end) {
--- /dev/null
+++ b/internal/journal/log.go
@@ -0,0 +1,573 @@
+package journal
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Log is a journal of bounded size for a small folder: segments that are written
+// from end to end, checksummed records, and the live records of the oldest segment
+// carried forward before it is removed. It survives the process, not the machine:
+// nothing is synced, and a record is on disk once write(2) has taken it.
+//
+// A record that something is over is never carried forward: what it ends stands
+// in the same segment or in an older one, and is gone with or before it.
+//
+// It is safe for concurrent use.
+type Log struct {
+	dir   string
+	most  int64 // bytes of all files, each in whole blocks
+	seg   int64 // bytes after which a segment is full
+	epoch time.Time
+	run   Run
+
+	mu      sync.Mutex
+	files   []*segment // oldest first; the last one is written
+	live    map[string]*place
+	seqs    map[uint64][]string // keys of a message and its attempts
+	ends    map[string]End      // by key
+	owes    func(verdict uint8) bool
+	big     int64    // bytes of the longest record
+	lives   int64    // bytes of live records
+	waiting [][]byte // records that could not be written yet, in order
+	held    int64    // bytes of those
+	done    []func()
+	retry   *time.Timer
+	closed  bool
+	failed  func(error)
+	stats   Stats
+}
+
+// segment is one file.
+type segment struct {
+	n    uint64
+	f    *os.File
+	size int64
+	keys []string // of records written here, live or not, in order
+}
+
+// place is where a live record stands.
+type place struct {
+	in     *segment
+	at     int64
+	length int64
+}
+
+const (
+	block     = 512 // files count in whole blocks
+	segments  = 12  // a full log has about so many
+	frame     = 8   // length and checksum before each record
+	suffix    = ".log"
+	retryWait = 20 * time.Millisecond
+	longest   = 1 << 20 // bytes of a record that is believed
+)
+
+// Kinds of log records beside those of keys: a message is over; a record is gone.
+const (
+	kindOver = 'o'
+	kindGone = 'x'
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrSmall says that a folder's bound leaves no room for a journal.
+var ErrSmall = errors.New("journal: the bound is too small for one segment and its successor")
+
+// OpenLog opens or makes the journal in a folder that may hold most bytes. What a
+// crash tore off at the end is cut off; a segment with a record that cannot be read
+// is read up to it, and damaged tells of it. failed is told of writes that fail,
+// which are tried again; nothing is taken meanwhile. owes tells of which final answers
+// somebody must hear; the others need no Handed.
+func OpenLog(dir string, most int64, owes func(verdict uint8) bool, failed func(error)) (_ *Log, _ *Kept, damaged error, err error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, nil, fmt.Errorf("journal: %w", err)
+	}
+	l := &Log{dir: dir, most: most - most/16, epoch: time.Now(), live: map[string]*place{}, seqs: map[uint64][]string{},
+		ends: map[string]End{}, owes: owes, failed: failed}
+	if l.seg = l.most / segments; l.seg < 8*block {
+		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, most)
+	}
+	names, err := filepath.Glob(filepath.Join(dir, "*"+suffix))
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("journal: %w", err)
+	}
+	slices.Sort(names)
+	k := &Kept{Runs: map[uint32]Run{}, Attempts: map[uint64][]Attempt{}}
+	r := &reader{l: l, runs: k.Runs, messages: map[uint64]Message{}, attempts: map[string]Attempt{}, waits: map[string]Wait{}}
+	for i, name := range names {
+		n, err := strconv.ParseUint(strings.TrimSuffix(filepath.Base(name), suffix), 16, 64)
+		if err != nil {
+			continue // not one of ours
+		}
+		torn, err := r.segment(name, n)
+		if err != nil {
+			l.closeAll()
+			return nil, nil, nil, fmt.Errorf("journal: %w", err)
+		}
+		if torn != nil && i < len(names)-1 {
+			damaged = errors.Join(damaged, fmt.Errorf("%w: %s: %w", ErrDamaged, filepath.Base(name), torn))
+		}
+	}
+	l.run = Run{Version: Version, Number: 1, Wall: l.epoch.UnixNano()}
+	for n := range k.Runs {
+		l.run.Number = max(l.run.Number, n+1)
+	}
+	r.kept(k)
+	for n := range k.Runs {
+		if !k.refers(n) {
+			delete(k.Runs, n)
+			l.drop(string(runKey(n)))
+		}
+	}
+	k.Now, k.Runs[l.run.Number] = l.run, l.run
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.files) == 0 {
+		if err := l.roll(); err != nil {
+			return nil, nil, nil, fmt.Errorf("journal: %w", err)
+		}
+	}
+	l.put(kindRun, runKey(l.run.Number), encode(l.run))
+	return l, k, damaged, nil
+}
+
+// reader takes in segments.
+type reader struct {
+	l        *Log
+	runs     map[uint32]Run
+	messages map[uint64]Message
+	attempts map[string]Attempt
+	waits    map[string]Wait
+	last     uint64
+}
+
+// segment reads one file and cuts off what cannot be read at its end.
+func (r *reader) segment(name string, n uint64) (torn, err error) {
+	f, err := os.OpenFile(name, os.O_RDWR, 0)
+	if err != nil {
+		return nil, err
+	}
+	s := &segment{n: n, f: f}
+	r.l.files = append(r.l.files, s)
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	for rest := data; len(rest) > 0; {
+		if len(rest) < frame {
+			torn = errors.New("a record without its head")
+			break
+		}
+		length := int64(binary.BigEndian.Uint32(rest))
+		if length < 3 || length > longest || length > int64(len(rest)-frame) {
+			torn = errors.New("a record without its end")
+			break
+		}
+		payload := rest[frame : frame+length]
+		if binary.BigEndian.Uint32(rest[4:]) != crc32.Checksum(payload, castagnoli) {
+			torn = errors.New("a record whose checksum does not hold")
+			break
+		}
+		if torn = r.record(s, payload, frame+length); torn != nil {
+			break
+		}
+		s.size += frame + length
+		rest = rest[frame+length:]
+	}
+	if torn != nil {
+		err = f.Truncate(s.size)
+	}
+	return torn, err
+}
+
+// record takes in one: kind, length of the key, key, value.
+func (r *reader) record(s *segment, payload []byte, size int64) error {
+	kind := payload[0]
+	length := int(binary.BigEndian.Uint16(payload[1:]))
+	if length > len(payload)-3 {
+		return errors.New("a record without its key")
+	}
+	key, value := string(payload[3:3+length]), payload[3+length:]
+	l := r.l
+	var err error
+	switch kind {
+	case kindOver:
+		seq := binary.BigEndian.Uint64([]byte(key))
+		r.last = max(r.last, seq)
+		l.over(seq)
+		delete(r.messages, seq)
+		return nil
+	case kindGone:
+		l.drop(key)
+		delete(r.waits, key)
+		delete(l.ends, key)
+		return nil
+	case kindRun:
+		var x Run
+		if err = cbor.Unmarshal(value, &x); err == nil && x.Version != Version {
+			err = fmt.Errorf("format version %d, this program reads %d", x.Version, Version)
+		}
+		r.runs[x.Number] = x
+	case kindMessage:
+		var x Message
+		err = cbor.Unmarshal(value, &x)
+		r.messages[x.Seq], r.last = x, max(r.last, x.Seq)
+	case kindAttempt:
+		var x Attempt
+		err = cbor.Unmarshal(value, &x)
+		r.attempts[key], r.last = x, max(r.last, x.Seq)
+	case kindEnd:
+		var x End
+		err = cbor.Unmarshal(value, &x)
+		l.ends[key], r.last = x, max(r.last, x.Seq)
+		l.over(x.Seq)
+		delete(r.messages, x.Seq)
+		if x.Handed {
+			l.drop(key)
+			return err
+		}
+	case kindWait:
+		var x Wait
+		err = cbor.Unmarshal(value, &x)
+		r.waits[key] = x
+	default:
+		err = fmt.Errorf("a record of kind %q", kind)
+	}
+	if err != nil {
+		return err
+	}
+	l.note(s, key, size)
+	return nil
+}
+
+// kept is what stands after all was read.
+func (r *reader) kept(k *Kept) {
+	k.Last = r.last
+	for _, m := range r.messages {
+		k.Messages = append(k.Messages, m)
+	}
+	for key, a := range r.attempts {
+		if r.l.live[key] == nil {
+			continue
+		}
+		if _, held := r.messages[a.Seq]; held {
+			k.Attempts[a.Seq] = append(k.Attempts[a.Seq], a)
+		} else {
+			r.l.drop(key) // of a message whose record is damaged
+		}
+	}
+	for _, list := range k.Attempts {
+		slices.SortFunc(list, func(x, y Attempt) int { return x.N - y.N })
+	}
+	for _, e := range r.l.ends {
+		k.Ends = append(k.Ends, e)
+	}
+	for _, w := range r.waits {
+		k.Waits = append(k.Waits, w)
+	}
+}
+
+// note books a record that was written as the live one of its key.
+func (l *Log) note(s *segment, key string, size int64) {
+	if kind := key[0]; l.live[key] == nil && (kind == kindMessage || kind == kindAttempt) {
+		seq := binary.BigEndian.Uint64([]byte(key[1:]))
+		l.seqs[seq] = append(l.seqs[seq], key)
+	}
+	l.drop(key)
+	l.live[key] = &place{s, s.size, size}
+	l.lives += size
+	s.keys = append(s.keys, key)
+}
+
+func (l *Log) drop(key string) {
+	if p := l.live[key]; p != nil {
+		l.lives -= p.length
+		delete(l.live, key)
+	}
+}
+
+// over drops a message and its attempts.
+func (l *Log) over(seq uint64) {
+	for _, key := range l.seqs[seq] {
+		l.drop(key)
+	}
+	delete(l.seqs, seq)
+}
+
+// Stamp is the moment now.
+func (l *Log) Stamp() Stamp { return Stamp{l.run.Number, int64(time.Since(l.epoch))} }
+
+// Room tells whether a message of that size may be taken: live records may fill
+// half of the bound, so that carrying them forward always frees the other half.
+func (l *Log) Room(bytes int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) == 0 && !l.closed && l.lives+int64(bytes)+2*block < l.most/2
+}
+
+// Taken records a message.
+func (l *Log) Taken(m Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.put(kindMessage, seqKey(kindMessage, m.Seq), encode(m))
+}
+
+// Tried records an attempt, before it is sent and again when it is clear.
+func (l *Log) Tried(a Attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.put(kindAttempt, attemptKey(a.Seq, a.N), encode(a))
+}
+
+// Ended records a final answer, in place of message and attempts. One that nobody
+// waits for is not carried forward: it stands while there is room.
+func (l *Log) Ended(e End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.Identity == "" {
+		l.put(kindOver, binary.BigEndian.AppendUint64(nil, e.Seq), nil)
+		return
+	}
+	key := textKey(kindEnd, e.Identity)
+	e.Handed = e.Handed || !l.owes(e.Verdict)
+	l.ends[string(key)] = e
+	l.put(kindEnd, key, encode(e))
+	l.over(e.Seq)
+	if e.Handed {
+		l.drop(string(key))
+	}
+}
+
+// Handed records that whoever was owed the answer has it.
+func (l *Log) Handed(identity string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := textKey(kindEnd, identity)
+	e, ok := l.ends[string(key)]
+	if !ok || e.Handed {
+		return
+	}
+	e.Handed = true
+	l.ends[string(key)] = e
+	l.put(kindEnd, key, encode(e))
+	l.drop(string(key))
+}
+
+// Forget drops an ended identity.
+func (l *Log) Forget(identity string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := textKey(kindEnd, identity)
+	if e, ok := l.ends[string(key)]; ok && !e.Handed {
+		l.put(kindGone, key, nil)
+	}
+	l.drop(string(key))
+	delete(l.ends, string(key))
+}
+
+// Waits records what is in force at an endpoint; one without anything goes.
+func (l *Log) Waits(w Wait) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := textKey(kindWait, w.Host)
+	if w.Left > 0 || w.Failing {
+		l.put(kindWait, key, encode(w))
+	} else if l.live[string(key)] != nil {
+		l.drop(string(key))
+		l.put(kindGone, key, nil)
+	}
+}
+
+// Session is not kept: no front of a small folder has sessions.
+func (l *Log) Session(string, string, []byte) {}
+
+// Then returns true where all that was handed in is on disk; else it calls done
+// once it is.
+func (l *Log) Then(done func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		return true
+	}
+	l.done = append(l.done, done)
+	return false
+}
+
+// put writes one record, or lets it wait behind those that could not be written.
+func (l *Log) put(kind byte, key, value []byte) {
+	if l.closed {
+		return
+	}
+	b := make([]byte, frame, frame+3+len(key)+len(value))
+	b = append(b, kind, byte(len(key)>>8), byte(len(key)))
+	b = append(append(b, key...), value...)
+	binary.BigEndian.PutUint32(b, uint32(len(b)-frame))
+	binary.BigEndian.PutUint32(b[4:], crc32.Checksum(b[frame:], castagnoli))
+	l.stats.Records++
+	l.stats.Bytes += uint64(len(b))
+	if len(l.waiting) == 0 {
+		err := l.write(b)
+		if err == nil {
+			return
+		}
+		l.failed(fmt.Errorf("journal: nothing is taken until this is written: %w", err))
+	}
+	l.waiting = append(l.waiting, b)
+	l.held += int64(len(b))
+	if l.retry == nil {
+		l.retry = time.AfterFunc(retryWait, l.again)
+	}
+}
+
+// again tries what waits.
+func (l *Log) again() {
+	l.mu.Lock()
+	l.retry = nil
+	for len(l.waiting) > 0 && !l.closed && l.write(l.waiting[0]) == nil {
+		l.held -= int64(len(l.waiting[0]))
+		l.waiting = l.waiting[1:]
+	}
+	var done []func()
+	if len(l.waiting) == 0 {
+		done, l.done = l.done, nil
+	} else if !l.closed {
+		l.retry = time.AfterFunc(retryWait, l.again)
+	}
+	l.mu.Unlock()
+	for _, f := range done {
+		f()
+	}
+}
+
+// write makes room and appends a record; a file never keeps a part of one.
+func (l *Log) write(b []byte) error {
+	if err := l.clean(int64(len(b))); err != nil {
+		return err
+	}
+	return l.append(b)
+}
+
+func (l *Log) append(b []byte) error {
+	s := l.files[len(l.files)-1]
+	if s.size >= l.seg {
+		if err := l.roll(); err != nil {
+			return err
+		}
+		s = l.files[len(l.files)-1]
+	}
+	if n, err := s.f.WriteAt(b, s.size); err != nil {
+		if n > 0 {
+			err = errors.Join(err, s.f.Truncate(s.size))
+		}
+		return err
+	}
+	switch kind, length := b[frame], int(binary.BigEndian.Uint16(b[frame+1:])); kind {
+	case kindOver:
+		l.over(binary.BigEndian.Uint64(b[frame+3:]))
+	case kindGone:
+		l.drop(string(b[frame+3 : frame+3+length]))
+	default:
+		l.note(s, string(b[frame+3:frame+3+length]), int64(len(b)))
+	}
+	s.size += int64(len(b))
+	l.big = max(l.big, int64(len(b)))
+	return nil
+}
+
+// used is what the files hold, in whole blocks.
+func (l *Log) used() (n int64) {
+	for _, s := range l.files {
+		n += (s.size + block - 1) / block * block
+	}
+	return n
+}
+
+// clean frees room for a record: the live records of the oldest segment go to the
+// end and its file goes, until there is room beside what the next such step needs.
+func (l *Log) clean(bytes int64) error {
+	for range 2 * (len(l.files) + 1) {
+		oldest := l.files[0]
+		if l.used()+bytes+2*block+l.seg+l.big <= l.most {
+			return nil
+		}
+		if oldest == l.files[len(l.files)-1] {
+			if err := l.roll(); err != nil {
+				return err
+			}
+		}
+		for _, key := range oldest.keys {
+			p := l.live[key]
+			if p == nil || p.in != oldest {
+				continue
+			}
+			b := make([]byte, p.length)
+			if _, err := oldest.f.ReadAt(b, p.at); err != nil {
+				return err
+			}
+			if err := l.append(b); err != nil {
+				return err
+			}
+		}
+		if err := os.Remove(oldest.f.Name()); err != nil {
+			return err
+		}
+		_ = oldest.f.Close()
+		l.files = slices.Delete(l.files, 0, 1)
+	}
+	return fmt.Errorf("journal: %d bytes are live, no room for %d more", l.lives, bytes)
+}
+
+// roll begins a new segment.
+func (l *Log) roll() error {
+	n := uint64(1)
+	if len(l.files) > 0 {
+		n = l.files[len(l.files)-1].n + 1
+	}
+	f, err := os.OpenFile(filepath.Join(l.dir, fmt.Sprintf("%016x%s", n, suffix)), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	l.files = append(l.files, &segment{n: n, f: f})
+	return nil
+}
+
+// Stats tells what was written in this run, and what the files hold.
+func (l *Log) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stats
+	s.Disk = uint64(l.used())
+	return s
+}
+
+func (l *Log) closeAll() {
+	for _, s := range l.files {
+		_ = s.f.Close()
+	}
+}
+
+// Close closes the files. What could not be written is lost.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.retry != nil {
+		l.retry.Stop()
+	}
+	l.closeAll()
+	if n := len(l.waiting); n > 0 {
+		return fmt.Errorf("journal: %d records could not be written", n)
+	}
+	return nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,9 +18,12 @@
 	Delivered Verdict = iota + 1
 	Refused
 	Failed
+	Abandoned // nobody is owed an answer any more
 )
 
-func (v Verdict) String() string { return [...]string{"none", "delivered", "refused", "failed"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"none", "delivered", "refused", "failed", "abandoned"}[v]
+}
 
 // Answer is the one final answer of a message.
 type Answer struct {
@@ -118,8 +121,8 @@
 }
 
 // Restore takes in an identity that ended at a time.
-func (l *Ledger) Restore(ended time.Duration, identity string, a Answer, forget bool) {
-	l.End(ended, l.Reopen(identity, "", forget), a)
+func (l *Ledger) Restore(ended time.Duration, identity, id string, a Answer, forget bool) {
+	l.End(ended, l.Reopen(identity, id, forget), a)
 }
 
 func (l *Ledger) expire(now time.Duration) {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -28,6 +28,7 @@
 	Addr     string   `json:"addr"`         // its name, or only address; endpoints are told apart by it
 	Addrs    []string `json:"addrs,omitempty"`
 	Partner  string   `json:"partner"`
+	Kind     string   `json:"kind,omitempty"` // where a source tells it; else the partner's
 	Zone     string   `json:"zone"`
 	Rate     float64  `json:"rate,omitempty"`
 	Draining bool     `json:"draining,omitempty"` // asked for by somebody, not a matter of health
@@ -36,7 +37,7 @@
 
 // same tells whether an entry needs no new telling.
 func (e *Entry) same(o *Entry) bool {
-	return e.Addr == o.Addr && e.Partner == o.Partner && e.Zone == o.Zone && e.Rate == o.Rate &&
+	return e.Addr == o.Addr && e.Partner == o.Partner && e.Zone == o.Zone && e.Kind == o.Kind && e.Rate == o.Rate &&
 		slices.Equal(e.Addrs, o.Addrs)
 }
 
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -47,7 +47,7 @@
 	classes  []string
 
 	taken      []prometheus.Counter
-	answers    [][4]prometheus.Observer
+	answers    [][5]prometheus.Observer
 	attempts   [][len(outcomeNames)]prometheus.Observer
 	notTaken   *prometheus.CounterVec
 	closed     *prometheus.CounterVec
@@ -101,8 +101,8 @@
 	attempts := histogram("attempt_seconds", "From sending an attempt to its outcome.", "class", "outcome")
 	for _, c := range classes {
 		r.taken = append(r.taken, taken.WithLabelValues(c))
-		var a [4]prometheus.Observer
-		for v := ledger.Delivered; v <= ledger.Failed; v++ {
+		var a [5]prometheus.Observer
+		for v := ledger.Delivered; v <= ledger.Abandoned; v++ {
 			a[v] = answers.WithLabelValues(c, v.String())
 		}
 		r.answers = append(r.answers, a)
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -38,7 +38,7 @@
 // write hands the request to the kernel; false if the attempt was ended, or got
 // another connection, before this one came.
 func (k *call) write(cn *conn) bool {
-	request := append(k.head(), k.Body...) // one write: the engine's Writev loses buffers after a partial one
+	request := k.request() // one write: the engine's Writev loses buffers after a partial one
 	k.mu.Lock()
 	if k.ended || k.wrote {
 		k.mu.Unlock()
@@ -54,6 +54,7 @@
 	}
 	cn.call = k
 	cn.resp.reset(k.caller.opt.Limits)
+	cn.resp.hook, cn.resp.keeps = k.caller.opt.Hook != nil, len(k.Several) > 0
 	if cn.sec == nil { // else the TLS layer counts its records
 		cn.size.Add(int64(len(request)))
 	}
@@ -71,12 +72,19 @@
 		if n <= 0 { // nothing went out before the error
 			k.end(lostUnsent, nil)
 		} else {
-			k.end(lost, nil)
+			k.end(cn.lost(), nil)
 		}
 	}
 	return true
 }
 
+func (k *call) request() []byte {
+	if h := k.caller.opt.Hook; h != nil {
+		return h.request(&k.Call, k.Patient-time.Since(k.began))
+	}
+	return append(k.head(), k.Body...)
+}
+
 // head is the request's start line and fields. Names and values come from the
 // checked configuration, but for the key and the identity, which are cleaned.
 func (k *call) head() []byte {
@@ -129,6 +137,15 @@
 	k.mu.Unlock()
 	k.pool.ended(k, s)
 	now := time.Now()
+	if h := k.caller.opt.Hook; h != nil {
+		if r == nil {
+			r = &response{}
+		}
+		e := h.ending(s, r, &k.Call)
+		e.Took = now.Sub(k.began)
+		k.End(e)
+		return
+	}
 	e := core.Ending{Took: now.Sub(k.began)}
 	status, retry := 0, ""
 	if r != nil {
@@ -141,6 +158,12 @@
 // Abort ends an attempt; its connection is closed.
 func (k *call) Abort() (started, ok bool) {
 	k.mu.Lock()
+	if cn := k.conn; cn != nil && !k.ended && cn.told(k) {
+		k.mu.Unlock()
+		k.end(nonsense, &response{says: 200})
+		cn.drop(k)
+		return true, false
+	}
 	if k.ended {
 		k.mu.Unlock()
 		return k.wrote, false
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -31,11 +31,16 @@
 type Options struct {
 	Name     string   // of the relay, as Via tells it (RFC 9110, 7.6.3)
 	Targets  []Target // by partner
+	Hook     *Hook    // calls take the platform's form, and Targets are not used; nil for the usual one
 	Classes  []string // names by class
 	Limits   http1.Limits
 	Keep     addr.KeepSettings // connections of each endpoint
 	Sessions int               // TLS sessions kept to resume, over all addresses
 	Pollers  int
+	Dial     time.Duration // a connection that is not up by then is none; 0 for no such time
+	// Descriptors bounds the connections of all endpoints together; 0 for no bound. At
+	// it idle ones are closed first, those of the longest idling endpoint.
+	Descriptors int
 	// Traffic counts bytes by class, partner and zone; may be nil.
 	Traffic *zone.Table
 	// Dialed counts connections by family and what became of them: won, lost
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -23,6 +23,7 @@
 	book *addr.Book // nil where the endpoint has one address
 	mu   sync.Mutex
 	call *call
+	tail bool // the rest of an answer is still to come, its call has ended
 	gone atomic.Bool
 	resp response
 	// Since when it stands, how old it may get, since when it idles; under pool.mu.
@@ -44,10 +45,57 @@
 	_ = cn.nb.Close()
 }
 
+// told tells whether the answer to a call that carries one message has begun with
+// a 200 in the platform's form: that line is true, whatever becomes of the rest.
+func (cn *conn) told(k *call) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.call == k && cn.resp.hook && len(k.Several) == 0 && cn.resp.says == 200
+}
+
+// lost is how a call ends whose connection broke.
+func (cn *conn) lost() seen {
+	if cn.sec == nil && cn.sent.Load() < cn.size.Load() {
+		return lostPart
+	}
+	return lost
+}
+
+// tailTime is how long the rest of an answer may take whose first line told all:
+// within it the connection may still be used again.
+const tailTime = 200 * time.Millisecond
+
+// finish has the rest of an answer read without its call.
+func (cn *conn) finish() {
+	time.AfterFunc(tailTime, func() {
+		cn.mu.Lock()
+		late := cn.tail && cn.call == nil
+		cn.mu.Unlock()
+		if late {
+			_ = cn.nb.Close()
+		}
+	})
+}
+
 // data takes in what the socket gave; it runs on the connection's poller.
 func (cn *conn) data(c *Caller, b []byte) {
 	cn.mu.Lock()
 	k := cn.call
+	if k == nil && cn.tail {
+		rest, err := cn.resp.feed(b)
+		whole := cn.resp.Done()
+		keep := err == nil && whole && len(rest) == 0 && cn.resp.keep
+		if whole || err != nil {
+			cn.tail = false
+		}
+		cn.mu.Unlock()
+		if keep {
+			cn.pool.give(cn)
+		} else if whole || err != nil {
+			_ = cn.nb.Close()
+		}
+		return
+	}
 	if k == nil { // bytes without a request: not to be trusted further
 		cn.mu.Unlock()
 		if c.opt.Unsolicited != nil {
@@ -57,18 +105,25 @@
 		return
 	}
 	rest, err := cn.resp.feed(b)
+	r := cn.resp // what it says, not its parser, is used further
 	if err != nil {
 		cn.call = nil
 		cn.mu.Unlock()
 		_ = cn.nb.Close()
-		k.end(nonsense, nil)
+		k.end(nonsense, &r)
 		return
 	}
 	if !cn.resp.Done() {
+		if r.hook && r.says == 200 && len(k.Several) == 0 && cn.sent.Load() >= cn.size.Load() {
+			cn.call, cn.tail = nil, true
+			cn.mu.Unlock()
+			cn.finish()
+			k.end(nonsense, &r)
+			return
+		}
 		cn.mu.Unlock()
 		return
 	}
-	r := response{status: cn.resp.status, retry: cn.resp.retry}
 	cn.bill.Store(nil)
 	if cn.book != nil {
 		cn.book.Answered(cn.addr)
@@ -95,7 +150,7 @@
 	cn.call = nil
 	r := &cn.resp
 	whole := k != nil && r.AtClose()
-	final := response{status: r.status, retry: r.retry}
+	final := *r
 	cn.mu.Unlock()
 	cn.leave()
 	switch {
@@ -103,7 +158,11 @@
 	case whole: // content that runs to the close is whole by it
 		k.end(answered, &final)
 	default:
+		if final.hook && final.says == 200 && len(k.Several) == 0 {
+			k.end(nonsense, &final)
+			return
+		}
 		cn.hung(k.caller)
-		k.end(lost, nil)
+		k.end(cn.lost(), nil)
 	}
 }
--- a/internal/partner/outcome.go
+++ b/internal/partner/outcome.go
@@ -16,6 +16,7 @@
 	noConnection seen = iota // no connection, or none left to open one with
 	unready                  // none tried, for want of descriptors, or called off before
 	lostUnsent               // closed, and not one byte of the request was handed to the kernel
+	lostPart                 // closed, and the kernel had not got all of the request
 	lost                     // closed or reset under the request, or within the response
 	nonsense                 // bytes that are no response
 	early                    // a whole response before the request was written
@@ -33,6 +34,7 @@
 //	noConnection  -                                  NoConnection  no byte can have reached the partner
 //	unready       -                                  NotSent       nothing was tried: no word on the partner
 //	lostUnsent    -                                  NoConnection  the kernel got no byte of the request
+//	lostPart      -                                  Reset         a partner may act on a part
 //	lost          -                                  Reset         bytes were handed over; a kept connection that
 //	                                                               the peer closed may still have read them
 //	nonsense      -                                  Error         somebody answered; what ran is not known
@@ -52,7 +54,7 @@
 		return choice.NotSent, 0
 	case noConnection, lostUnsent:
 		return choice.NoConnection, 0
-	case lost:
+	case lost, lostPart:
 		return choice.Reset, 0
 	case nonsense:
 		return choice.Error, 0
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -119,6 +119,9 @@
 
 // dial begins a connection; under mu.
 func (p *pool) dial(k *call, within time.Duration) {
+	if most := p.c.opt.Dial; most > 0 {
+		within = min(within, most)
+	}
 	ctx, cancel := context.WithTimeout(p.c.ctx, within)
 	d := &dialing{cancel: cancel, k: k}
 	if k != nil {
@@ -376,7 +379,10 @@
 			return nil, err
 		}
 		cn := &conn{pool: p, host: p.host, home: bill{class: -1, partner: p.partner}, addr: at, book: book}
-		cfg := c.opt.Targets[p.partner].TLS
+		var cfg func() *tls.Config
+		if c.opt.Hook == nil {
+			cfg = c.opt.Targets[p.partner].TLS
+		}
 		if cfg == nil {
 			return c.plain(cn, raw)
 		}
--- a/internal/partner/race.go
+++ b/internal/partner/race.go
@@ -108,6 +108,9 @@
 // whose names are being looked up has none yet: then the race waits for them.
 func (c *Caller) race(ctx context.Context, host string, within time.Duration, book *addr.Book) (net.Conn, addr.Address, error) {
 	began := time.Now()
+	if book == nil && c.opt.Hook != nil { // the platform's names are no addresses
+		return nil, addr.Address{}, errNoAddress
+	}
 	if book == nil {
 		at := addr.Address{Network: "tcp", Addr: host}
 		for {
--- a/internal/partner/response.go
+++ b/internal/partner/response.go
@@ -11,19 +11,36 @@
 // counted and dropped.
 type response struct {
 	http1.Parser
-	status int
-	retry  string // Retry-After
-	keep   bool   // the connection may carry a further call
-	old    bool   // HTTP/1.0
+	status  int
+	says    int    // status of the first line of the answer, also of one that is spoilt; 0 if there is none yet
+	retry   string // Retry-After
+	hook    bool   // in the platform's form
+	wait    string // of that: told wait, its load report, whether all slots were taken
+	report  string
+	slots   bool
+	keeps   bool // content is kept
+	content []byte
+	keep    bool // the connection may carry a further call
+	old     bool // HTTP/1.0
 }
 
 func (r *response) reset(l http1.Limits) {
 	r.Parser.Prefix = "HTTP/"
 	r.Parser.Reset(l)
-	r.status, r.retry, r.keep, r.old = 0, "", false, false
+	*r = response{Parser: r.Parser}
 }
 
-func (r *response) feed(b []byte) (rest []byte, err error) { return r.Feed(b, r) }
+func (r *response) feed(b []byte) (rest []byte, err error) {
+	rest, err = r.Feed(b, r)
+	if line, whole := r.FirstLine(); whole && (err != nil || !r.InContent() && !r.Done()) {
+		r.says = 0
+		if version, code, _ := strings.Cut(line, " "); version == "HTTP/1.1" || version == "HTTP/1.0" {
+			code, _, _ = strings.Cut(strings.TrimSpace(code), " ")
+			r.says, _ = strconv.Atoi(code)
+		}
+	}
+	return rest, err
+}
 
 // Start takes the status line.
 func (r *response) Start(line string) error {
@@ -36,7 +53,8 @@
 	if err != nil || len(code) != 3 || status < 100 || status > 599 {
 		return http1.Malformed("status %.20q", code)
 	}
-	r.status, r.retry = status, ""
+	r.status, r.says, r.retry = status, status, ""
+	r.wait, r.report, r.slots = "", "", false
 	r.old = version == "HTTP/1.0"
 	r.keep = !r.old
 	return nil
@@ -49,6 +67,8 @@
 		r.keep = r.keep && !http1.Closes(value)
 	case strings.EqualFold(name, "retry-after"):
 		r.retry = value
+	case r.hook && len(name) > 2 && (name[0] == 'X' || name[0] == 'x'):
+		r.hookField(name, value)
 	case r.old && strings.EqualFold(name, "transfer-encoding"):
 		return http1.Malformed("Transfer-Encoding in HTTP/1.0")
 	}
@@ -68,5 +88,10 @@
 	return http1.ToClose, nil
 }
 
-// Content drops a piece.
-func (r *response) Content([]byte) error { return nil }
+// Content keeps or drops a piece.
+func (r *response) Content(b []byte) error {
+	if r.keeps {
+		r.content = append(r.content, b...)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/bounds.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"math"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/addr"
+)
+
+// Figures of the platform's protocol.
+const (
+	bodyBytes   = 64 << 10 // longest body
+	headerBytes = 16 << 10
+	// A client waits so long for its answer (PROTOCOL); a request that is not whole
+	// within twice that has lost its client.
+	clientWaits = 400 * time.Millisecond
+	// A connection that says nothing is owed its close 3 s after it came up, and one
+	// without an open request may be closed after 2 s (DAYS).
+	silent = 2*time.Second + 100*time.Millisecond
+)
+
+// Bounds are what a node allows itself, each from the limits and settings.
+type Bounds struct {
+	Procs       int   // GOMAXPROCS
+	Memory      int64 // bytes at which the runtime collects harder
+	Files       int   // highest descriptor
+	Clients     int   // connections of clients
+	Hosts       int   // connections to hosts, idle ones included
+	Held        int   // messages held
+	Identities  int   // of messages held and ended
+	Notices     int   // owed to the platform
+	Disk        int64 // bytes of the journal
+	WriteBuffer int   // bytes waiting for one client
+	Keep        addr.KeepSettings
+}
+
+// reserved descriptors: standard streams, pollers with their event descriptors, the
+// journal's segments, the agent's connections, the runtime.
+const reserved = 40
+
+// BoundsOf derives them. Descriptors: what is not reserved goes half to clients, who
+// may use a third of all for requests, and half to hosts: a slot each, and as many
+// idle connections as are left. Memory: the runtime's soft limit leaves a quarter to
+// what it does not count and to the files of the folder.
+func BoundsOf(c *Config) Bounds {
+	l, s := c.Limits, &c.Settings
+	free := l.Sockets - reserved
+	b := Bounds{Procs: max(1, int(math.Ceil(l.Cores))), Files: l.Sockets, Disk: int64(l.DiskMB * (1 << 20)),
+		Memory: int64(l.MemoryMB)<<20*3/4 - int64(l.DiskMB*(1<<20)), WriteBuffer: 64 << 10}
+	b.Memory = max(b.Memory, int64(l.MemoryMB)<<20/2)
+	b.Clients = free * 5 / 9
+	b.Hosts = free - b.Clients
+	b.Held = s.MaxHeld
+	b.Identities = max(1024, 48*l.MemoryMB)
+	b.Notices = max(1024, 16*l.MemoryMB)
+	idle := s.ConnIdle - s.ConnIdle/8 // the margin before the host's own end
+	b.Keep = addr.KeepSettings{Idle: idle, Most: max(1, min(s.Workers, b.Hosts-s.Workers)), Connecting: max(1, s.Workers)}
+	return b
+}
--- /dev/null
+++ b/internal/platform/node.go
@@ -0,0 +1,332 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/agent"
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/directory"
+	"basaltcross.example/basaltcross/internal/hookfront"
+	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/member"
+	"basaltcross.example/basaltcross/internal/partner"
+	"basaltcross.example/basaltcross/internal/recover"
+)
+
+// The last seconds of a run. At a planned restart new connections come for up to
+// 0.4 s after SIGTERM, and SIGKILL follows no sooner than 3.7 s after it (PROTOCOL).
+const (
+	leaveAfter = 600 * time.Millisecond  // then no connection is taken any more
+	parkAfter  = 2200 * time.Millisecond // then nothing further is sent to hosts
+	endAfter   = 3400 * time.Millisecond // then the process ends, whatever is out
+)
+
+// Node is a running relay of the platform.
+type Node struct {
+	cfg    *Config
+	bounds Bounds
+	log    zerolog.Logger
+	keep   *journal.Log
+	caller *partner.Caller
+	core   *core.Core
+	client *agent.Client
+	said   *agent.Notices
+	list   *directory.Directory
+	front  *hookfront.Front
+	watch  *watcher
+
+	ready  atomic.Bool
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	kept   sync.WaitGroup // notices
+	unsaid context.CancelFunc
+	once   sync.Once
+
+	mu    sync.Mutex
+	dests map[int]bool // that a list has named
+}
+
+// mostDests remembers so many destinations; more than a relay's lists ever name.
+const mostDests = 1 << 16
+
+// quiet drops the engine's words but for errors.
+type quiet struct{ log zerolog.Logger }
+
+func (quiet) SetLevel(int)         {}
+func (quiet) Debug(string, ...any) {}
+func (quiet) Info(string, ...any)  {}
+func (quiet) Warn(string, ...any)  {}
+func (q quiet) Error(f string, v ...any) {
+	q.log.Debug().Str("cause", "engine").Msgf(f, v...)
+}
+
+var engineOnce sync.Once
+
+// Tune sets the process to its limits; the runtime and the engine library keep them
+// for the process.
+func Tune(b Bounds, log zerolog.Logger) {
+	engineOnce.Do(func() {
+		runtime.GOMAXPROCS(b.Procs)
+		debug.SetMemoryLimit(b.Memory)
+		logging.SetLogger(quiet{log})
+		nbio.MaxOpenFiles = b.Files + 64 // descriptors are indices there
+	})
+}
+
+// Start brings a node up: what an earlier run left first, then the list, then
+// clients. It runs until Drain or Kill.
+func Start(cfg *Config, log zerolog.Logger) (_ *Node, err error) {
+	began := time.Now()
+	n := &Node{cfg: cfg, bounds: BoundsOf(cfg), log: log, dests: map[int]bool{}}
+	b := &n.bounds
+	var undo []func()
+	defer func() {
+		if err != nil {
+			for i := len(undo) - 1; i >= 0; i-- {
+				undo[i]()
+			}
+			err = fmt.Errorf("platform: %w", err)
+		}
+	}()
+	owes := func(v uint8) bool { return ledger.Verdict(v) == ledger.Refused || ledger.Verdict(v) == ledger.Failed }
+	var kept *journal.Kept
+	var damaged error
+	n.keep, kept, damaged, err = journal.OpenLog(cfg.State, b.Disk, owes, func(err error) {
+		n.warn("journal").Err(err).Msg("records wait to be written, nothing is taken")
+	})
+	if err != nil {
+		return nil, err
+	}
+	undo = append(undo, func() { _ = n.keep.Close() })
+	if damaged != nil {
+		n.warn("journal").Err(damaged).Msg("what could be read is gone on with")
+	}
+	s := &cfg.Settings
+	n.caller, err = partner.New(partner.Options{Name: cfg.Name, Hook: &partner.Hook{Host: cfg.Name, Columns: s.Columns},
+		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Pollers: 1, Dial: s.DialTimeout,
+		Unsolicited: func(host string) { n.warn("host").Str("host", host).Msg("bytes that nobody asked for") }})
+	if err != nil {
+		return nil, err
+	}
+	undo = append(undo, n.caller.Close)
+	set := s.Settings
+	set.Acknowledged = true
+	longest := time.Duration(0)
+	var ordered []bool
+	for _, k := range set.Classes {
+		longest = max(longest, k.Deadline)
+		ordered = append(ordered, k.Ordered)
+	}
+	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, Arrivals: b.Clients, Identities: b.Identities, Keep: longest,
+		Caller: n.caller, Observer: &watcher{node: n}, Journal: n.keep, Every: true, Forgetful: true,
+		Names: core.Names{Partner: strconv.Itoa}})
+	if err != nil {
+		return nil, err
+	}
+	if n.client, err = agent.New(cfg.Discovery); err != nil {
+		return nil, err
+	}
+	undo = append(undo, n.client.Close)
+	n.said = agent.NewNotices(n.client, b.Notices, func(identity string) {
+		n.keep.Handed(identity)
+		n.core.Settled(identity)
+	}, func(err error) { n.warn("notices").Err(err).Msg("notices are owed") })
+	n.list = directory.New(directory.Options{Names: directory.Names{Host: n.host},
+		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: cfg.Known, Told: n.named}},
+		To:      directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
+		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
+	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
+		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Request: 2 * clientWaits, Idle: silent,
+		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said,
+		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
+	if err != nil {
+		return nil, err
+	}
+	held, owed := n.restore(kept)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	unsaid, silence := context.WithCancel(context.Background())
+	n.unsaid = silence
+	n.done.Go(func() { n.core.Run(ctx, 0) })
+	n.done.Go(func() { n.list.Run(ctx) })
+	n.kept.Go(func() { n.said.Run(unsaid) })
+	log.Info().Str("name", cfg.Name).Str("listen", n.front.Addr()).Int("held", held).Int("owed", owed).
+		Dur("took", time.Since(began)).Msg("up")
+	return n, nil
+}
+
+func (n *Node) warn(cause string) *zerolog.Event { return n.log.Warn().Str("cause", cause) }
+
+// restore goes on with what an earlier run left.
+func (n *Node) restore(k *journal.Kept) (held, owed int) {
+	classes, dests := map[string]recover.Class{}, map[string]bool{}
+	longest := time.Duration(0)
+	for _, c := range n.cfg.Settings.Classes {
+		classes[c.Name] = recover.Class{Deadline: c.Deadline, Keep: c.Effect != choice.Safe}
+		longest = max(longest, c.Deadline)
+	}
+	number := func(name string) int {
+		d, _ := strconv.Atoi(name)
+		return d
+	}
+	for _, m := range k.Messages {
+		if _, err := strconv.Atoi(m.Partner); err == nil {
+			dests[m.Partner] = true
+		}
+	}
+	plan := recover.Decide(k, classes, dests, longest, 0)
+	var ended []core.Ended
+	for _, e := range plan.Ends {
+		a := ledger.Answer{Verdict: ledger.Verdict(e.Verdict), After: time.Duration(e.After)}
+		wait := !e.Handed && (a.Verdict == ledger.Refused || a.Verdict == ledger.Failed)
+		if wait {
+			owed++
+			n.said.Add(e.Identity, a)
+		}
+		ended = append(ended, core.Ended{Identity: e.Identity, Answer: a, Age: e.Age, Owed: wait, Seq: e.Seq,
+			Class: n.cfg.Settings.Lanes[e.Class], Key: string(e.Way), Forget: !classes[e.Class].Keep})
+	}
+	for _, identity := range plan.Drop {
+		n.keep.Forget(identity)
+	}
+	var messages []core.Restored
+	for _, m := range plan.Messages {
+		reply := n.front.Owe(m.Identity)
+		if m.Verdict != 0 { // of a class that is no more
+			n.keep.Ended(journal.End{Seq: m.Seq, Identity: m.Identity, Class: m.Class, Verdict: uint8(m.Verdict), At: n.keep.Stamp()})
+			n.said.Add(m.Identity, ledger.Answer{Verdict: m.Verdict})
+			continue
+		}
+		zone := -1
+		if z, err := strconv.Atoi(m.Zone); err == nil {
+			zone = z
+		}
+		messages = append(messages, core.Restored{Message: core.Message{Source: m.Source, Identity: m.Identity,
+			Class: n.cfg.Settings.Lanes[m.Class], Partner: number(m.Partner), Key: m.Key, Left: m.Left, Front: m.Front, Way: m.Way,
+			Body: m.Body, Once: true, Reply: reply}, Seq: m.Seq, Attempts: m.Attempts, Ran: m.Ran, Since: m.Since, Zone: zone})
+	}
+	n.core.Restore(messages, ended, nil, k.Last)
+	return len(messages), owed
+}
+
+// host translates an entry of the list.
+func (n *Node) host(e *member.Entry) (choice.Host, error) {
+	d, err := strconv.Atoi(e.Partner)
+	if err != nil {
+		return choice.Host{}, fmt.Errorf("pod_group: %w", err)
+	}
+	return choice.Host{Addr: e.Addr, Dest: d, Kind: place(n.cfg.Settings.Kinds, e.Kind), Zone: place(n.cfg.Settings.Zones, e.Zone),
+		Rate: e.Rate}, nil
+}
+
+// place of a name among those of the settings. Where the list has short ones, their
+// number counts, or their letter.
+func place(names map[string]int, name string) int {
+	if i, ok := names[name]; ok {
+		return i
+	}
+	for at := range len(name) {
+		if i, err := strconv.Atoi(name[at:]); err == nil {
+			return min(i, max(0, len(names)-1))
+		}
+	}
+	if len(name) == 1 && name[0] >= 'a' && name[0] <= 'z' {
+		return min(int(name[0]-'a'), max(0, len(names)-1))
+	}
+	return 0
+}
+
+func (n *Node) named(dest int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.dests) < mostDests {
+		n.dests[dest] = true
+	}
+}
+
+func (n *Node) known(dest int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dests[dest]
+}
+
+// addresses takes those of all hosts, before the list that has them; with the first
+// of them clients may come.
+func (n *Node) addresses(all []addr.Endpoint) {
+	by := make(map[string][]addr.Address, len(all))
+	for _, e := range all {
+		by[e.Host] = e.Addrs
+	}
+	n.caller.Addresses(by)
+	if !n.ready.Swap(true) {
+		n.log.Info().Int("hosts", len(all)).Msg("ready")
+	}
+}
+
+// Reload takes a new configuration: the address of discovery counts from now on. All
+// else counts from the next start.
+func (n *Node) Reload(cfg *Config) {
+	n.client.Move(cfg.Discovery)
+	n.log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
+}
+
+// Addr is where clients connect.
+func (n *Node) Addr() string { return n.front.Addr() }
+
+// Drain ends the run in good order: what is asked is answered, what is out may
+// finish, and the rest stays for the next start. It returns once all is closed.
+func (n *Node) Drain() {
+	n.once.Do(func() {
+		began := time.Now()
+		n.front.Drain()
+		time.Sleep(leaveAfter)
+		n.front.Leave()
+		time.Sleep(parkAfter - time.Since(began))
+		idle := make(chan struct{})
+		n.core.Park(func() { close(idle) })
+		select {
+		case <-idle:
+		case <-time.After(endAfter - time.Since(began)):
+		}
+		n.close()
+	})
+}
+
+func (n *Node) close() {
+	n.stop()
+	n.done.Wait()
+	n.unsaid()
+	n.kept.Wait()
+	n.front.Close()
+	n.caller.Close()
+	n.client.Close()
+	if err := n.keep.Close(); err != nil {
+		n.warn("journal").Err(err).Msg("")
+	}
+}
+
+// watcher is the core's observer: it counts, and passes the module's words on.
+type watcher struct {
+	node *Node
+}
+
+func (w *watcher) Taken(int)                                    {}
+func (w *watcher) Answered(int, ledger.Answer, time.Duration)   {}
+func (w *watcher) Attempted(int, choice.Outcome, time.Duration) {}
+func (w *watcher) Log(text string)                              { w.node.log.Info().Str("cause", "choice").Msg(text) }
+func (w *watcher) Gauge(held, out, identities, inbox int)       {}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,10 +131,8 @@
 	ring := &keys.Ring{Report: r.obs.Certificate}
 	slots := make(secure.Slots, cmp.Or(cfg.TLS.Handshakes, runtime.GOMAXPROCS(0)))
 	var targets []partner.Target
-	var apart []bool
 	for i, p := range cfg.Partners {
 		k := cfg.Kinds[names.Kinds[i]]
-		apart = append(apart, k.Apart)
 		t := partner.Target{Path: p.Path, Host: p.Host, Promises: k.RefusalNeverRan}
 		if p.TLS != nil {
 			if t.TLS, err = clientTLS(ring, p.TLS); err != nil {
@@ -195,7 +193,7 @@
 	if seed == 0 {
 		seed = uint64(time.Now().UnixNano())
 	}
-	opt := core.Options{Settings: cfg.Settings(), Seed: seed, Apart: apart,
+	opt := core.Options{Settings: cfg.Settings(), Seed: seed,
 		Arrivals: cfg.Limits.Arrivals, Identities: cfg.Limits.Identities.Count,
 		Keep: cfg.Limits.Identities.Keep.D(), Caller: caller, Observer: r.obs}
 	if toll != nil {
@@ -210,7 +208,7 @@
 		if r.toll = toll; toll != nil {
 			toll.Keep = r.log.Spent
 		}
-		opt.Journal, opt.Names = r.log, core.Names{Classes: classes, Partners: partners, Zones: zones}
+		opt.Journal, opt.Names = r.log, core.Names{Partner: func(i int) string { return partners[i] }, Zones: zones}
 		if hooks.Journal != nil {
 			opt.Journal = hooks.Journal(opt.Journal)
 		}
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -13,7 +13,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -202,7 +201,7 @@
 	busy  atomic.Int32 // 0 idles, 1 within a request, 2 answering, 3 HTTP/2
 
 	mu   sync.Mutex
-	req  h1Request
+	req  http1.Request
 	rest []byte // after a request that is being answered
 	shut bool
 }
@@ -274,68 +273,6 @@
 	return false
 }
 
-// h1Request is one request of HTTP/1.1 while it is parsed and answered.
-type h1Request struct {
-	http1.Parser
-	method, path string
-	fields       []field
-	body         []byte
-	keep, old    bool
-	expect       bool
-	hosts        int
-}
-
-type field struct{ name, value string }
-
-func (r *h1Request) Start(line string) error {
-	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !http1.Token(parts[0]) || !strings.HasPrefix(parts[1], "/") {
-		return http1.Malformed("request line %.60q", line)
-	}
-	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
-		return http1.Malformed("version %.20q", parts[2])
-	}
-	r.method, r.path = parts[0], parts[1]
-	r.old = parts[2] == "HTTP/1.0"
-	r.keep = !r.old
-	r.fields, r.body, r.expect, r.hosts = r.fields[:0], nil, false, 0
-	return nil
-}
-
-func (r *h1Request) Field(name, value string) error {
-	switch {
-	case strings.EqualFold(name, "connection"):
-		r.keep = r.keep && !http1.Closes(value)
-	case strings.EqualFold(name, "host"):
-		r.hosts++
-	case strings.EqualFold(name, "expect"):
-		r.expect = strings.EqualFold(value, "100-continue")
-	}
-	r.fields = append(r.fields, field{name, value})
-	return nil
-}
-
-func (r *h1Request) Head() (http1.Framing, error) {
-	if r.hosts != 1 && !r.old || r.hosts > 1 { // RFC 9112, 3.2
-		return 0, http1.Malformed("%d Host fields", r.hosts)
-	}
-	return http1.ByFields, nil
-}
-
-func (r *h1Request) Content(b []byte) error {
-	r.body = append(r.body, b...)
-	return nil
-}
-
-func (r *h1Request) header(name string) string {
-	for _, f := range r.fields {
-		if strings.EqualFold(f.name, name) {
-			return f.value
-		}
-	}
-	return ""
-}
-
 // plain takes in bytes of HTTP/1.1.
 func (c *conn) plain(b []byte) {
 	c.mu.Lock()
@@ -362,20 +299,20 @@
 			if errors.Is(err, http1.ErrTooLong) {
 				status = http.StatusRequestEntityTooLarge
 			}
-			c.req.keep = false
+			c.req.Keep = false
 			c.write(say(status, "%v", err))
 			return
 		}
 		if !c.req.Done() {
-			if c.req.expect && c.req.InContent() {
-				c.req.expect = false
+			if c.req.Expect && c.req.InContent() {
+				c.req.Expect = false
 				_, _ = io.WriteString(c.out, "HTTP/1.1 100 Continue\r\n\r\n")
 			}
 			return
 		}
 		c.busy.Store(2)
 		c.rest = append(c.rest[:0], rest...)
-		q := &request{method: c.req.method, path: c.req.path, header: c.req.header, body: c.req.body}
+		q := &request{method: c.req.Method, path: c.req.Path, header: c.req.Header, body: c.req.Body}
 		var when sync.Mutex
 		var now *response // it came before serve returned
 		later := false
@@ -419,18 +356,18 @@
 	if r.status != http.StatusNoContent {
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(r.body)), 10), "\r\n"...)
 	}
-	if !c.req.keep {
+	if !c.req.Keep {
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(append(b, "\r\n"...), r.body...)
 	_, err := c.out.Write(b)
-	if !c.req.keep || err != nil {
+	if !c.req.Keep || err != nil {
 		c.shut = true
 		_ = c.nb.Close()
 		return
 	}
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
-	c.req.body = nil
+	c.req.Body = nil
 	c.since.Store(time.Now().UnixNano())
 	c.busy.Store(0)
 }
--- a/internal/webpush/push.go
+++ b/internal/webpush/push.go
@@ -569,4 +569,4 @@
 	}
 }
 
-var _ http1.Handler = (*h1Request)(nil)
+var _ http1.Handler = (*http1.Request)(nil)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,17 +5,16 @@
 import (
 	"bufio"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/platform/settings"
 )
 
 var outcomes = map[string]choice.Outcome{
@@ -137,104 +136,6 @@
 
 func seconds(f float64) time.Duration { return time.Duration(math.Round(f*1e6)) * time.Microsecond }
 
-// config is the part of the settings object that is read.
-type config struct {
-	Bounds struct {
-		Cancel        bool    `json:"cancel"`
-		ConnIdle      float64 `json:"conn-idle"`
-		MaxAttempts   int     `json:"max-attempts"`
-		MostHeld      int     `json:"most-held"`
-		RetryAfter    bool    `json:"retry-after"`
-		MaxRetryAfter float64 `json:"max-retry-after"`
-	} `json:"bounds"`
-	Classes []struct {
-		Name      string  `json:"name"`
-		Aim       float64 `json:"aim"`
-		GiveUp    float64 `json:"give-up"`
-		Effect    string  `json:"effect"`
-		Group     string  `json:"group"`
-		KeepOrder bool    `json:"keep-order"`
-		LateShare float64 `json:"late-share"`
-		Window    float64 `json:"window"`
-		Worth     float64 `json:"worth"`
-	} `json:"classes"`
-	Family struct {
-		Late      string    `json:"late"`
-		OwnLimits []bool    `json:"own-limits"`
-		PerCall   []int     `json:"per-call"`
-		Workers   int       `json:"workers"`
-		ZoneFee   []float64 `json:"zone-fee"`
-	} `json:"family-info"`
-	FleetSize  int `json:"fleet-size"`
-	Index      int `json:"index"`
-	LoadReport struct {
-		Columns []string `json:"columns"`
-		How     string   `json:"how"`
-	} `json:"load-report"`
-	RegistryMode string `json:"registry-mode"`
-	Rules        struct {
-		Cold           float64 `json:"cold"`
-		ColdFrom       float64 `json:"cold-from"`
-		DrainGrace     float64 `json:"drain-grace"`
-		Fall           float64 `json:"fall"`
-		GraceToAnswer  float64 `json:"grace-to-answer"`
-		OrderSettle    float64 `json:"order-settle"`
-		OverloadFactor float64 `json:"overload-factor"`
-	} `json:"rules"`
-	Skus    []string `json:"skus"`
-	Tick    float64  `json:"tick"`
-	Weights string   `json:"weights"`
-}
-
-func settings(text string) (choice.Settings, error) {
-	var c config
-	if err := json.Unmarshal([]byte(text), &c); err != nil {
-		return choice.Settings{}, err
-	}
-	s := choice.Settings{
-		Index: c.Index, Fleet: c.FleetSize, Workers: c.Family.Workers, MaxHeld: c.Bounds.MostHeld,
-		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick),
-		ConnIdle: seconds(c.Bounds.ConnIdle), ZoneFee: c.Family.ZoneFee,
-		Halving: c.Family.Late == "halving", Listed: c.Weights == "nominal" || c.Weights == "rough",
-		Cancels: c.Bounds.Cancel, Subscribe: c.RegistryMode == "subscribe",
-		ReportLimit: -1,
-		Rules: choice.Rules{
-			AnswerGrace: seconds(c.Rules.GraceToAnswer), DrainGrace: seconds(c.Rules.DrainGrace),
-			OverloadFactor: c.Rules.OverloadFactor, Fall: seconds(c.Rules.Fall),
-			ColdFrom: c.Rules.ColdFrom, Cold: seconds(c.Rules.Cold), OrderSettle: seconds(c.Rules.OrderSettle),
-		},
-	}
-	if c.Bounds.RetryAfter {
-		s.MaxRetryAfter = seconds(c.Bounds.MaxRetryAfter)
-	}
-	if c.LoadReport.How == "inline" {
-		s.ReportLimit = slices.Index(c.LoadReport.Columns, "x1")
-	}
-	for _, k := range c.Classes {
-		effect, ok := map[string]choice.Effect{
-			"idempotent": choice.Safe, "deduplicated": choice.Keyed, "at_most_once": choice.Unsafe}[k.Effect]
-		if !ok {
-			return s, fmt.Errorf("classes: %q is no effect", k.Effect)
-		}
-		s.Classes = append(s.Classes, choice.Class{
-			Name: k.Name, Aim: seconds(k.Aim), Deadline: seconds(k.GiveUp), Worth: k.Worth,
-			LateShare: k.LateShare, Effect: effect, SameZone: k.Group != "all",
-			Window: seconds(k.Window), Ordered: k.KeepOrder,
-		})
-	}
-	for i := range c.Skus {
-		k := choice.Kind{PerCall: 1}
-		if i < len(c.Family.OwnLimits) {
-			k.Apart = c.Family.OwnLimits[i]
-		}
-		if i < len(c.Family.PerCall) {
-			k.PerCall = max(1, c.Family.PerCall[i])
-		}
-		s.Kinds = append(s.Kinds, k)
-	}
-	return s, nil
-}
-
 // instance is one chooser with the events that a batch holds for it.
 type instance struct {
 	name    string
@@ -415,11 +316,11 @@
 	if l.err != nil {
 		return l.err
 	}
-	set, err := settings(text)
+	set, err := settings.Parse([]byte(text))
 	if err != nil {
 		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
 	}
-	c, err := choice.New(set, seed)
+	c, err := choice.New(set.Settings, seed)
 	if err != nil {
 		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
 	}
