--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -94,6 +94,7 @@
 	began := time.Now()
 	n := &Node{cfg: cfg, bounds: BoundsOf(cfg), log: log, dests: map[int]bool{}}
 	b := &n.bounds
+	n.watch = &watcher{node: n}
 	var undo []func()
 	defer func() {
 		if err != nil {
@@ -133,7 +134,7 @@
 		ordered = append(ordered, k.Ordered)
 	}
 	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, Arrivals: b.Clients, Identities: b.Identities, Keep: longest,
-		Caller: n.caller, Observer: &watcher{node: n}, Journal: n.keep, Every: true, Forgetful: true,
+		Caller: n.caller, Observer: n.watch, Journal: n.keep, Every: true, Forgetful: true,
 		Names: core.Names{Partner: strconv.Itoa}})
 	if err != nil {
 		return nil, err
@@ -165,6 +166,7 @@
 	n.done.Go(func() { n.core.Run(ctx, 0) })
 	n.done.Go(func() { n.list.Run(ctx) })
 	n.kept.Go(func() { n.said.Run(unsaid) })
+	n.done.Go(func() { n.watch.run(ctx) })
 	log.Info().Str("name", cfg.Name).Str("listen", n.front.Addr()).Int("held", held).Int("owed", owed).
 		Dur("took", time.Since(began)).Msg("up")
 	return n, nil
@@ -319,14 +321,3 @@
 		n.warn("journal").Err(err).Msg("")
 	}
 }
-
-// watcher is the core's observer: it counts, and passes the module's words on.
-type watcher struct {
-	node *Node
-}
-
-func (w *watcher) Taken(int)                                    {}
-func (w *watcher) Answered(int, ledger.Answer, time.Duration)   {}
-func (w *watcher) Attempted(int, choice.Outcome, time.Duration) {}
-func (w *watcher) Log(text string)                              { w.node.log.Info().Str("cause", "choice").Msg(text) }
-func (w *watcher) Gauge(held, out, identities, inbox int)       {}
--- /dev/null
+++ b/internal/platform/watcher.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// watcher is the core's observer: it counts, says now and then what the relay
+// believes, and passes the module's words on.
+type watcher struct {
+	node *Node
+
+	mu       sync.Mutex
+	taken    int
+	answered [5]int // by verdict
+	attempts [8]int // by outcome
+	held     int    // now
+	out      int
+	mostHeld int // since the last saying
+	mostOut  int
+}
+
+// sayEvery is how often a line says what the relay holds and counted since the last.
+const sayEvery = 5 * time.Second
+
+func (w *watcher) Taken(int) {
+	w.mu.Lock()
+	w.taken++
+	w.mu.Unlock()
+}
+
+func (w *watcher) Answered(_ int, a ledger.Answer, _ time.Duration) {
+	w.mu.Lock()
+	w.answered[a.Verdict]++
+	w.mu.Unlock()
+}
+
+func (w *watcher) Attempted(_ int, o choice.Outcome, _ time.Duration) {
+	w.mu.Lock()
+	w.attempts[o]++
+	w.mu.Unlock()
+}
+
+func (w *watcher) Gauge(held, out, _, _ int) {
+	w.mu.Lock()
+	w.held, w.out = held, out
+	w.mostHeld, w.mostOut = max(w.mostHeld, held), max(w.mostOut, out)
+	w.mu.Unlock()
+}
+
+func (w *watcher) Log(text string) { w.node.log.Info().Str("cause", "choice").Msg(text) }
+
+// run says what was counted until ctx ends, and then once more.
+func (w *watcher) run(ctx context.Context) {
+	tick := time.NewTicker(sayEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			w.say()
+			return
+		case <-tick.C:
+			w.say()
+		}
+	}
+}
+
+var outcomeNames = [...]string{"served", "error", "refused", "timeout", "no_connection", "reset", "cancelled", "not_sent"}
+
+func (w *watcher) say() {
+	n := w.node
+	f := n.front.Counts()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ends, tries []string
+	for v := ledger.Delivered; v <= ledger.Abandoned; v++ {
+		if w.answered[v] > 0 {
+			ends = append(ends, fmt.Sprintf("%s %d", v, w.answered[v]))
+		}
+	}
+	for o, k := range w.attempts {
+		if k > 0 {
+			tries = append(tries, fmt.Sprintf("%s %d", outcomeNames[o], k))
+		}
+	}
+	n.log.Info().Str("cause", "count").Int("taken", w.taken).Str("ended", strings.Join(ends, ", ")).
+		Str("attempts", strings.Join(tries, ", ")).Int("held", w.held).Int("held_most", w.mostHeld).Int("out", w.out).
+		Int("out_most", w.mostOut).Int("clients", n.front.Connections()).Int64("at_once", f.Refused.Load()+f.Failed.Load()).
+		Int64("rejected", f.Rejected.Load()).Int64("turned_away", f.Closed.Load()).Int64("evicted", f.Evicted.Load()).
+		Int("notices", n.said.Len()).Uint64("disk", n.keep.Stats().Disk).Msg("since the last such line")
+	w.taken, w.answered, w.attempts, w.mostHeld, w.mostOut = 0, [5]int{}, [8]int{}, w.held, w.out
+}
