Resting connections are closed only after losses on long rests; deadlines hold across a restart

Checked: spoilt answers close 286 connections at most and were not the cause; the hosts had closed none as idle. A trace of attempts showed CloseIdle before calls on connections that had rested for milliseconds: in sendOne and part each time-out on a connection that was used before counted as a path that drops idle ones, and halved the trust to that rest. Change: only a rest of over a sixteenth of the idle time counts as one; Left is counted when the module hears of the message. Also: accept errors of a listener that was closed are not logged; sending goes on until 2.8 s after SIGTERM.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -926,7 +926,7 @@
 	k := &call{host: h, sent: c.now, idle: c.now - h.idleAt}
 	if old := h.kept && h.out == 0; old && k.idle > c.keep {
 		c.act(CloseIdle{h.Addr})
-	} else if old {
+	} else if old && k.idle > c.set.ConnIdle/16 { // a shorter rest says nothing of what rests are worth
 		k.reused = 1
 	}
 	c.busy, d.out, h.out, d.lastTurn = c.busy+1, d.out+1, h.out+1, c.now
--- /dev/null
+++ b/choice/platform_test.go
@@ -0,0 +1,109 @@
+package choice
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// A call that is lost on a connection which had rested for a moment says nothing of
+// paths that drop idle connections: slow hosts cost calls too.
+func TestShortRestsAreNoEvidence(t *testing.T) {
+	s := settings()
+	s.ConnIdle = 5 * time.Second
+	r := newRig(t, s, ready("a", 1, 0, 0))
+	r.deliver(arrival("first", 0))
+	for i, id := range []string{"l1", "l2", "l3", "l4"} {
+		r.now += 100 * ms
+		r.step(arrival(id, 2))
+		r.now += time.Second
+		r.step(r.end(id, "a", Timeout, func(e *Result) { e.Took = time.Second }))
+		r.now += 10 * time.Second // its trials are due
+		r.deliver(arrival("ok"+id, 0))
+		if i == 0 {
+			continue
+		}
+		r.now += 100 * ms
+		if n := closes(r.step(arrival("next"+id, 0))); len(n) != 0 {
+			t.Fatalf("closed %v: a connection that rested for 100 ms", n)
+		}
+		r.step(r.end("next"+id, "a", Served))
+	}
+}
+
+// Messages of one call share its end, so they have one time-out: the longest among
+// them, within the time of each.
+func TestOneTimeOutForACall(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 1, 0))
+	for i := range 40 { // a table with a short edge
+		r.deliver(arrival("warm"+string(rune('a'+i)), 0))
+		r.now += 200 * ms
+	}
+	safe, unsafe, short := arrival("safe", 0), arrival("unsafe", 2), arrival("short", 0)
+	short.Left = 4 * time.Second
+	s := sends(r.step(safe, unsafe, short))
+	if len(s) != 3 {
+		t.Fatalf("%d sends, want 3", len(s))
+	}
+	for _, x := range s {
+		if x.Timeout != 4*time.Second {
+			t.Errorf("%s may take %v, want 4s: as long as the unsafe one would wait, and the short one has", x.ID, x.Timeout)
+		}
+	}
+}
+
+// A message that ended by a notice keeps its place in the order of its key until the
+// notice is answered, across a restart too.
+func TestOrderWaitsForNotices(t *testing.T) {
+	s := settings()
+	s.Acknowledged = true
+	for _, restart := range []bool{false, true} {
+		r := newRig(t, s, ready("a", 1, 0, 0))
+		first, second, other := arrival("first", 3), arrival("second", 3), arrival("other", 3)
+		first.Key, second.Key, other.Key = "k", "k", "o"
+		if restart {
+			r.step(Restored{Arrival: first, Answered: true})
+		} else {
+			r.step(first)
+			r.step(r.end("first", "a", Error)) // failed: it may have run
+		}
+		acts := append(r.step(second, other), r.after(time.Second)...)
+		if slices.ContainsFunc(sends(acts), func(x Send) bool { return x.ID == "second" }) {
+			t.Errorf("restart %v: sent before the notice of the one before it was answered", restart)
+		}
+		if !slices.ContainsFunc(sends(acts), func(x Send) bool { return x.ID == "other" }) {
+			t.Errorf("restart %v: another key waits too", restart)
+		}
+		r.step(r.end("other", "a", Served))
+		acts = append(r.step(Settled{"first"}), r.after(time.Second)...)
+		if !slices.ContainsFunc(sends(acts), func(x Send) bool { return x.ID == "second" }) {
+			t.Errorf("restart %v: not sent after the notice was answered", restart)
+		}
+		if len(r.c.owing) != 0 {
+			t.Errorf("restart %v: %d messages still owe a place", restart, len(r.c.owing))
+		}
+	}
+}
+
+// A stop that keeps what is held sends and answers nothing; one without answers all.
+func TestStopThatKeeps(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	r.step(Stop{Keep: true})
+	acts := append(r.step(arrival("m", 0)), r.after(time.Second)...)
+	for _, a := range acts {
+		switch a.(type) {
+		case Send, Refuse, Fail:
+			t.Errorf("%#v while a later run is to go on", a)
+		}
+	}
+}
+
+// What the host counts as spent is given up, however many attempts are counted here.
+func TestSpentIsTheLastAttempt(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	r.step(arrival("m", 0))
+	acts := r.step(r.end("m", "a", NotSent, func(e *Result) { e.Spent = true }))
+	if len(sends(acts)) != 0 || !slices.ContainsFunc(acts, func(a Action) bool { _, ok := a.(Refuse); return ok }) {
+		t.Errorf("%v after the last attempt was spent, want a refusal", acts)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -124,7 +124,7 @@
 	Answered(class int, a ledger.Answer, took time.Duration)
 	Attempted(class int, o choice.Outcome, took time.Duration)
 	Log(text string)
-	Gauge(held, out, identities, inbox int)
+	Gauge(held, calls, identities, inbox int)
 }
 
 // Toll tells which zones are open to a class, and books what crosses.
@@ -549,7 +549,7 @@
 		c.idle()
 		c.idle = nil
 	}
-	c.opt.Observer.Gauge(c.owed, len(c.outs), c.led.Len(), len(events))
+	c.opt.Observer.Gauge(c.owed, len(c.waits), c.led.Len(), len(events))
 }
 
 func (c *Core) arrive(in *Message, at time.Duration) {
@@ -781,7 +781,7 @@
 		n := noted{c.now + w.Left, w.Failing}
 		c.waited[w.Host], c.noted[w.Host] = n, n
 	}
-	var first []choice.Event
+	var first []*choice.Restored
 	for i := range messages {
 		r := &messages[i]
 		k := &c.opt.Settings.Classes[r.Class]
@@ -791,10 +791,18 @@
 		c.byEntry[m.entry] = m
 		c.msgs[m.id] = m
 		c.owed++
-		first = append(first, choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
+		first = append(first, &choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
 			Key: r.Key}, Attempts: r.Attempts, Ran: r.Ran, Since: r.Since, Zone: r.Zone})
 	}
-	_ = c.put(event{call: func() { c.batch = append(append(c.batch, owed...), first...) }})
+	_ = c.put(event{call: func() {
+		c.batch = append(c.batch, owed...)
+		for _, r := range first { // the time that the start took is gone
+			if m := c.msgs[r.ID]; m != nil {
+				r.Left = m.due - c.now
+				c.batch = append(c.batch, *r)
+			}
+		}
+	}})
 }
 
 // forget frees a message that is answered and has nothing out.
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -76,7 +77,9 @@
 		}
 	})
 	l.engine.OnAcceptError(func(err error) {
-		s.Failed(err)
+		if !errors.Is(err, net.ErrClosed) { // else by Refuse
+			s.Failed(err)
+		}
 		time.Sleep(acceptPause)
 	})
 	if err := l.engine.Start(); err != nil {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -32,8 +32,8 @@
 // 0.4 s after SIGTERM, and SIGKILL follows no sooner than 3.7 s after it (PROTOCOL).
 const (
 	leaveAfter = 600 * time.Millisecond  // then no connection is taken any more
-	parkAfter  = 2200 * time.Millisecond // then nothing further is sent to hosts
-	endAfter   = 3400 * time.Millisecond // then the process ends, whatever is out
+	parkAfter  = 2800 * time.Millisecond // then nothing further is sent to hosts
+	endAfter   = 3500 * time.Millisecond // then the process ends, whatever is out
 )
 
 // Node is a running relay of the platform.
@@ -232,25 +232,12 @@
 	if err != nil {
 		return choice.Host{}, fmt.Errorf("pod_group: %w", err)
 	}
-	return choice.Host{Addr: e.Addr, Dest: d, Kind: place(n.cfg.Settings.Kinds, e.Kind), Zone: place(n.cfg.Settings.Zones, e.Zone),
-		Rate: e.Rate}, nil
-}
-
-// place of a name among those of the settings. Where the list has short ones, their
-// number counts, or their letter.
-func place(names map[string]int, name string) int {
-	if i, ok := names[name]; ok {
-		return i
-	}
-	for at := range len(name) {
-		if i, err := strconv.Atoi(name[at:]); err == nil {
-			return min(i, max(0, len(names)-1))
-		}
-	}
-	if len(name) == 1 && name[0] >= 'a' && name[0] <= 'z' {
-		return min(int(name[0]-'a'), max(0, len(names)-1))
+	h := choice.Host{Addr: e.Addr, Dest: d, Kind: -1, Rate: e.Rate}
+	if kind, ok := n.cfg.Settings.Kinds[e.Kind]; ok {
+		h.Kind = kind
 	}
-	return 0
+	h.Zone = n.cfg.Settings.Zones[e.Zone] // a zone that the settings lack is as the first
+	return h, nil
 }
 
 func (n *Node) named(dest int) {
