--- a/choice/state.go
+++ b/choice/state.go
@@ -182,3 +182,14 @@
 	}
 	return nil
 }
+
+// Sizes are those of the tables that messages, hosts and keys are in.
+func (c *Chooser) Sizes() map[string]int {
+	hosts, units := 0, 0
+	for _, d := range c.order {
+		hosts, units = hosts+len(d.hosts), units+len(d.units)
+	}
+	return map[string]int{"module messages": len(c.msgs), "module destinations": len(c.dests), "module live": len(c.live),
+		"module hosts": max(hosts, len(c.hosts)), "module units": units, "module keys": len(c.lines),
+		"module resting keys": len(c.resting), "module owing": len(c.owing)}
+}
--- a/cmd/basaltcross/node.go
+++ b/cmd/basaltcross/node.go
@@ -33,12 +33,7 @@
 			for {
 				select {
 				case <-again:
-					next, err := platform.Load(os.Getenv)
-					if err != nil {
-						log.Error().Err(err).Msg("the configuration in force stays")
-						continue
-					}
-					n.Reload(next)
+					n.ReadAgain(os.Getenv)
 				case <-c.Context().Done():
 					log.Info().Msg("stopping")
 					n.Drain()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -367,6 +367,16 @@
 	}
 }
 
+// Sizes are those of the core's tables and of the module's.
+func (c *Core) Sizes(ctx context.Context) (all map[string]int, err error) {
+	err = c.Inspect(ctx, func(int, int) {
+		all = c.ch.Sizes()
+		all["messages"], all["identities"], all["outs"], all["noted"] = len(c.msgs), c.led.Len(), len(c.outs), len(c.noted)
+		all["endpoints"], all["timers"] = max(len(c.zones), len(c.kinds)), len(c.waits)
+	})
+	return all, err
+}
+
 // A heart beats every beat; one that is late by stall says that the whole
 // process stood still. Then the core waits, in rounds of settle, until the
 // sockets' news of that time has come in.
--- /dev/null
+++ b/internal/hookfront/front_test.go
@@ -0,0 +1,269 @@
+package hookfront
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// door is a core of the test's own: it keeps what is handed in, and answers only when
+// the test says so.
+type door struct {
+	mu        sync.Mutex
+	taken     []*core.Message
+	abandoned []string
+	settled   []string
+	handed    []string
+	notices   []string
+	full      bool
+	came      chan struct{}
+	verdict   ledger.Answer // given in the step that takes a message
+	hold      bool          // no step is made
+}
+
+func (d *door) Submit(m *core.Message) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.taken = append(d.taken, m)
+	go func() {
+		if !d.hold {
+			m.Reply.Taken(nil)
+			if d.verdict.Verdict != 0 {
+				m.Reply.Answer(d.verdict)
+			}
+			m.Reply.(core.Decider).Decided()
+		}
+		d.came <- struct{}{}
+	}()
+	return nil
+}
+
+func (d *door) put(list *[]string, s string) {
+	d.mu.Lock()
+	*list = append(*list, s)
+	d.mu.Unlock()
+	d.came <- struct{}{}
+}
+func (d *door) Abandon(id string, _ core.Reply) { d.put(&d.abandoned, id) }
+func (d *door) Settled(id string)               { d.put(&d.settled, id) }
+func (d *door) Handed(id string)                { d.put(&d.handed, id) }
+func (d *door) Room() bool                      { return !d.full }
+func (d *door) Add(id string, a ledger.Answer)  { d.put(&d.notices, id+" "+a.Verdict.String()) }
+
+func start(t *testing.T, most int) (*Front, *door) {
+	t.Helper()
+	d := &door{came: make(chan struct{}, 1000)}
+	f, err := New(Options{Listen: "127.0.0.1:0", Lanes: map[string]int{"notice": 0, "charge": 1}, Ordered: []bool{false, true},
+		Dest: func(n int) bool { return n < 10 }, Ready: func() bool { return true }, Header: 16 << 10, Body: 64 << 10,
+		Connections: most, Request: 500 * time.Millisecond, Idle: 500 * time.Millisecond, WriteBuffer: 64 << 10, Door: d, Keeper: d,
+		Notices: d, Logf: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f, d
+}
+
+func dial(t *testing.T, f *Front) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", f.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func hand(id, lane, dest, left, more, body string) string {
+	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %s\r\nX-Lane: %s\r\nCookie: a=b; about=key1\r\n"+
+		"X-Remaining-Ms: %s\r\nX-Addressing: dest=%s\r\n%sContent-Length: %d\r\n\r\n%s", id, lane, left, dest, more, len(body), body)
+}
+
+// ask sends text and reads the status of the answer; 0 for a close without one.
+func ask(t *testing.T, c net.Conn, text string) int {
+	t.Helper()
+	go func() { _, _ = io.WriteString(c, text) }() // the other side may close under it
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Fatal("neither an answer nor a close")
+		}
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.StatusCode
+}
+
+// What the module decides in the step is the answer; later answers are notices.
+func TestAnswers(t *testing.T) {
+	for verdict, want := range map[ledger.Verdict]int{0: 202, ledger.Delivered: 202, ledger.Refused: 429, ledger.Failed: 500} {
+		f, d := start(t, 10)
+		d.verdict = ledger.Answer{Verdict: verdict}
+		c := dial(t, f)
+		for i := range 2 { // a kept connection carries the next
+			if got := ask(t, c, hand(fmt.Sprint("m", i), "charge", "7", "480", "", "body")); got != want {
+				t.Fatalf("%v in the step: %d, want %d", verdict, got, want)
+			}
+		}
+		m := d.taken[0]
+		if m.Identity != "m0" || m.Class != 1 || m.Partner != 7 || m.Key != "key1" || m.Left != 480*time.Millisecond || string(m.Body) != "body" {
+			t.Errorf("%+v", m)
+		}
+		<-d.came
+		<-d.came
+		if verdict != 0 {
+			continue
+		}
+		m.Reply.Answer(ledger.Answer{Verdict: ledger.Failed})
+		d.taken[1].Reply.Answer(ledger.Answer{Verdict: ledger.Delivered})
+		if len(d.notices) != 1 || d.notices[0] != "m0 failed" || len(d.handed) != 0 {
+			t.Errorf("notices %v, handed %v", d.notices, d.handed)
+		}
+	}
+}
+
+// Each thing that a bad client sends gets an error or a close, and is not taken.
+func TestBadClients(t *testing.T) {
+	good := hand("x1", "notice", "7", "480", "", "body")
+	long := strings.Repeat("x", 4<<20)
+	for name, text := range map[string]string{
+		"noise":               "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+		"endless head":        "POST /api HTTP/1.1\r\nHost: h\r\nX: " + long,
+		"endless fields":      "POST /api HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", 100000),
+		"wrong length":        strings.Replace(good, "Content-Length: 4", "Content-Length: 4x", 1),
+		"negative length":     strings.Replace(good, "Content-Length: 4", "Content-Length: -4", 1),
+		"huge length":         strings.Replace(good, "Content-Length: 4", "Content-Length: 99999999999999999999", 1),
+		"long body":           strings.Replace(good, "Content-Length: 4", "Content-Length: 60000000", 1) + long,
+		"two lengths":         strings.Replace(good, "Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5", 1),
+		"length and chunked":  strings.Replace(good, "Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked", 1),
+		"odd chunked":         strings.Replace(good, "Content-Length: 4", "Transfer-Encoding: xchunked", 1),
+		"no such class":       hand("x1", "none", "7", "480", "", "body"),
+		"no such dest":        hand("x1", "notice", "70", "480", "", "body"),
+		"dest is no number":   hand("x1", "notice", "seven", "480", "", "body"),
+		"dest below 0":        hand("x1", "notice", "-7", "480", "", "body"),
+		"time is no number":   hand("x1", "notice", "7", "soon", "", "body"),
+		"time below 0":        hand("x1", "notice", "7", "-480", "", "body"),
+		"time without end":    hand("x1", "notice", "7", "99999999999999999999999", "", "body"),
+		"no id":               strings.Replace(good, "X-Txn: x1\r\n", "", 1),
+		"empty id":            strings.Replace(good, "X-Txn: x1", "X-Txn: ", 1),
+		"two ids":             strings.Replace(good, "X-Txn: x1", "X-Txn: x1\r\nX-Txn: x2", 1),
+		"id with a space":     strings.Replace(good, "X-Txn: x1", "X-Txn: x 1", 1),
+		"half a request":      good[:len(good)-2],
+		"half a head":         good[:40],
+		"silent":              "",
+		"hundreds at once":    strings.Repeat(good, 300),
+		"a get":               "GET /api HTTP/1.1\r\nHost: h\r\n\r\n",
+		"another path":        "POST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+		"no host":             strings.Replace(good, "Host: origin.svc\r\n", "", 1),
+		"bare line feeds":     strings.ReplaceAll(good, "\r\n", "\n"),
+		"space before colon":  strings.Replace(good, "X-Txn:", "X-Txn :", 1),
+		"folded field":        strings.Replace(good, "X-Lane: notice", "X-Lane: notice\r\n x", 1),
+		"version of tomorrow": strings.Replace(good, "HTTP/1.1", "HTTP/3.0", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, d := start(t, 10)
+			got := ask(t, dial(t, f), text)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if got != 0 && got < 400 || len(d.taken) != 0 {
+				t.Errorf("answered %d, %d taken", got, len(d.taken))
+			}
+		})
+	}
+}
+
+// A client that closes before its answer withdraws its message; one that had it does not.
+func TestClientsThatLeave(t *testing.T) {
+	f, d := start(t, 10)
+	d.hold = true
+	c := dial(t, f)
+	if _, err := io.WriteString(c, hand("gone", "notice", "7", "480", "", "")); err != nil {
+		t.Fatal(err)
+	}
+	<-d.came
+	_ = c.Close()
+	<-d.came
+	d.mu.Lock()
+	if len(d.abandoned) != 1 || d.abandoned[0] != "gone" {
+		t.Errorf("abandoned %v", d.abandoned)
+	}
+	d.hold = false
+	d.mu.Unlock()
+	c = dial(t, f)
+	if got := ask(t, c, hand("stays", "notice", "7", "480", "", "")); got != 202 {
+		t.Fatal(got)
+	}
+	<-d.came
+	_ = c.Close()
+	for f.Connections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(d.abandoned) != 1 {
+		t.Errorf("abandoned %v after its answer", d.abandoned)
+	}
+}
+
+// Hundreds of silent connections leave room for who asks: the longest silent go first,
+// one with a request open never.
+func TestGreedyClients(t *testing.T) {
+	f, d := start(t, 20)
+	d.hold = true
+	open := dial(t, f)
+	if _, err := io.WriteString(open, hand("open", "notice", "7", "480", "", "")); err != nil {
+		t.Fatal(err)
+	}
+	<-d.came
+	d.mu.Lock()
+	d.hold = false
+	d.mu.Unlock()
+	for i := range 200 {
+		dial(t, f)
+		if i%20 == 19 {
+			if got := ask(t, dial(t, f), hand(fmt.Sprint("u", i), "notice", "7", "480", "", "")); got != 202 {
+				t.Fatalf("a usual client among silent ones got %d", got)
+			}
+			<-d.came
+		}
+	}
+	if n := f.Connections(); n > 20 {
+		t.Errorf("%d connections", n)
+	}
+	d.taken[0].Reply.Taken(nil)
+	d.taken[0].Reply.(core.Decider).Decided()
+	if r, err := http.ReadResponse(bufio.NewReader(open), nil); err != nil || r.StatusCode != 202 {
+		t.Errorf("the open request: %v %v", r, err)
+	}
+}
+
+// While it drains each answer ends its connection; after that nothing is taken.
+func TestDrain(t *testing.T) {
+	f, _ := start(t, 10)
+	c := dial(t, f)
+	if got := ask(t, c, hand("m1", "notice", "7", "480", "", "")); got != 202 {
+		t.Fatal(got)
+	}
+	f.Drain()
+	_, _ = io.WriteString(c, hand("m2", "notice", "7", "480", "", ""))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || r.StatusCode != 202 || !r.Close {
+		t.Errorf("%v %v, want 202 and the close", r, err)
+	}
+	if got := ask(t, dial(t, f), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"); got != 503 {
+		t.Errorf("/up says %d while draining", got)
+	}
+	f.Leave()
+	if c, err := net.Dial("tcp", f.Addr()); err == nil {
+		_ = c.Close()
+		t.Error("the listener is open after Leave")
+	}
+}
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -542,6 +542,13 @@
 	return nil
 }
 
+// Sizes are those of the log's tables.
+func (l *Log) Sizes() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return map[string]int{"live records": len(l.live), "segments": len(l.files), "waiting records": len(l.waiting)}
+}
+
 // Stats tells what was written in this run, and what the files hold.
 func (l *Log) Stats() Stats {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/journal/log_test.go
@@ -0,0 +1,252 @@
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// refused and failed answers are owed to somebody.
+func owes(v uint8) bool { return v > 1 }
+
+func openLog(t testing.TB, dir string, most int64) (*Log, *Kept) {
+	t.Helper()
+	l, k, damaged, err := OpenLog(dir, most, owes, func(err error) { t.Log(err) })
+	if err != nil || damaged != nil {
+		t.Fatal(err, damaged)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l, k
+}
+
+// used counts files as the platform does.
+func used(t testing.TB, dir string) (n int64) {
+	t.Helper()
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if info, err := f.Info(); err == nil {
+			n += (info.Size() + block - 1) / block * block
+		}
+	}
+	return n
+}
+
+// held is what a log should still have.
+type held struct {
+	messages map[uint64]Message
+	attempts map[uint64]map[int]bool // cleared
+	owed     map[string]bool
+}
+
+func (h *held) check(t *testing.T, k *Kept, when string) {
+	t.Helper()
+	got := map[uint64]Message{}
+	for _, m := range k.Messages {
+		got[m.Seq] = m
+	}
+	if !reflect.DeepEqual(got, h.messages) {
+		t.Fatalf("%s: %d messages, want %d", when, len(got), len(h.messages))
+	}
+	for seq, want := range h.attempts {
+		have := map[int]bool{}
+		for _, a := range k.Attempts[seq] {
+			have[a.N] = a.Clear
+		}
+		if !reflect.DeepEqual(have, want) {
+			t.Fatalf("%s: message %d: attempts %v, want %v", when, seq, have, want)
+		}
+	}
+	owed := map[string]bool{}
+	for _, e := range k.Ends {
+		if !e.Handed {
+			owed[e.Identity] = true
+		}
+	}
+	if !reflect.DeepEqual(owed, h.owed) {
+		t.Fatalf("%s: owed %v, want %v", when, owed, h.owed)
+	}
+}
+
+// Any life of messages with bodies of all sizes, at a rate that rewrites the folder
+// over and over, opened anew without a close as after SIGKILL: what is live is there,
+// what is over is not, and the folder is within its bound after each record.
+func TestLogKeepsWhatIsLiveWithinItsBound(t *testing.T) {
+	for seed := range uint64(6) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		dir, most := t.TempDir(), int64(1<<20+int(seed)<<18)
+		l, _ := openLog(t, dir, most)
+		want := held{map[uint64]Message{}, map[uint64]map[int]bool{}, map[string]bool{}}
+		next, turned, top := uint64(0), 0, int64(0)
+		ended := []string{}
+		for step := range 6000 {
+			var some []uint64
+			for seq := range want.messages {
+				some = append(some, seq)
+			}
+			slices.Sort(some)
+			size := r.IntN(400)
+			if r.IntN(10) == 0 {
+				size = r.IntN(64 << 10)
+			}
+			switch n := r.IntN(10); {
+			case n < 4:
+				if !l.Room(size) {
+					turned++
+					continue
+				}
+				next++
+				m := Message{Seq: next, Identity: fmt.Sprint("id", next), Class: "c", Key: "k", Body: make([]byte, size), Left: 5, At: l.Stamp()}
+				l.Taken(m)
+				want.messages[next] = m
+			case n < 6 && len(some) > 0:
+				seq := some[r.IntN(len(some))]
+				if want.attempts[seq] == nil {
+					want.attempts[seq] = map[int]bool{}
+				}
+				a := Attempt{Seq: seq, N: len(want.attempts[seq]), Host: "h", At: l.Stamp()}
+				l.Tried(a)
+				want.attempts[seq][a.N] = false
+				if r.IntN(2) == 0 {
+					a.Clear = true
+					l.Tried(a)
+					want.attempts[seq][a.N] = true
+				}
+			case n < 9 && len(some) > 0:
+				seq := some[r.IntN(len(some))]
+				id, verdict := fmt.Sprint("id", seq), uint8(1+r.IntN(3))
+				l.Ended(End{Seq: seq, Identity: id, Verdict: verdict, At: l.Stamp()})
+				delete(want.messages, seq)
+				delete(want.attempts, seq)
+				if owes(verdict) {
+					want.owed[id] = true
+				}
+				ended = append(ended, id)
+			case len(ended) > 0:
+				id := ended[0]
+				ended = ended[1:]
+				l.Handed(id)
+				delete(want.owed, id)
+				if r.IntN(2) == 0 {
+					l.Forget(id)
+				}
+			}
+			if n := used(t, dir); n > most {
+				t.Fatalf("seed %d, step %d: %d bytes of %d", seed, step, n, most)
+			} else {
+				top = max(top, n)
+			}
+			if step%1500 == 1499 {
+				var k *Kept
+				l, k = openLog(t, dir, most) // the old one is as dead
+				want.check(t, k, fmt.Sprintf("seed %d, step %d", seed, step))
+				ends := 0
+				for key := range l.live {
+					if key[0] == kindEnd {
+						ends++
+					}
+				}
+				if ends != len(want.owed) {
+					t.Fatalf("%d ends would be carried forward, %d are owed", ends, len(want.owed))
+				}
+				if k.Last != next {
+					t.Fatalf("last number %d, want %d", k.Last, next)
+				}
+			}
+		}
+		if top < most/2 || turned == 0 {
+			t.Errorf("seed %d: %d bytes of %d at most and %d turned away: the bound was never met", seed, top, most, turned)
+		}
+		if n := len(l.live) + len(l.seqs) + len(l.ends); n > 3*(len(want.messages)+len(want.owed))+2*len(ended)+100 {
+			t.Errorf("%d entries in memory", n)
+		}
+	}
+}
+
+// A record that a crash tore off is cut off, at each of its bytes; a flipped bit before
+// the last segment is told of, and all that stands before it is read.
+func TestLogTornAndDamaged(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openLog(t, dir, 1<<20)
+	l.Taken(Message{Seq: 1, Identity: "a", Body: []byte("one")})
+	name := l.files[0].f.Name()
+	before := l.files[0].size
+	l.Taken(Message{Seq: 2, Identity: "b", Body: []byte("two")})
+	whole, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := before; cut < int64(len(whole)); cut++ {
+		torn := t.TempDir()
+		if err := os.WriteFile(filepath.Join(torn, filepath.Base(name)), whole[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again, k := openLog(t, torn, 1<<20)
+		if len(k.Messages) != 1 || k.Messages[0].Seq != 1 {
+			t.Fatalf("cut at %d: %d messages", cut, len(k.Messages))
+		}
+		again.Taken(Message{Seq: 3, Identity: "c"})
+		if _, k = openLog(t, torn, 1<<20); len(k.Messages) != 2 {
+			t.Fatalf("cut at %d: what came after the torn record is lost", cut)
+		}
+	}
+	l.mu.Lock()
+	if err := l.roll(); err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Unlock()
+	l.Taken(Message{Seq: 4, Identity: "d"})
+	whole[before+20] ^= 4
+	if err := os.WriteFile(name, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, k, damaged, err := OpenLog(dir, 1<<20, owes, func(error) {})
+	if err != nil || damaged == nil || len(k.Messages) != 2 {
+		t.Errorf("err %v, damaged %v, %d messages; want it told, and what is left", err, damaged, len(k.Messages))
+	}
+}
+
+// No room on the device: nothing more is taken, nothing that was handed in is lost,
+// and all is on disk once there is room again.
+func TestLogWithoutRoomOnTheDevice(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openLog(t, dir, 1<<20)
+	l.Taken(Message{Seq: 1, Identity: "a"})
+	full := l.files[len(l.files)-1].f
+	broken, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	if err != nil {
+		t.Skip(err)
+	}
+	l.mu.Lock()
+	l.files[len(l.files)-1].f = broken
+	l.mu.Unlock()
+	l.Taken(Message{Seq: 2, Identity: "b"})
+	l.Tried(Attempt{Seq: 2, Host: "h"})
+	l.Ended(End{Seq: 1, Identity: "a", Verdict: 2})
+	done := make(chan struct{})
+	if l.Then(func() { close(done) }) || l.Room(0) {
+		t.Fatal("said to be on disk, or with room, while nothing can be written")
+	}
+	l.mu.Lock()
+	l.files[len(l.files)-1].f = full
+	l.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("never written")
+	}
+	if !l.Room(0) {
+		t.Error("no room after all was written")
+	}
+	_, k := openLog(t, dir, 1<<20)
+	if len(k.Messages) != 1 || k.Messages[0].Seq != 2 || len(k.Attempts[2]) != 1 || len(k.Ends) != 1 {
+		t.Errorf("%d messages, %d attempts, %d ends", len(k.Messages), len(k.Attempts[2]), len(k.Ends))
+	}
+}
--- /dev/null
+++ b/internal/partner/hook_test.go
@@ -0,0 +1,212 @@
+package partner
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/http1"
+)
+
+// hookCaller calls one host, named h, in the platform's form.
+func hookCaller(t *testing.T, at string) *Caller {
+	t.Helper()
+	c, err := New(Options{Name: "r", Hook: &Hook{Host: "n0", Columns: []string{"x0", "x1"}}, Limits: http1.Limits{Header: 1024, Body: 4096},
+		Keep: addr.KeepSettings{Most: 4, Idle: time.Minute, Connecting: 8}, Pollers: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	a, err := addr.Parse(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Addresses(map[string][]addr.Address{"h": {a}})
+	return c
+}
+
+func hook(t *testing.T, c *Caller, patient time.Duration, several ...core.Item) core.Ending {
+	t.Helper()
+	ended := make(chan core.Ending, 2)
+	call := core.Call{ID: "m", Name: "name-1", Host: "h", Body: []byte("body"), Patient: patient, Several: several,
+		End: func(e core.Ending) { ended <- e }}
+	a := c.Send(call)
+	go func() { // as the core's time-out does
+		time.Sleep(patient)
+		if _, ok := a.Abort(); ok {
+			ended <- core.Ending{Outcome: choice.Timeout}
+		}
+	}()
+	select {
+	case e := <-ended:
+		return e
+	case <-time.After(20 * time.Second):
+		t.Fatal("no ending")
+		return core.Ending{}
+	}
+}
+
+// answering answers every call with a text, and leaves the connection open.
+func answering(t *testing.T, text string) string {
+	return peer(t, func(conn net.Conn, r *bufio.Reader) {
+		for request(r) == nil {
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// The table, on sockets that stay open: what is spoilt costs one attempt and the
+// connection, a first line of 200 to one message is true, and nothing waits for the
+// rest of an answer that has told all.
+func TestHookOutcomes(t *testing.T) {
+	const long = 30 * time.Second // nothing here may wait for it
+	for _, c := range []struct {
+		name, answer string
+		want         core.Ending
+	}{
+		{"delivered", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.Served}},
+		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.Error}},
+		{"turned away", "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 250\r\nContent-Length: 0\r\n\r\n",
+			core.Ending{Outcome: choice.Refused, Wait: 250 * time.Millisecond}},
+		{"turned away, wait unreadable", "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+			core.Ending{Outcome: choice.Refused}},
+		{"full", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.Refused}},
+		{"slots", "HTTP/1.1 503 U\r\nX-Over-Slots: 1\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.NotSent}},
+		{"spent", "HTTP/1.1 504 G\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.NotSent, Spent: true}},
+		{"over", "HTTP/1.1 410 G\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.NotSent, Over: true}},
+		{"report", "HTTP/1.1 200 OK\r\nX-Pressure: {\"x0\":0.5,\"x1\":25}\r\nContent-Length: 0\r\n\r\n",
+			core.Ending{Outcome: choice.Served, Report: []float64{0.5, 25}}},
+		{"report unreadable", "HTTP/1.1 200 OK\r\nX-Pressure: {\"x0\":\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.Served}},
+		{"interim in front", "HTTP/1.1 102 P\r\n\r\nHTTP/1.1 103 E\r\nLink: x\r\n\r\nHTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n",
+			core.Ending{Outcome: choice.Refused}},
+		{"noise", "\x00\x01\x02\x03\x04\x05\x06 noise\r\n\r\n", core.Ending{Outcome: choice.Error}},
+		{"spoilt head after 200", "HTTP/1.1 200 OK\r\nno field\r\n\r\n", core.Ending{Outcome: choice.Served}},
+		{"spoilt head after 500", "HTTP/1.1 500 E\r\nno field\r\n\r\n", core.Ending{Outcome: choice.Error}},
+		{"spoilt head after 429", "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 10\r\nno field\r\n\r\n", core.Ending{Outcome: choice.Error}},
+		{"head that ends nowhere after 200", "HTTP/1.1 200 OK\r\nX: y\r\n", core.Ending{Outcome: choice.Served}},
+		{"endless head after 200", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 1000), core.Ending{Outcome: choice.Served}},
+		{"endless head after 500", "HTTP/1.1 500 E\r\n" + strings.Repeat("X: y\r\n", 1000), core.Ending{Outcome: choice.Error}},
+		{"3 GB after 200", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxxxxxx", core.Ending{Outcome: choice.Served}},
+		{"3 GB after 500", "HTTP/1.1 500 E\r\nContent-Length: 3000000000\r\n\r\nxxxxxxxx", core.Ending{Outcome: choice.Error}},
+		{"length too long after 200", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nx", core.Ending{Outcome: choice.Served}},
+		{"two lengths after 200", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", core.Ending{Outcome: choice.Served}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := hook(t, hookCaller(t, answering(t, c.answer)), long)
+			e.Took = 0
+			if fmt.Sprint(e) != fmt.Sprint(c.want) {
+				t.Errorf("%+v, want %+v", e, c.want)
+			}
+		})
+	}
+}
+
+// An answer whose length is told too long, and which is no 200, ends with the
+// attempt's time; one that begins late with a 200 is served even then.
+func TestHookUnfinishedAnswers(t *testing.T) {
+	if e := hook(t, hookCaller(t, answering(t, "HTTP/1.1 500 E\r\nContent-Length: 9\r\n\r\nx")), 100*time.Millisecond); e.Outcome != choice.Timeout {
+		t.Errorf("%+v, want a time-out", e)
+	}
+}
+
+// Bytes behind an answer end the connection's reuse and spoil no later call, come
+// they with it or after it.
+func TestHookBytesNobodyAskedFor(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		var calls atomic.Int32
+		c := hookCaller(t, peer(t, func(conn net.Conn, r *bufio.Reader) {
+			for request(r) == nil {
+				n := calls.Add(1)
+				answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+				if n > 1 {
+					_, _ = io.WriteString(conn, "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")
+					continue
+				}
+				second := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+				if !later {
+					answer += second
+				}
+				_, _ = io.WriteString(conn, answer)
+				if later {
+					_, _ = io.WriteString(conn, second)
+				}
+			}
+		}))
+		if e := hook(t, c, time.Minute); e.Outcome != choice.Served {
+			t.Fatalf("%+v", e)
+		}
+		for end := time.Now().Add(10 * time.Second); c.Connections("h") > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the connection is kept")
+			}
+		}
+		if e := hook(t, c, time.Minute); e.Outcome != choice.Error {
+			t.Errorf("later %v: the second call got the answer of the first: %+v", later, e)
+		}
+	}
+}
+
+// Several messages a call: the request names each, each has its own end, and what the
+// answer does not name may have run.
+func TestHookSeveral(t *testing.T) {
+	var got []item
+	var path string
+	c := hookCaller(t, peer(t, func(conn net.Conn, r *bufio.Reader) {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		path = q.URL.Path
+		if json.NewDecoder(q.Body).Decode(&got) != nil || q.Header.Get(fieldLeft) == "" {
+			return
+		}
+		body := `[{"id":"a","state":"delivered"},{"id":"b","state":"failed"},{"id":"c","state":"refused"},{"id":"d","state":"over"},` +
+			`{"id":"e","state":"spent"},{"id":"f","state":"odd"}]`
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-RateLimit-Wait-Ms: 40\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		_, _ = io.Copy(io.Discard, r)
+	}))
+	var items []core.Item
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		items = append(items, core.Item{ID: id, Key: "k" + id, Body: []byte("body " + id)})
+	}
+	e := hook(t, c, time.Minute, items...)
+	if path != "/hook/batch" || len(got) != 7 || got[2].Key != "kc" || string(got[2].Body) != "body c" {
+		t.Errorf("%s %+v", path, got)
+	}
+	want := []core.Ending{{Outcome: choice.Served}, {Outcome: choice.Error}, {Outcome: choice.Refused}, {Outcome: choice.NotSent, Over: true},
+		{Outcome: choice.NotSent, Spent: true}, {Outcome: choice.Error}, {Outcome: choice.Error}}
+	for i := range want {
+		want[i].Wait = 40 * time.Millisecond
+	}
+	if fmt.Sprint(e.Each) != fmt.Sprint(want) {
+		t.Errorf("%+v, want %+v", e.Each, want)
+	}
+	for answer, want := range map[string]choice.Outcome{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n[{]":                       choice.Error,
+		"HTTP/1.1 200 OK\r\nno field\r\n\r\n":                                   choice.Error, // only one message may go by its first line
+		"HTTP/1.1 413 T\r\nContent-Length: 0\r\n\r\n":                           choice.NotSent,
+		"HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 9\r\nContent-Length: 0\r\n\r\n": choice.Refused,
+	} {
+		e := hook(t, hookCaller(t, answering(t, answer)), time.Minute, items[:2]...)
+		for _, x := range append([]core.Ending{}, e.Each...) {
+			if x.Outcome != want {
+				t.Errorf("%q: %+v", answer, e)
+			}
+		}
+		if len(e.Each) == 0 && e.Outcome != want {
+			t.Errorf("%q: %+v", answer, e)
+		}
+	}
+}
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -306,6 +306,19 @@
 	return 0
 }
 
+// Sizes are those of the caller's tables, and its open connections.
+func (c *Caller) Sizes() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := 0
+	for _, p := range c.pools {
+		p.mu.Lock()
+		open += p.open
+		p.mu.Unlock()
+	}
+	return map[string]int{"pools": len(c.pools), "books": len(c.books), "barred": len(c.barred), "connections": open}
+}
+
 // List takes in news of the endpoint list: nothing is opened in advance to an
 // endpoint that takes no new work, and nothing kept.
 func (c *Caller) List(l choice.Listing) {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -267,13 +267,36 @@
 	}
 }
 
-// Reload takes a new configuration: the address of discovery counts from now on. All
-// else counts from the next start.
-func (n *Node) Reload(cfg *Config) {
+// ReadAgain loads the configuration anew: the address of discovery counts from now
+// on, all else from the next start. A broken file changes nothing.
+func (n *Node) ReadAgain(getenv func(string) string) {
+	cfg, err := Load(getenv)
+	if err != nil {
+		n.log.Error().Err(err).Msg("the configuration in force stays")
+		return
+	}
 	n.client.Move(cfg.Discovery)
 	n.log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
 }
 
+// Sizes are those of every table that hosts, ids, keys or connections are in.
+func (n *Node) Sizes() map[string]int {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	all, _ := n.core.Sizes(ctx)
+	if all == nil {
+		all = map[string]int{}
+	}
+	for name, size := range n.caller.Sizes() {
+		all[name] = size
+	}
+	for name, size := range n.keep.Sizes() {
+		all[name] = size
+	}
+	all["clients"], all["notices"] = n.front.Connections(), n.said.Len()
+	return all
+}
+
 // Addr is where clients connect.
 func (n *Node) Addr() string { return n.front.Addr() }
 
@@ -292,7 +315,9 @@
 		case <-idle:
 		case <-time.After(endAfter - time.Since(began)):
 		}
+		n.log.Info().Dur("after", time.Since(began)).Msg("nothing more is sent")
 		n.close()
+		n.log.Info().Dur("after", time.Since(began)).Msg("closed")
 	})
 }
 
--- /dev/null
+++ b/internal/platform/node_test.go
@@ -0,0 +1,405 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/internal/agent"
+)
+
+// TestNodeProcess is a node where a test started it as one.
+func TestNodeProcess(t *testing.T) {
+	if os.Getenv(playNode) == "" {
+		t.Skip("no test of its own")
+	}
+	again, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	signal.Notify(stop, syscall.SIGTERM)
+	log := zerolog.New(os.Stderr)
+	cfg, err := Load(os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	Tune(BoundsOf(cfg), log)
+	n, err := Start(cfg, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		select {
+		case <-again:
+			n.ReadAgain(os.Getenv)
+		case <-stop:
+			n.Drain()
+			return
+		}
+	}
+}
+
+// load hands in messages from several clients until ctx ends, and counts them.
+func (s *site) load(ctx context.Context, addr string, tag string, clients int) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() {
+			c := s.client()
+			for n := 0; ctx.Err() == nil; n++ {
+				id := fmt.Sprintf("%s-%d-%d", tag, i, n)
+				if n%2 == 0 {
+					c.hand(addr, id, "notice", n%len(s.hosts), "", make([]byte, n%700))
+				} else {
+					c.hand(addr, id, "charge", i%len(s.hosts), fmt.Sprint("key", i), nil)
+				}
+			}
+		})
+	}
+	return &all
+}
+
+// moody is a host that fails, refuses and takes its time, by chance.
+func moody(seed uint64) func(string) (int, bool) {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 1))
+	return func(string) (int, bool) {
+		mu.Lock()
+		x, pause := r.Float64(), time.Duration(r.IntN(20))*time.Millisecond
+		mu.Unlock()
+		time.Sleep(pause)
+		switch {
+		case x < 0.05:
+			return 500, x < 0.025
+		case x < 0.1:
+			return 503, false
+		}
+		return 200, true
+	}
+}
+
+// check holds what crossed the sockets against what was promised.
+func (s *site) check() {
+	s.t.Helper()
+	s.settled()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := map[string]int{}
+	for id, n := range s.runs {
+		if strings.Contains(id, "charge") && n > 1 {
+			s.t.Errorf("%s took effect %d times", id, n)
+		}
+	}
+	for id, list := range s.notices {
+		if s.served[id] > 0 && strings.HasPrefix(id, "sure") {
+			s.t.Errorf("%s was served, and has a notice: %v", id, list)
+		}
+	}
+	for _, id := range s.order { // of each key: in the order of hand-in
+		var tag string
+		var client, n int
+		if _, err := fmt.Sscanf(strings.ReplaceAll(id, "-", " "), "%s %d %d", &tag, &client, &n); err != nil || n%2 == 0 {
+			continue
+		}
+		key := fmt.Sprint(tag, client)
+		if n < last[key] {
+			s.t.Errorf("%s ran after number %d of its key", id, last[key])
+		}
+		if n == last[key] {
+			s.t.Errorf("%s ran twice", id)
+		}
+		last[key] = n
+	}
+}
+
+// SIGKILL and SIGTERM under load, each with a restart on the same folder: every
+// message that was taken ends, what must not take effect twice does not, keys keep
+// their order, and a planned restart fails nothing.
+func TestRestartsUnderLoad(t *testing.T) {
+	s := newSite(t, "small", "small", "large")
+	for i := range s.hosts {
+		s.say(i, moody(uint64(i)))
+	}
+	addr := freeAddr(t)
+	p := s.start(addr)
+	for round, sig := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGKILL} {
+		ctx, cancel := context.WithCancel(context.Background())
+		all := s.load(ctx, addr, fmt.Sprint("r", round), 8)
+		time.Sleep(600 * time.Millisecond)
+		if err := p.end(t, sig); sig == syscall.SIGTERM && err != nil {
+			t.Errorf("SIGTERM: %v\n%s", err, p.log)
+		}
+		cancel()
+		all.Wait()
+		p = s.start(addr)
+	}
+	s.check()
+	if len(s.taken) < 100 {
+		t.Errorf("%d messages taken", len(s.taken))
+	}
+}
+
+// A message that was held through a planned restart is delivered after it, not failed.
+func TestHeldThroughARestart(t *testing.T) {
+	s := newSite(t, "small")
+	s.say(0, func(string) (int, bool) { return 503, false })
+	addr := freeAddr(t)
+	p := s.start(addr)
+	c := s.client()
+	for i := range 20 {
+		if !c.hand(addr, fmt.Sprint("sure", i), []string{"notice", "charge"}[i%2], 0, fmt.Sprint("k", i), nil) {
+			t.Fatal("not taken")
+		}
+	}
+	if err := p.end(t, syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	s.say(0, func(string) (int, bool) { return 200, true })
+	s.start(addr)
+	s.settled()
+	for i := range 20 {
+		if id := fmt.Sprint("sure", i); s.runs[id] != 1 {
+			t.Errorf("%s ran %d times, notices %v", id, s.runs[id], s.notices[id])
+		}
+	}
+}
+
+// Notices that were not answered before a crash are sent after it.
+func TestNoticesSurvive(t *testing.T) {
+	s := newSite(t, "small")
+	s.say(0, func(string) (int, bool) { return 500, true })
+	s.mute = true
+	addr := freeAddr(t)
+	p := s.start(addr)
+	for i := range 5 {
+		if !s.client().hand(addr, fmt.Sprint("m", i), "charge", 0, "", nil) {
+			t.Fatal("not taken")
+		}
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		n := len(s.runs)
+		s.mu.Unlock()
+		if n > 0 || time.Now().After(end) {
+			break
+		}
+	}
+	_ = p.end(t, syscall.SIGKILL)
+	s.mu.Lock()
+	s.mute = false
+	s.mu.Unlock()
+	s.start(addr)
+	s.settled()
+}
+
+// started is a node within the test's process.
+func (s *site) started(limits string) *Node {
+	s.t.Helper()
+	s.config("127.0.0.1:0", limits)
+	cfg, err := Load(s.env)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	n, err := Start(cfg, zerolog.Nop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { n.once.Do(n.close) })
+	s.ready(n.Addr())
+	return n
+}
+
+// SIGHUP's work under load: the list and the notices come from the new address, the
+// old one may go, and a broken file changes nothing.
+func TestReload(t *testing.T) {
+	s := newSite(t, "small", "small")
+	n := s.started("")
+	ctx, cancel := context.WithCancel(context.Background())
+	all := s.load(ctx, n.Addr(), "h", 4)
+	s.newAgent()
+	s.config(n.Addr(), "")
+	n.ReadAgain(s.env)
+	_ = s.agent[0].Close()
+	s.say(0, func(string) (int, bool) { return 500, true }) // notices are needed
+	time.Sleep(200 * time.Millisecond)
+	if err := os.WriteFile(s.env("ROUTER_CONFIG"), []byte(`{"name":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.ReadAgain(s.env)
+	s.tell(func(l *agent.List) { l.Targets[1].State = "removed" })
+	for end := time.Now().Add(20 * time.Second); n.list.Endpoints() != 1; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the new agent's news never came")
+		}
+	}
+	cancel()
+	all.Wait()
+	s.say(0, func(string) (int, bool) { return 200, true })
+	s.settled()
+	if len(s.notices) == 0 {
+		t.Error("no notice came to the new address")
+	}
+}
+
+// A new uid at an old address is another host: what the old one told binds it no
+// longer, and its connections are not used. An address may change under one uid.
+func TestNewHostAtAnOldAddress(t *testing.T) {
+	s := newSite(t, "small")
+	n := s.started("")
+	c := s.client()
+	if !c.hand(n.Addr(), "one", "notice", 0, "", nil) {
+		t.Fatal("not taken")
+	}
+	s.settled()
+	if n.caller.Connections("s-0") != 1 {
+		t.Fatalf("%d connections", n.caller.Connections("s-0"))
+	}
+	s.tell(func(l *agent.List) {
+		l.Targets = append(l.Targets[:0:0], l.Targets...)
+		l.Targets[0].UID = "s-new"
+	})
+	for end := time.Now().Add(20 * time.Second); n.caller.Connections("s-0") != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection of the host that left is kept")
+		}
+	}
+	if !c.hand(n.Addr(), "two", "notice", 0, "", nil) {
+		t.Fatal("not taken")
+	}
+	s.settled()
+	if n.caller.Connections("s-new") != 1 {
+		t.Error("the new host was called on a connection of the old one")
+	}
+	moved, _ := s.serve(s.hosts[0].srv.Handler)
+	s.tell(func(l *agent.List) {
+		l.Targets = append(l.Targets[:0:0], l.Targets...)
+		l.Targets[0].Endpoint = moved
+	})
+	for end := time.Now().Add(20 * time.Second); n.caller.Connections("s-new") != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a connection to the old address is kept")
+		}
+	}
+	_ = s.hosts[0].srv.Close()
+	if !c.hand(n.Addr(), "three", "notice", 0, "", nil) {
+		t.Fatal("not taken")
+	}
+	s.settled()
+}
+
+// Hosts, ids, keys and connections that are always new leave nothing behind.
+func TestNothingGrows(t *testing.T) {
+	s := newSite(t, "small")
+	n := s.started("")
+	c := s.client()
+	const many = 3000
+	for i := range many {
+		if i%10 == 0 { // a new host in place of the old one, at its address
+			s.tell(func(l *agent.List) {
+				l.Targets = append(l.Targets[:0:0], l.Targets...)
+				l.Targets[0].UID = fmt.Sprint("s-", i)
+			})
+		}
+		if i%20 == 0 {
+			c = s.client()
+		}
+		c.hand(n.Addr(), fmt.Sprint("m", i), []string{"notice", "charge"}[i%2], 0, fmt.Sprint("key", i), nil)
+	}
+	s.settled()
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		sizes := n.Sizes()
+		over := ""
+		for name, size := range sizes {
+			if size > many/20 && name != "identities" {
+				over = fmt.Sprintf("%s: %d", name, size)
+			}
+		}
+		if over == "" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s after %d messages to %d hosts: %v", over, many, many/10, sizes)
+		}
+	}
+}
+
+// What the relay believes of its calls out is what passes: its most at once is the
+// hosts' own count, and within the slots that it has.
+func TestCallsOutAsBelieved(t *testing.T) {
+	s := newSite(t, "small", "small", "small")
+	for i := range s.hosts {
+		s.say(i, func(string) (int, bool) { time.Sleep(30 * time.Millisecond); return 200, true })
+	}
+	n := s.started("")
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	s.load(ctx, n.Addr(), "o", 40).Wait()
+	s.settled()
+	n.watch.mu.Lock()
+	believed := n.watch.peak
+	n.watch.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.most > believed || s.most < believed/2 || believed > 16 {
+		t.Errorf("%d calls out at once were believed, %d seen, 16 slots", believed, s.most)
+	}
+}
+
+// A bad environment or file is one clear error.
+func TestBadConfigurations(t *testing.T) {
+	s := newSite(t, "small")
+	good := func() string {
+		s.config("127.0.0.1:0", "")
+		b, _ := os.ReadFile(s.env("ROUTER_CONFIG"))
+		return string(b)
+	}()
+	for name, edit := range map[string][2]string{
+		"no listen":   {`"listen":"127.0.0.1:0"`, `"listen":"here"`},
+		"seed":        {"8c1f30d27a5be964", "seven"},
+		"cores":       {`"cores":1`, `"cores":0`},
+		"memory":      {`"memory_mb":128`, `"memory_mb":0`},
+		"sockets":     {`"sockets":256`, `"sockets":3`},
+		"disk":        {`"disk_mb":1`, `"disk_mb":-1`},
+		"effect":      {"idempotent", "odd"},
+		"no settings": {`"settings":`, `"set":`},
+		"cut off":     {"]}", ""},
+	} {
+		if err := os.WriteFile(s.env("ROUTER_CONFIG"), []byte(strings.Replace(good, edit[0], edit[1], 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(s.env); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for _, name := range []string{"ROUTER_CONFIG", "ROUTER_STATE"} {
+		if _, err := Load(func(v string) string {
+			if v == name {
+				return ""
+			}
+			return s.env(v)
+		}); err == nil {
+			t.Errorf("%s is missing and nobody minds", name)
+		}
+	}
+	var taken net.Listener
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	s.config(taken.Addr().String(), "")
+	cfg, err := Load(s.env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Start(cfg, zerolog.Nop()); err == nil {
+		t.Error("started on an address that is taken")
+	}
+}
--- /dev/null
+++ b/internal/platform/site_test.go
@@ -0,0 +1,331 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/agent"
+)
+
+// site is a platform of the test's own on loopback: agent, hosts, clients. It keeps
+// what crossed the sockets.
+type site struct {
+	t     *testing.T
+	dir   string
+	agent []*http.Server // by address; the last one is in force
+	at    []string
+	hosts []*host
+
+	mu      sync.Mutex
+	list    agent.List
+	changed chan struct{}
+	mute    bool // notices are not answered
+	notices map[string][]string
+	taken   map[string]bool // ids that were answered with 202
+	runs    map[string]int  // times that a message took effect
+	served  map[string]int  // and its host said so
+	order   []string        // of effects
+	out     int             // calls out now
+	most    int
+}
+
+// host is one host of the site.
+type host struct {
+	uid, addr string
+	srv       *http.Server
+	// say decides on a message: status, and whether it took effect.
+	say func(id string) (status int, ran bool)
+}
+
+const (
+	lanes = `[{"name":"notice","aim":2,"give-up":8,"effect":"idempotent","group":"all","late-share":0.5,"window":5,"worth":1},
+		{"name":"charge","aim":2,"give-up":8,"effect":"at_most_once","group":"all","keep-order":true,"late-share":0.5,"window":5,"worth":2}]`
+	object = `{"bounds":{"cancel":true,"conn-idle":15,"dial-timeout":1.5,"max-attempts":6,"most-held":400},"classes":` + lanes + `,
+		"family-info":{"late":"halving","own-limits":[false,false],"per-call":[1,4],"workers":16,"zone-fee":[0]},"fleet-size":1,"index":0,
+		"load-report":{"columns":[],"how":"off"},"registry-mode":"automatic","rules":{"cold":2,"cold-from":0.5,"drain-grace":0.5,"fall":1,
+		"grace-to-answer":0.05,"order-settle":0.1,"overload-factor":3},"skus":["small","large"],"tick":0.005,"weights":"off","zones":["z"]}`
+)
+
+func newSite(t *testing.T, kinds ...string) *site {
+	t.Helper()
+	s := &site{t: t, dir: t.TempDir(), changed: make(chan struct{}), notices: map[string][]string{}, taken: map[string]bool{},
+		runs: map[string]int{}, served: map[string]int{}}
+	for i, kind := range kinds {
+		h := &host{uid: fmt.Sprint("s-", i), say: func(string) (int, bool) { return 200, true }}
+		h.addr, h.srv = s.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.call(h, w, r) }))
+		s.hosts = append(s.hosts, h)
+		s.list.Targets = append(s.list.Targets, agent.Target{UID: h.uid, Endpoint: h.addr, Zone: "z", Kind: kind, Dest: i, State: "up", Rate: 1})
+	}
+	s.list.Rev, s.list.All = 1, true
+	s.newAgent()
+	return s
+}
+
+func (s *site) serve(h http.Handler) (string, *http.Server) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	go func() { _ = srv.Serve(l) }()
+	s.t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String(), srv
+}
+
+// newAgent opens one more address of the agent.
+func (s *site) newAgent() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/discovery/hosts", s.watch)
+	mux.HandleFunc("/v1/notices", s.notice)
+	at, srv := s.serve(mux)
+	s.at, s.agent = append(s.at, at), append(s.agent, srv)
+}
+
+func (s *site) watch(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		s.mu.Lock()
+		line, _ := json.Marshal(s.list)
+		changed := s.changed
+		s.mu.Unlock()
+		_, _ = w.Write(append(line, '\n'))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// tell changes the list.
+func (s *site) tell(f func(l *agent.List)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.list)
+	s.list.Rev++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *site) notice(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mute {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	for line := range bytes.Lines(body) {
+		var n struct{ Ref, Result string }
+		if json.Unmarshal(line, &n) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.notices[n.Ref] = append(s.notices[n.Ref], n.Result)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *site) call(h *host, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.out++
+	s.most = max(s.most, s.out)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.out--
+		s.mu.Unlock()
+	}()
+	if r.URL.Path == "/hook" {
+		w.WriteHeader(s.run(h, r.Header.Get("X-Txn")))
+		return
+	}
+	var items []struct{ ID string }
+	if json.Unmarshal(body, &items) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	type end struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	}
+	var ends []end
+	for _, m := range items {
+		state := map[int]string{200: "delivered", 500: "failed", 429: "refused", 503: "refused", 504: "spent", 410: "over"}[s.run(h, m.ID)]
+		ends = append(ends, end{m.ID, state})
+	}
+	_ = json.NewEncoder(w).Encode(ends)
+}
+
+func (s *site) run(h *host, id string) int {
+	s.mu.Lock()
+	say := h.say
+	s.mu.Unlock()
+	status, ran := say(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ran {
+		s.runs[id]++
+		s.order = append(s.order, id)
+	}
+	if status == 200 {
+		s.served[id]++
+	}
+	return status
+}
+
+// say sets what a host does with messages.
+func (s *site) say(i int, f func(id string) (int, bool)) {
+	s.mu.Lock()
+	s.hosts[i].say = f
+	s.mu.Unlock()
+}
+
+// config writes the configuration file, with limits if they are to differ.
+func (s *site) config(listen string, limits string) {
+	s.t.Helper()
+	if limits == "" {
+		limits = `{"cores":1,"memory_mb":128,"sockets":256,"disk_mb":1}`
+	}
+	s.mu.Lock()
+	known, _ := json.Marshal(s.list)
+	s.mu.Unlock()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":%s,"known":%s,"settings":%s}`,
+		listen, s.at[len(s.at)-1], limits, known, object)
+	tmp := filepath.Join(s.dir, "new.json")
+	if err := os.WriteFile(tmp, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.Rename(tmp, filepath.Join(s.dir, "config.json")); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) env(name string) string {
+	return map[string]string{"ROUTER_CONFIG": filepath.Join(s.dir, "config.json"), "ROUTER_STATE": filepath.Join(s.dir, "state")}[name]
+}
+
+// process is a node in a process of its own: this test's binary, started anew.
+type process struct {
+	cmd  *exec.Cmd
+	addr string
+	log  *bytes.Buffer
+}
+
+// freeAddr is an address that is free now, the same for each start of one node.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const playNode = "BASALTCROSS_TEST_NODE"
+
+func (s *site) start(addr string) *process {
+	s.t.Helper()
+	s.config(addr, "")
+	p := &process{cmd: exec.Command(os.Args[0], "-test.run=TestNodeProcess"), addr: addr, log: &bytes.Buffer{}}
+	p.cmd.Env = append(os.Environ(), playNode+"=1", "ROUTER_CONFIG="+s.env("ROUTER_CONFIG"), "ROUTER_STATE="+s.env("ROUTER_STATE"))
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = p.cmd.Process.Kill(); _ = p.cmd.Wait() })
+	s.ready(addr)
+	return p
+}
+
+// ready waits until /up says 200.
+func (s *site) ready(addr string) {
+	s.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r, err := http.Get("http://" + addr + "/up"); err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == 200 {
+				return
+			}
+		}
+	}
+	s.t.Fatal("never ready")
+}
+
+func (p *process) end(t *testing.T, sig syscall.Signal) error {
+	t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		t.Fatal(err)
+	}
+	return p.cmd.Wait()
+}
+
+// client hands in messages one after the other on a connection of its own.
+type client struct {
+	s    *site
+	http http.Client
+}
+
+func (s *site) client() *client {
+	return &client{s: s, http: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+}
+
+// hand hands one message in; false if it was not taken.
+func (c *client) hand(addr, id, lane string, dest int, key string, body []byte) bool {
+	r, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/api", bytes.NewReader(body))
+	r.Header.Set("X-Txn", id)
+	r.Header.Set("X-Lane", lane)
+	r.Header.Set("X-Remaining-Ms", "8000")
+	r.Header.Set("X-Addressing", "dest="+strconv.Itoa(dest))
+	if key != "" {
+		r.AddCookie(&http.Cookie{Name: "about", Value: key})
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, a.Body)
+	_ = a.Body.Close()
+	if a.StatusCode != 202 {
+		return false
+	}
+	c.s.mu.Lock()
+	c.s.taken[id] = true
+	c.s.mu.Unlock()
+	return true
+}
+
+// settled waits until each message that was taken has been served or has its notice.
+func (s *site) settled() {
+	s.t.Helper()
+	var open []string
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		open = open[:0]
+		s.mu.Lock()
+		for id := range s.taken {
+			if s.served[id] == 0 && len(s.notices[id]) == 0 {
+				open = append(open, id)
+			}
+		}
+		s.mu.Unlock()
+		if len(open) == 0 {
+			return
+		}
+	}
+	s.t.Fatalf("%d messages were taken and never ended: %.10q", len(open), open)
+}
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -24,6 +24,7 @@
 	out      int
 	mostHeld int // since the last saying
 	mostOut  int
+	peak     int // of out, in this run
 }
 
 // sayEvery is how often a line says what the relay holds and counted since the last.
@@ -50,7 +51,7 @@
 func (w *watcher) Gauge(held, out, _, _ int) {
 	w.mu.Lock()
 	w.held, w.out = held, out
-	w.mostHeld, w.mostOut = max(w.mostHeld, held), max(w.mostOut, out)
+	w.mostHeld, w.mostOut, w.peak = max(w.mostHeld, held), max(w.mostOut, out), max(w.peak, out)
 	w.mu.Unlock()
 }
 
