--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -167,12 +167,12 @@
 
 // conn is one client's connection.
 type conn struct {
-	front  *Front
-	nb     *nbio.Conn
-	name   string
-	since  atomic.Int64 // unix ns: of the state
-	state  atomic.Int32
-	served atomic.Bool // a request was answered with 2xx
+	front *Front
+	nb    *nbio.Conn
+	name  string
+	since atomic.Int64 // unix ns: of the state
+	state atomic.Int32
+	asked atomic.Bool // a request was answered
 
 	mu   sync.Mutex
 	req  http1.Request
@@ -180,8 +180,7 @@
 	shut bool
 }
 
-// open makes room for a connection: at the bound one without an open request goes,
-// first those that never had a message taken, of them the longest silent.
+// open makes room for a connection: at the bound one without an open request goes.
 func (f *Front) open(nb *nbio.Conn) front.Conn {
 	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
 	c.since.Store(time.Now().UnixNano())
@@ -189,8 +188,9 @@
 	f.mu.Lock()
 	var out *conn
 	if len(f.conns) >= f.opt.Connections {
+		now := time.Now()
 		for o := range f.conns {
-			if o.state.Load() != answering && (out == nil || o.before(out)) {
+			if o.state.Load() != answering && (out == nil || o.before(out, now)) {
 				out = o
 			}
 		}
@@ -210,14 +210,27 @@
 	return c
 }
 
-// before tells which of two connections goes first.
-func (c *conn) before(o *conn) bool {
-	if c.served.Load() != o.served.Load() {
-		return o.served.Load()
+// before tells which of two connections goes first: one that has not asked in the time
+// in which a client sends a request; else one between two requests, whose client opens
+// another; last one that is new, for its request may be on its way and would be lost.
+// Among equals the longest silent goes.
+func (c *conn) before(o *conn, now time.Time) bool {
+	if x, y := c.rank(now), o.rank(now); x != y {
+		return x < y
 	}
 	return c.since.Load() < o.since.Load()
 }
 
+func (c *conn) rank(now time.Time) int {
+	switch {
+	case c.asked.Load():
+		return 1
+	case now.UnixNano()-c.since.Load() > int64(c.front.opt.Request)/2:
+		return 0
+	}
+	return 2
+}
+
 // overdue tells whether a connection was silent too long, or its request does not end.
 func (c *conn) overdue(now time.Time) bool {
 	age := now.UnixNano() - c.since.Load()
@@ -417,6 +430,7 @@
 	}
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
 	c.req.Body = nil
+	c.asked.Store(true)
 	c.since.Store(time.Now().UnixNano())
 	c.state.Store(idle)
 }
@@ -481,7 +495,6 @@
 	default:
 		f.counts.Taken.Add(1)
 		x.respond(func(c *conn) {
-			c.served.Store(true)
 			c.write(http.StatusAccepted, "", "")
 		})
 		return
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -245,6 +245,28 @@
 	}
 }
 
+// Clients that asked once and keep their connection do not keep others out: who is
+// between two requests goes before who has just come.
+func TestCrowd(t *testing.T) {
+	f, d := start(t, 20)
+	for i := range 100 {
+		c := dial(t, f)
+		if got := ask(t, c, hand(fmt.Sprint("m", i), "notice", "7", "480", "", "")); got != 202 {
+			t.Fatalf("client %d got %d", i, got)
+		}
+		<-d.came
+		if i >= 20 { // two that come together, the second before the first has asked
+			first, second := dial(t, f), dial(t, f)
+			for _, c := range []net.Conn{second, first} {
+				if got := ask(t, c, hand(fmt.Sprintf("p%d%v", i, c == first), "notice", "7", "480", "", "")); got != 202 {
+					t.Fatalf("one that came beside another got %d", got)
+				}
+				<-d.came
+			}
+		}
+	}
+}
+
 // While it drains each answer ends its connection; after that nothing is taken.
 func TestDrain(t *testing.T) {
 	f, _ := start(t, 10)
