--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -53,6 +53,7 @@
 	Header      int           // bytes of a request's header
 	Body        int           // bytes of its content
 	Connections int           // open at once
+	Kept        int           // of them between two requests
 	Request     time.Duration // a begun request must be whole by then
 	Idle        time.Duration // a connection without a request closes after it
 	WriteBuffer int
@@ -180,25 +181,38 @@
 	shut bool
 }
 
-// open makes room for a connection: at the bound one without an open request goes.
+// open makes room for a connection: at the bound one without an open request goes, and
+// where too many are between two requests the longest silent of those. Clients have a
+// bound of their own, and hold what they asked on until the relay closes it.
 func (f *Front) open(nb *nbio.Conn) front.Conn {
 	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
 	c.since.Store(time.Now().UnixNano())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
 	f.mu.Lock()
-	var out *conn
-	if len(f.conns) >= f.opt.Connections {
-		now := time.Now()
-		for o := range f.conns {
-			if o.state.Load() != answering && (out == nil || o.before(out, now)) {
-				out = o
+	var out, rests *conn
+	resting, now := 0, time.Now()
+	for o := range f.conns {
+		state := o.state.Load()
+		if state == idle && o.asked.Load() {
+			if resting++; rests == nil || o.since.Load() < rests.since.Load() {
+				rests = o
 			}
 		}
-		if out == nil {
-			f.mu.Unlock()
-			f.counts.Closed.Add(1)
-			return nil
+		if state != answering && (out == nil || o.before(out, now)) {
+			out = o
 		}
+	}
+	switch {
+	case len(f.conns) < f.opt.Connections && resting > f.opt.Kept:
+		out = rests
+	case len(f.conns) < f.opt.Connections:
+		out = nil
+	case out == nil:
+		f.mu.Unlock()
+		f.counts.Closed.Add(1)
+		return nil
+	}
+	if out != nil {
 		delete(f.conns, out)
 	}
 	f.conns[c] = struct{}{}
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -59,12 +59,12 @@
 func (d *door) Room() bool                      { return !d.full }
 func (d *door) Add(id string, a ledger.Answer)  { d.put(&d.notices, id+" "+a.Verdict.String()) }
 
-func start(t *testing.T, most int) (*Front, *door) {
+func start(t *testing.T, most int, kept ...int) (*Front, *door) {
 	t.Helper()
 	d := &door{came: make(chan struct{}, 1000)}
 	f, err := New(Options{Listen: "127.0.0.1:0", Lanes: map[string]int{"notice": 0, "charge": 1}, Ordered: []bool{false, true},
 		Dest: func(n int) bool { return n < 10 }, Ready: func() bool { return true }, Header: 16 << 10, Body: 64 << 10,
-		Connections: most, Request: 500 * time.Millisecond, Idle: 500 * time.Millisecond, WriteBuffer: 64 << 10, Door: d, Keeper: d,
+		Connections: most, Kept: append(kept, most)[0], Request: 500 * time.Millisecond, Idle: 500 * time.Millisecond, WriteBuffer: 64 << 10, Door: d, Keeper: d,
 		Notices: d, Logf: t.Logf})
 	if err != nil {
 		t.Fatal(err)
@@ -267,6 +267,26 @@
 	}
 }
 
+// Clients that ask once and stay use up their own bound: beyond a number the longest
+// silent connection between two requests is closed for each that comes.
+func TestClientsThatStay(t *testing.T) {
+	f, d := start(t, 50, 10)
+	var all []net.Conn
+	for i := range 30 {
+		all = append(all, dial(t, f))
+		if got := ask(t, all[i], hand(fmt.Sprint("m", i), "notice", "7", "480", "", "")); got != 202 {
+			t.Fatalf("client %d got %d", i, got)
+		}
+		<-d.came
+	}
+	if n := f.Connections(); n > 11 {
+		t.Errorf("%d connections are kept, 10 between two requests", n)
+	}
+	if got := ask(t, all[29], hand("again", "notice", "7", "480", "", "")); got != 202 {
+		t.Errorf("the last one's next request got %d", got)
+	}
+}
+
 // While it drains each answer ends its connection; after that nothing is taken.
 func TestDrain(t *testing.T) {
 	f, _ := start(t, 10)
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -25,6 +25,7 @@
 	Memory      int64 // bytes at which the runtime collects harder
 	Files       int   // highest descriptor
 	Clients     int   // connections of clients
+	Kept        int   // of them between two requests
 	Hosts       int   // connections to hosts, idle ones included
 	Held        int   // messages held
 	Identities  int   // of messages held and ended
@@ -49,6 +50,7 @@
 		Memory: int64(l.MemoryMB)<<20*3/4 - int64(l.DiskMB*(1<<20)), WriteBuffer: 64 << 10}
 	b.Memory = max(b.Memory, int64(l.MemoryMB)<<20/2)
 	b.Clients = free * 5 / 9
+	b.Kept = l.Sockets / 4 // of the third that clients may use, so that some of it is always free
 	b.Hosts = free - b.Clients
 	b.Held = s.MaxHeld
 	b.Identities = max(1024, 48*l.MemoryMB)
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -152,7 +152,7 @@
 		To:      directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
 		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
 	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
-		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Request: 2 * clientWaits, Idle: silent,
+		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Kept: b.Kept, Request: 2 * clientWaits, Idle: silent,
 		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said,
 		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
 	if err != nil {
