--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -191,6 +191,7 @@
 			dests[m.Partner] = true
 		}
 	}
+	k.Now.Wall = time.Now().UnixNano() // ages count until now, not until the journal was opened
 	plan := recover.Decide(k, classes, dests, longest, 0)
 	var ended []core.Ended
 	for _, e := range plan.Ends {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"basaltcross.example/basaltcross/internal/agent"
+	"basaltcross.example/basaltcross/internal/journal"
 )
 
 // TestNodeProcess is a node where a test started it as one.
@@ -199,6 +200,29 @@
 	s.settled()
 }
 
+// The time that a start takes before messages are restored is off their time too.
+func TestAgesCountUntilTheRestore(t *testing.T) {
+	s := newSite(t, "small")
+	n := s.started("")
+	wall := time.Now().Add(-time.Minute).UnixNano()
+	k := &journal.Kept{Runs: map[uint32]journal.Run{1: {Number: 1, Wall: wall}}, Now: journal.Run{Number: 2, Wall: wall}, Last: 1,
+		Messages: []journal.Message{{Seq: 1, Identity: "m", Class: "notice", Partner: "7", At: journal.Stamp{Run: 1}, Left: int64(7 * time.Second)}}}
+	if held, _ := n.restore(k); held != 1 {
+		t.Fatal(held)
+	}
+	for end := time.Now().Add(3 * time.Second); n.said.Len() == 0; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		told := len(s.notices["m"])
+		s.mu.Unlock()
+		if told > 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("a message whose time has passed is still held")
+		}
+	}
+}
+
 // started is a node within the test's process.
 func (s *site) started(limits string) *Node {
 	s.t.Helper()
