--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,6 +32,7 @@
 	aside             = 0.02     // share of worth by which a host that failed or is not yet well comes later
 	glance            = 200      // looks without news within the shortest aim
 	scarce            = 1.0 / 32 // share of a kind's calls without a connection above which none is left open
+	doubt             = 1.0 / 8  // share lost on rested connections beyond that on others: three in a row
 	crowded           = 0.9      // part of the holding room above which the least worth is turned away
 )
 
@@ -650,8 +651,8 @@
 
 // part closes idle connections where calls get none: an endpoint may take few, idle ones counted, and those
 // of a large fleet fill its table though each is seldom used again. Elsewhere a handshake is saved.
-// Where more calls are lost on connections that had idled than on new ones, the path drops them unseen, and
-// the shortest such idling tells how long they can be trusted.
+// Where clearly more calls are lost on connections that had idled than on others, the path drops them unseen,
+// and the shortest such idling tells how long they can be trusted. A slow host loses calls on both.
 func (c *Chooser) part(k *call, o Outcome, took time.Duration) {
 	h, none := k.host, &k.host.dest.habits.unconn
 	before := *none
@@ -661,7 +662,7 @@
 	lost := &c.lost[k.reused]
 	*lost -= *lost / 16
 	if o == Reset || o == Timeout || o == Cancelled {
-		if *lost += 1.0 / 16; k.reused == 1 && *lost > 2*c.lost[0] {
+		if *lost += 1.0 / 16; k.reused == 1 && *lost > 2*c.lost[0]+doubt {
 			c.keep = min(c.keep, k.idle/2)
 		}
 	} else if k.reused == 1 && o == Served {
