A refusal that was heard gives up its place in the order of its key

Cause: core.settled looked the identity up in the ledger, and Ledger.Find drops a refused one from its advised time on, which is at once where no time is advised. So the module never heard Settled, and the key stayed blocked. Change: the core keeps the ids of answers that are owed until Settled; the log keeps an owed answer until Handed. Tests: TestSettledRefusals, TestLogKeepsWhatIsOwed fail on the old code.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -257,14 +257,15 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
-	deferred int              // what waits for the journal
-	noted    map[string]noted // by endpoint, as recorded
-	waited   map[string]noted // from an earlier run, for endpoints not yet listed
-	lastAt   time.Duration    // while shutting down: what waits for the journal is given up then
-	nows     []string         // messages that go in this step or not at all
-	fresh    []Decider        // taken in this step
-	idle     func()           // to be called once nothing is out
-	parked   bool             // a later run goes on with what is held
+	deferred int               // what waits for the journal
+	noted    map[string]noted  // by endpoint, as recorded
+	waited   map[string]noted  // from an earlier run, for endpoints not yet listed
+	lastAt   time.Duration     // while shutting down: what waits for the journal is given up then
+	nows     []string          // messages that go in this step or not at all
+	fresh    []Decider         // taken in this step
+	owing    map[string]string // ids by identity: refused or failed, and not Settled
+	idle     func()            // to be called once nothing is out
+	parked   bool              // a later run goes on with what is held
 	spare    []event
 }
 
@@ -287,7 +288,7 @@
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
 		outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
-		noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
+		owing: map[string]string{}, noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
 }
 
 // Now is the core's monotonic clock.
@@ -341,8 +342,9 @@
 }
 
 func (c *Core) settled(identity string) {
-	if e := c.led.Find(c.now, identity); e != nil {
-		c.batch = append(c.batch, choice.Settled{ID: e.ID})
+	if id, ok := c.owing[identity]; ok {
+		delete(c.owing, identity)
+		c.batch = append(c.batch, choice.Settled{ID: id})
 	}
 }
 
@@ -372,6 +374,7 @@
 	err = c.Inspect(ctx, func(int, int) {
 		all = c.ch.Sizes()
 		all["messages"], all["identities"], all["outs"], all["noted"] = len(c.msgs), c.led.Len(), len(c.outs), len(c.noted)
+		all["owing"] = len(c.owing)
 		all["endpoints"], all["timers"] = max(len(c.zones), len(c.kinds)), len(c.waits)
 	})
 	return all, err
@@ -637,6 +640,9 @@
 		c.led.End(c.now, m.entry, a)
 		delete(c.byEntry, m.entry)
 	}
+	if c.opt.Settings.Acknowledged && (a.Verdict == ledger.Refused || a.Verdict == ledger.Failed) {
+		c.owing[m.Identity] = m.id
+	}
 	if m.kept {
 		c.opt.Journal.Ended(journal.End{Seq: m.seq, Identity: m.Identity, Class: c.opt.Settings.Classes[m.Class].Name,
 			Verdict: uint8(a.Verdict), After: int64(a.After), At: c.opt.Journal.Stamp(), Front: m.Front, Way: m.Way})
@@ -783,6 +789,7 @@
 		id := ""
 		if e.Owed {
 			id = strconv.FormatUint(e.Seq, 36)
+			c.owing[e.Identity] = id
 			owed = append(owed, choice.Restored{Arrival: choice.Arrival{ID: id, Class: e.Class, Key: e.Key}, Answered: true})
 		}
 		c.led.Restore(c.now-e.Age, e.Identity, id, e.Answer, e.Forget)
--- a/internal/core/several_test.go
+++ b/internal/core/several_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -139,6 +140,40 @@
 	}
 }
 
+// A refusal that was heard gives up its place in the order of its key, whatever became
+// of its identity meanwhile.
+func TestSettledRefusals(t *testing.T) {
+	r := newRig(t)
+	set := r.opt.Settings
+	set.Acknowledged, set.Classes = true, slices.Clone(set.Classes)
+	set.Classes[1].Ordered = true
+	c, err := New(Options{Seed: 1, Arrivals: 8, Identities: 8, Keep: time.Minute, Caller: r, Observer: r, Settings: set})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.clock = func() time.Duration { return c.now }
+	r.Core = c
+	one, two := &reply{}, &reply{}
+	_ = r.hand("one", 1, one, 100*ms)
+	_ = r.hand("two", 1, two, 6*time.Second)
+	for at := ms; at < 200*ms; at += ms { // no host is listed: the first one's time passes
+		r.at(at)
+	}
+	if verdicts([]*reply{one, two}) != "refused none " {
+		t.Fatal(verdicts([]*reply{one, two}))
+	}
+	r.List(choice.Listing{Whole: true, Hosts: []choice.Host{{Addr: "a", State: choice.Ready}}})
+	r.at(300 * ms)
+	if len(r.calls) != 0 {
+		t.Fatal("sent before the one ahead was settled")
+	}
+	r.Settled("one")
+	r.at(400 * ms)
+	if len(r.calls) != 1 || len(r.owing) != 0 {
+		t.Errorf("%d calls once the one ahead was settled, %d owing", len(r.calls), len(r.owing))
+	}
+}
+
 // instant is a journal that has everything on disk at once, and keeps nothing.
 type instant struct{}
 
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -37,6 +37,7 @@
 	live    map[string]*place
 	seqs    map[uint64][]string // keys of a message and its attempts
 	ends    map[string]End      // by key
+	forget  map[string]bool // of them those to be dropped once they are handed over
 	owes    func(verdict uint8) bool
 	big     int64    // bytes of the longest record
 	lives   int64    // bytes of live records
@@ -94,7 +95,7 @@
 		return nil, nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	l := &Log{dir: dir, most: most - most/16, epoch: time.Now(), live: map[string]*place{}, seqs: map[uint64][]string{},
-		ends: map[string]End{}, owes: owes, failed: failed}
+		ends: map[string]End{}, forget: map[string]bool{}, owes: owes, failed: failed}
 	if l.seg = l.most / segments; l.seg < 8*block {
 		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, most)
 	}
@@ -362,17 +363,21 @@
 	l.ends[string(key)] = e
 	l.put(kindEnd, key, encode(e))
 	l.drop(string(key))
+	if l.forget[string(key)] {
+		delete(l.forget, string(key))
+		delete(l.ends, string(key))
+	}
 }
 
-// Forget drops an ended identity.
+// Forget drops an ended identity; one whose answer is still owed, once it is Handed.
 func (l *Log) Forget(identity string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := textKey(kindEnd, identity)
 	if e, ok := l.ends[string(key)]; ok && !e.Handed {
-		l.put(kindGone, key, nil)
+		l.forget[string(key)] = true
+		return
 	}
-	l.drop(string(key))
 	delete(l.ends, string(key))
 }
 
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -213,6 +213,22 @@
 	}
 }
 
+// An answer that is owed outlives its identity: it is dropped once it was handed over.
+func TestLogKeepsWhatIsOwed(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openLog(t, dir, 1<<20)
+	l.Taken(Message{Seq: 1, Identity: "a"})
+	l.Ended(End{Seq: 1, Identity: "a", Verdict: 2})
+	l.Forget("a")
+	if _, k := openLog(t, dir, 1<<20); len(k.Ends) != 1 || k.Ends[0].Handed {
+		t.Fatalf("%+v, want the answer that is owed", k.Ends)
+	}
+	l.Handed("a")
+	if len(l.ends)+len(l.forget)+len(l.seqs) != 0 {
+		t.Errorf("%v %v are kept of one that is over", l.ends, l.forget)
+	}
+}
+
 // No room on the device: nothing more is taken, nothing that was handed in is lost,
 // and all is on disk once there is room again.
 func TestLogWithoutRoomOnTheDevice(t *testing.T) {
--- /dev/null
+++ b/internal/journal/small_test.go
@@ -0,0 +1,71 @@
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/pebble/v2"
+)
+
+// BenchmarkSmallFolder measures the most that a folder holds at any moment while
+// messages pass through it, a sixteenth of them with bodies of up to 64 KiB and 60 of
+// them live: the bounded log with 3 MB, and pebble with the smallest tables that it
+// works with, as the daemon writes to it but without syncs.
+func BenchmarkSmallFolder(b *testing.B) {
+	life := func(b *testing.B, taken func(Message), tried func(Attempt), ended func(End), size func() int64) {
+		r := rand.New(rand.NewPCG(1, 1))
+		var live []uint64
+		top := int64(0)
+		for i := uint64(1); b.Loop(); i++ {
+			n := 200
+			if i%16 == 0 {
+				n = r.IntN(64 << 10)
+			}
+			m := Message{Seq: i, Identity: fmt.Sprint("id", i), Class: "c", Partner: "7", Body: make([]byte, n)}
+			for j := range m.Body {
+				m.Body[j] = byte(r.Uint32())
+			}
+			taken(m)
+			tried(Attempt{Seq: i, Host: "s-12345678"})
+			if live = append(live, i); len(live) > 60 {
+				ended(End{Seq: live[0], Identity: fmt.Sprint("id", live[0]), Verdict: 1})
+				live = live[1:]
+			}
+			top = max(top, size())
+		}
+		b.ReportMetric(float64(top)/(1<<20), "MB-at-most")
+	}
+	b.Run("log", func(b *testing.B) {
+		dir := b.TempDir()
+		l, _, _, err := OpenLog(dir, 3<<20, owes, func(err error) { b.Fatal(err) })
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer l.Close()
+		life(b, l.Taken, l.Tried, func(e End) { l.Ended(e); l.Forget(e.Identity) }, func() int64 { return used(b, dir) })
+	})
+	b.Run("pebble", func(b *testing.B) {
+		dir := b.TempDir()
+		db, err := pebble.Open(dir, &pebble.Options{Logger: quiet{&Journal{}}, MemTableSize: 256 << 10, FormatMajorVersion: pebble.FormatNewest,
+			L0CompactionThreshold: 1, L0StopWritesThreshold: 2, MaxOpenFiles: 64})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer db.Close()
+		set := func(key, value []byte) {
+			if err := db.Set(key, value, pebble.NoSync); err != nil {
+				b.Fatal(err)
+			}
+		}
+		life(b, func(m Message) { set(seqKey(kindMessage, m.Seq), encode(m)) }, func(a Attempt) { set(attemptKey(a.Seq, a.N), encode(a)) },
+			func(e End) {
+				batch := db.NewBatch()
+				_ = batch.Delete(seqKey(kindMessage, e.Seq), nil)
+				_ = batch.DeleteRange(seqKey(kindAttempt, e.Seq), seqKey(kindAttempt, e.Seq+1), nil)
+				if err := batch.Commit(pebble.NoSync); err != nil {
+					b.Fatal(err)
+				}
+			}, func() int64 { return used(b, dir) })
+	})
+}
