--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -37,7 +37,7 @@
 	live    map[string]*place
 	seqs    map[uint64][]string // keys of a message and its attempts
 	ends    map[string]End      // by key
-	forget  map[string]bool // of them those to be dropped once they are handed over
+	forget  map[string]bool     // of them those to be dropped once they are handed over
 	owes    func(verdict uint8) bool
 	big     int64    // bytes of the longest record
 	lives   int64    // bytes of live records
--- a/internal/journal/small_test.go
+++ b/internal/journal/small_test.go
@@ -9,7 +9,7 @@
 )
 
 // BenchmarkSmallFolder measures the most that a folder holds at any moment while
-// messages pass through it, a sixteenth of them with bodies of up to 64 KiB and 60 of
+// messages pass through it, a sixteenth of them with bodies of up to 64 KiB and 500 of
 // them live: the bounded log with 3 MB, and pebble with the smallest tables that it
 // works with, as the daemon writes to it but without syncs.
 func BenchmarkSmallFolder(b *testing.B) {
@@ -28,7 +28,7 @@
 			}
 			taken(m)
 			tried(Attempt{Seq: i, Host: "s-12345678"})
-			if live = append(live, i); len(live) > 60 {
+			if live = append(live, i); len(live) > 500 {
 				ended(End{Seq: live[0], Identity: fmt.Sprint("id", live[0]), Verdict: 1})
 				live = live[1:]
 			}
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -38,8 +38,8 @@
 	Sessions int               // TLS sessions kept to resume, over all addresses
 	Pollers  int
 	Dial     time.Duration // a connection that is not up by then is none; 0 for no such time
-	// Descriptors bounds the connections of all endpoints together; 0 for no bound. At
-	// it idle ones are closed first, those of the longest idling endpoint.
+	// Descriptors bounds the connections kept to all endpoints together, with those in
+	// use: past it one is closed when its call ends; 0 for no bound.
 	Descriptors int
 	// Traffic counts bytes by class, partner and zone; may be nil.
 	Traffic *zone.Table
@@ -64,6 +64,7 @@
 	fams   addr.Families
 	tls    *sessions
 	epoch  time.Time
+	open   atomic.Int64 // connections of all pools
 	stop   chan struct{}
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
--- a/internal/partner/hook_test.go
+++ b/internal/partner/hook_test.go
@@ -158,6 +158,34 @@
 	}
 }
 
+// Connections are kept to all hosts together up to a bound.
+func TestHookConnectionsOfAllHosts(t *testing.T) {
+	at := answering(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	c := hookCaller(t, at)
+	c.opt.Descriptors = 5
+	a, _ := addr.Parse(at)
+	all := map[string][]addr.Address{}
+	for i := range 20 {
+		all[fmt.Sprint("h", i)] = []addr.Address{a}
+	}
+	c.Addresses(all)
+	ended := make(chan core.Ending, 20)
+	for i := range 20 {
+		c.Send(core.Call{Name: "m", Host: fmt.Sprint("h", i), Patient: time.Minute, End: func(e core.Ending) { ended <- e }})
+		if e := <-ended; e.Outcome != choice.Served {
+			t.Fatalf("%+v", e)
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); c.Sizes()["connections"] > 5; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are kept, 5 may be", c.Sizes()["connections"])
+		}
+	}
+	if n := c.open.Load(); int(n) != c.Sizes()["connections"] {
+		t.Errorf("%d counted, %d are open", n, c.Sizes()["connections"])
+	}
+}
+
 // Several messages a call: the request names each, each has its own end, and what the
 // answer does not name may have run.
 func TestHookSeveral(t *testing.T) {
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -128,7 +128,7 @@
 		k.dial = d
 	}
 	p.connecting++
-	p.open++
+	p.opened(1)
 	p.c.done.Add(1)
 	go func() {
 		defer p.c.done.Done()
@@ -149,7 +149,7 @@
 		cn.born, cn.life = p.c.now(), p.keep.Life()
 	} else {
 		if cn == nil || !cn.gone.Swap(true) {
-			p.open--
+			p.opened(-1)
 		}
 		if !waits {
 			p.more()
@@ -174,7 +174,8 @@
 		cn.since = now
 		usable := p.keep.Fresh(now, cn.born, cn.life, now) && (cn.book == nil || cn.book.Has(cn.addr))
 		if !usable || len(p.waiting) == 0 {
-			keeps := usable && !cn.gone.Load() && !p.barred && p.keep.Kept(len(p.idle))
+			most := int64(p.c.opt.Descriptors)
+			keeps := usable && !cn.gone.Load() && !p.barred && p.keep.Kept(len(p.idle)) && (most == 0 || p.c.open.Load() <= most)
 			if keeps {
 				p.idle = append(p.idle, cn)
 			}
@@ -214,6 +215,12 @@
 	}
 }
 
+// opened counts connections, those being set up included; under mu.
+func (p *pool) opened(n int) {
+	p.open += n
+	p.c.open.Add(int64(n))
+}
+
 // leave takes a connection that is gone out of its pool, once.
 func (cn *conn) leave() {
 	p := cn.pool
@@ -222,7 +229,7 @@
 	if cn.gone.Swap(true) {
 		return
 	}
-	p.open--
+	p.opened(-1)
 	if i := slices.Index(p.idle, cn); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
 	}
@@ -417,7 +424,7 @@
 		}
 		if cn.gone.Swap(true) { // it left the pool by itself; the next one stands for it
 			p.mu.Lock()
-			p.open++
+			p.opened(1)
 			p.mu.Unlock()
 		}
 	}
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -56,6 +56,6 @@
 	b.Identities = max(1024, 48*l.MemoryMB)
 	b.Notices = max(1024, 16*l.MemoryMB)
 	idle := s.ConnIdle - s.ConnIdle/8 // the margin before the host's own end
-	b.Keep = addr.KeepSettings{Idle: idle, Most: max(1, min(s.Workers, b.Hosts-s.Workers)), Connecting: max(1, s.Workers)}
+	b.Keep = addr.KeepSettings{Idle: idle, Most: max(1, s.Workers), Connecting: max(1, s.Workers)}
 	return b
 }
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -119,7 +119,7 @@
 	}
 	s := &cfg.Settings
 	n.caller, err = partner.New(partner.Options{Name: cfg.Name, Hook: &partner.Hook{Host: cfg.Name, Columns: s.Columns},
-		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Pollers: 1, Dial: s.DialTimeout,
+		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Pollers: 1, Dial: s.DialTimeout, Descriptors: b.Hosts,
 		Unsolicited: func(host string) { n.warn("host").Str("host", host).Msg("bytes that nobody asked for") }})
 	if err != nil {
 		return nil, err
@@ -174,25 +174,31 @@
 
 func (n *Node) warn(cause string) *zerolog.Event { return n.log.Warn().Str("cause", cause) }
 
-// restore goes on with what an earlier run left.
-func (n *Node) restore(k *journal.Kept) (held, owed int) {
+// plan decides what follows from a journal's records now: ages count until this
+// moment, not until the journal was opened.
+func plan(cfg *Config, k *journal.Kept) (recover.Plan, map[string]recover.Class) {
 	classes, dests := map[string]recover.Class{}, map[string]bool{}
 	longest := time.Duration(0)
-	for _, c := range n.cfg.Settings.Classes {
+	for _, c := range cfg.Settings.Classes {
 		classes[c.Name] = recover.Class{Deadline: c.Deadline, Keep: c.Effect != choice.Safe}
 		longest = max(longest, c.Deadline)
 	}
-	number := func(name string) int {
-		d, _ := strconv.Atoi(name)
-		return d
-	}
 	for _, m := range k.Messages {
 		if _, err := strconv.Atoi(m.Partner); err == nil {
 			dests[m.Partner] = true
 		}
 	}
-	k.Now.Wall = time.Now().UnixNano() // ages count until now, not until the journal was opened
-	plan := recover.Decide(k, classes, dests, longest, 0)
+	k.Now.Wall = time.Now().UnixNano()
+	return recover.Decide(k, classes, dests, longest, 0), classes
+}
+
+// restore goes on with what an earlier run left.
+func (n *Node) restore(k *journal.Kept) (held, owed int) {
+	number := func(name string) int {
+		d, _ := strconv.Atoi(name)
+		return d
+	}
+	plan, classes := plan(n.cfg, k)
 	var ended []core.Ended
 	for _, e := range plan.Ends {
 		a := ledger.Answer{Verdict: ledger.Verdict(e.Verdict), After: time.Duration(e.After)}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -203,23 +203,16 @@
 // The time that a start takes before messages are restored is off their time too.
 func TestAgesCountUntilTheRestore(t *testing.T) {
 	s := newSite(t, "small")
-	n := s.started("")
-	wall := time.Now().Add(-time.Minute).UnixNano()
-	k := &journal.Kept{Runs: map[uint32]journal.Run{1: {Number: 1, Wall: wall}}, Now: journal.Run{Number: 2, Wall: wall}, Last: 1,
-		Messages: []journal.Message{{Seq: 1, Identity: "m", Class: "notice", Partner: "7", At: journal.Stamp{Run: 1}, Left: int64(7 * time.Second)}}}
-	if held, _ := n.restore(k); held != 1 {
-		t.Fatal(held)
+	s.config("127.0.0.1:0", "")
+	cfg, err := Load(s.env)
+	if err != nil {
+		t.Fatal(err)
 	}
-	for end := time.Now().Add(3 * time.Second); n.said.Len() == 0; time.Sleep(time.Millisecond) {
-		s.mu.Lock()
-		told := len(s.notices["m"])
-		s.mu.Unlock()
-		if told > 0 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("a message whose time has passed is still held")
-		}
+	wall := time.Now().Add(-time.Minute).UnixNano()
+	p, _ := plan(cfg, &journal.Kept{Runs: map[uint32]journal.Run{1: {Number: 1, Wall: wall}}, Now: journal.Run{Number: 2, Wall: wall}, Last: 1,
+		Messages: []journal.Message{{Seq: 1, Identity: "m", Class: "notice", Partner: "7", At: journal.Stamp{Run: 1}, Left: int64(7 * time.Second)}}})
+	if len(p.Messages) != 1 || p.Messages[0].Left != 0 || p.Messages[0].Verdict != 0 {
+		t.Errorf("%+v: its time has passed a minute ago", p.Messages)
 	}
 }
 
