A request that crosses the relay's close of its connection is not withdrawn

Cause, by the code: open and the janitor pick a connection while it rests and close it later, without looking again. A request that came in between was taken, and the close withdrew its message (Closed, Abandon), with nobody told. Change: a connection is closed under its lock, and not while a request is open; afterwards its bytes are not read, so that its client may send them again elsewhere. Test: TestRequestsThatCrossAClose; the old code has no such look.

--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -138,10 +138,25 @@
 	}
 	f.mu.Unlock()
 	for _, c := range out {
-		_ = c.nb.Close()
+		c.end()
 	}
 }
 
+// end closes a connection unless a request has come on it since it was picked: that
+// is owed its answer. What comes later is not read any more, so that its client may
+// send it again elsewhere.
+func (c *conn) end() bool {
+	c.mu.Lock()
+	if c.state.Load() == answering {
+		c.mu.Unlock()
+		return false
+	}
+	c.shut = true
+	c.mu.Unlock()
+	_ = c.nb.Close()
+	return true
+}
+
 // look is how often connections are looked over.
 const look = 100 * time.Millisecond
 
@@ -219,7 +234,13 @@
 	f.mu.Unlock()
 	if out != nil {
 		f.counts.Evicted.Add(1)
-		go out.nb.Close() // not within the poller's opening
+		go func() { // not within the poller's opening
+			if !out.end() {
+				f.mu.Lock()
+				f.conns[out] = struct{}{}
+				f.mu.Unlock()
+			}
+		}()
 	}
 	return c
 }
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -287,6 +287,43 @@
 	}
 }
 
+// A connection that was picked to be closed while it rested, and on which a request
+// came before it was, is not closed: its message is not withdrawn, and gets its answer.
+func TestRequestsThatCrossAClose(t *testing.T) {
+	f, d := start(t, 10)
+	c := dial(t, f)
+	if got := ask(t, c, hand("first", "charge", "7", "480", "", "")); got != 202 {
+		t.Fatal(got)
+	}
+	<-d.came
+	d.mu.Lock()
+	d.hold = true
+	d.mu.Unlock()
+	var picked *conn
+	f.closeIdle(func(c *conn) bool {
+		picked = c
+		return false
+	})
+	if _, err := io.WriteString(c, hand("crosses", "charge", "7", "480", "", "")); err != nil {
+		t.Fatal(err)
+	}
+	<-d.came
+	if picked.end() {
+		t.Error("closed while a request is open")
+	}
+	d.mu.Lock()
+	last := d.taken[1]
+	d.mu.Unlock()
+	last.Reply.Taken(nil)
+	last.Reply.(core.Decider).Decided()
+	if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != 202 || len(d.abandoned) != 0 {
+		t.Errorf("%v %v, withdrawn %v", r, err, d.abandoned)
+	}
+	if !picked.end() {
+		t.Error("not closed once it rests again")
+	}
+}
+
 // While it drains each answer ends its connection; after that nothing is taken.
 func TestDrain(t *testing.T) {
 	f, _ := start(t, 10)
