A connection that is kept after all stays among those that count

One that was picked to make room, and is not closed as a request came on it, was put back into the table even if it had ended meanwhile. It now stays there, marked, until it ends.

--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -183,12 +183,13 @@
 
 // conn is one client's connection.
 type conn struct {
-	front *Front
-	nb    *nbio.Conn
-	name  string
-	since atomic.Int64 // unix ns: of the state
-	state atomic.Int32
-	asked atomic.Bool // a request was answered
+	front   *Front
+	nb      *nbio.Conn
+	name    string
+	since   atomic.Int64 // unix ns: of the state
+	state   atomic.Int32
+	asked   atomic.Bool // a request was answered
+	leaving atomic.Bool // about to be closed to make room
 
 	mu   sync.Mutex
 	req  http1.Request
@@ -205,8 +206,12 @@
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
 	f.mu.Lock()
 	var out, rests *conn
-	resting, now := 0, time.Now()
+	resting, going, now := 0, 0, time.Now()
 	for o := range f.conns {
+		if o.leaving.Load() {
+			going++
+			continue
+		}
 		state := o.state.Load()
 		if state == idle && o.asked.Load() {
 			if resting++; rests == nil || o.since.Load() < rests.since.Load() {
@@ -218,9 +223,9 @@
 		}
 	}
 	switch {
-	case len(f.conns) < f.opt.Connections && resting > f.opt.Kept:
+	case len(f.conns)-going < f.opt.Connections && resting > f.opt.Kept:
 		out = rests
-	case len(f.conns) < f.opt.Connections:
+	case len(f.conns)-going < f.opt.Connections:
 		out = nil
 	case out == nil:
 		f.mu.Unlock()
@@ -228,7 +233,7 @@
 		return nil
 	}
 	if out != nil {
-		delete(f.conns, out)
+		out.leaving.Store(true)
 	}
 	f.conns[c] = struct{}{}
 	f.mu.Unlock()
@@ -236,9 +241,7 @@
 		f.counts.Evicted.Add(1)
 		go func() { // not within the poller's opening
 			if !out.end() {
-				f.mu.Lock()
-				f.conns[out] = struct{}{}
-				f.mu.Unlock()
+				out.leaving.Store(false)
 			}
 		}()
 	}
