An answer in the last moments of a message's time does not keep its notice back

The relay counts a message's time from its reading of the request, the platform from the client's sending: a 200 between the two is late there, and the end is owed. Before, the module would have sent a message that was served so again. Tests: TestServedTooLate, TestAnswersAtTheVeryEnd.

--- a/choice/api.go
+++ b/choice/api.go
@@ -135,7 +135,7 @@
 	Outcome Outcome
 	Took    time.Duration // since the attempt went out
 	Wait    time.Duration // told: send nothing there for so long; 0 if none was told
-	Done    bool          // the message is finished; no answer is owed any more
+	Done    bool          // the message is finished; no answer is owed any more. Served without it came too late
 	Spent   bool          // with NotSent: the message has had all its attempts
 	Report  []float64     // load report, if any
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -642,6 +642,9 @@
 	switch {
 	case e.Done || m.over:
 		c.end(m)
+	case e.Outcome == Served: // too late for who waits: its end is still owed
+		m.ran, m.late = true, true
+		c.final(m)
 	case m.unwanted || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts:
 		c.final(m)
 	default:
@@ -707,7 +710,7 @@
 // final answers a message that is not out: refused where that is lawful, else failed.
 func (c *Chooser) final(m *message) {
 	harmless := m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone
-	if !m.ran || harmless && !c.set.Certain {
+	if !m.ran || harmless && !c.set.Certain && !m.late {
 		c.act(Refuse{m.ID, c.back(m)})
 	} else {
 		c.act(Fail{m.ID})
--- a/choice/platform_test.go
+++ b/choice/platform_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// What is served too late for who waits is owed its end, and never goes again.
+func TestServedTooLate(t *testing.T) {
+	for class := range 3 {
+		r := newRig(t, settings(), ready("a", 1, 0, 0))
+		r.step(arrival("m", class))
+		acts := append(r.step(r.end("m", "a", Served, func(e *Result) { e.Done = false })), r.after(2*time.Second)...)
+		fails := 0
+		for _, a := range acts {
+			switch a.(type) {
+			case Send, Refuse:
+				t.Errorf("class %d: %#v", class, a)
+			case Fail:
+				fails++
+			}
+		}
+		if fails != 1 {
+			t.Errorf("class %d: failed %d times", class, fails)
+		}
+	}
+}
+
 // A stop that keeps what is held sends and answers nothing; one without answers all.
 func TestStopThatKeeps(t *testing.T) {
 	r := newRig(t, settings(), ready("a", 1, 0, 0))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,6 +178,10 @@
 	// Every attempt is recorded, not only those whose repeat would do harm: then
 	// those spent count in the next run too.
 	Every bool
+	// Late: an answer that comes within this before a message's time is up may be too
+	// late by the clock of who handed it in, which began with the sending: the message
+	// counts as delivered only if its partner says so earlier. 0: every answer counts.
+	Late time.Duration
 	// Forgetful: waits and failures that endpoints told end with the process.
 	Forgetful bool
 }
@@ -879,7 +883,7 @@
 	if sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent; sure && c.harmful(m) && !m.answered {
 		c.tried(a, true)
 	}
-	served := e.Outcome == choice.Served
+	served := e.Outcome == choice.Served && (c.opt.Late == 0 || c.now <= m.due-c.opt.Late)
 	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.n, Outcome: e.Outcome,
 		Took: e.Took, Wait: e.Wait, Done: served || m.answered, Spent: e.Spent, Report: e.Report})
 	if served {
--- a/internal/core/several_test.go
+++ b/internal/core/several_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+// An answer at the very end of a message's time may be late by the clock of who handed
+// it in: then its end is told, and its key goes on once that was heard.
+func TestAnswersAtTheVeryEnd(t *testing.T) {
+	for at, want := range map[time.Duration]string{500 * ms: "delivered ", 950 * ms: "failed "} {
+		r := newRig(t)
+		r.opt.Late = 100 * ms
+		re := &reply{}
+		_ = r.hand("m", 1, re, time.Second)
+		r.at(ms)
+		r.calls[0].finish(choice.Served, 0)
+		r.at(at)
+		if verdicts([]*reply{re}) != want || len(r.msgs) != 0 {
+			t.Errorf("served after %v of a second: %s", at, verdicts([]*reply{re}))
+		}
+	}
+}
+
 // instant is a journal that has everything on disk at once, and keeps nothing.
 type instant struct{}
 
