--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -369,6 +369,46 @@
 	}
 }
 
+// What the relay believes of waits and failing hosts is what its hosts see: while one
+// told a wait no call comes, and one that fails all is called a few times only, while
+// the other goes on.
+func TestWaitsAndFailingHostsAsBelieved(t *testing.T) {
+	s := newSite(t, "small", "small", "small")
+	calls := 0
+	var mu sync.Mutex
+	s.say(0, func(string) (int, bool) { // every 30th call is told to wait
+		mu.Lock()
+		defer mu.Unlock()
+		if calls++; calls%30 == 0 {
+			return 429, false
+		}
+		return 200, true
+	})
+	s.hosts[0].wait = 1500 * time.Millisecond // longer than the module would pause by itself
+	failed := 0
+	s.say(1, func(string) (int, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		failed++
+		return 500, true
+	})
+	n := s.started("")
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	s.load(ctx, n.Addr(), "w", 2).Wait()
+	s.settled()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mu.Lock()
+	defer mu.Unlock()
+	if told := calls / 30; told == 0 || s.hosts[0].early > told { // a machine that stands still may bring one late
+		t.Errorf("%d calls within %d waits", s.hosts[0].early, told)
+	}
+	if failed == 0 || failed*5 > calls {
+		t.Errorf("%d calls to the host that fails all, %d to one that is well", failed, calls)
+	}
+}
+
 // A bad environment or file is one clear error.
 func TestBadConfigurations(t *testing.T) {
 	s := newSite(t, "small")
--- a/internal/platform/site_test.go
+++ b/internal/platform/site_test.go
@@ -47,6 +47,11 @@
 	srv       *http.Server
 	// say decides on a message: status, and whether it took effect.
 	say func(id string) (status int, ran bool)
+	// wait is told with each 429; early counts calls that came within one, but for its
+	// first 100 ms, which the protocol excuses.
+	wait  time.Duration
+	until time.Time
+	early int
 }
 
 const (
@@ -152,7 +157,19 @@
 		s.mu.Unlock()
 	}()
 	if r.URL.Path == "/hook" {
-		w.WriteHeader(s.run(h, r.Header.Get("X-Txn")))
+		s.mu.Lock()
+		if now := time.Now(); now.Before(h.until) && now.After(h.until.Add(100*time.Millisecond-h.wait)) {
+			h.early++
+		}
+		s.mu.Unlock()
+		status := s.run(h, r.Header.Get("X-Txn"))
+		if status == http.StatusTooManyRequests {
+			s.mu.Lock()
+			h.until = time.Now().Add(h.wait)
+			s.mu.Unlock()
+			w.Header().Set("X-RateLimit-Wait-Ms", strconv.Itoa(int(h.wait.Milliseconds())))
+		}
+		w.WriteHeader(status)
 		return
 	}
 	var items []struct{ ID string }
