--- a/choice/choice.go
+++ b/choice/choice.go
@@ -620,7 +620,10 @@
 	case Refused:
 		c.refused(u, d, e.Wait)
 	case Error, Reset:
-		c.failed(h, e.Outcome, e.Took)
+		if !k.bad { // several messages of one call are one failure
+			c.failed(h, e.Outcome, e.Took)
+		}
+		k.bad = true
 	case Timeout, Cancelled:
 		d.table.cutShort()
 		if u.lastServed < k.sent {
--- a/choice/platform_test.go
+++ b/choice/platform_test.go
@@ -128,3 +128,29 @@
 		t.Errorf("%v after the last attempt was spent, want a refusal", acts)
 	}
 }
+
+// An error to a call that carries several messages is one failure of its host, as it is
+// to a call that carries one: a host that answered one call badly is not taken for down.
+func TestOneErrorForACall(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 1, 0))
+	for i := range 6 {
+		r.deliver(arrival("well"+string(rune('a'+i)), 0))
+		r.now += 200 * ms
+	}
+	for try, want := range []health{healthy, suspect} {
+		name := string(rune('0' + try))
+		s := sends(r.step(arrival("x"+name, 2), arrival("y"+name, 2), arrival("z"+name, 2)))
+		if len(s) != 3 {
+			t.Fatalf("%d sends, want a call of three", len(s))
+		}
+		var ends []Event
+		for _, x := range s {
+			ends = append(ends, r.end(x.ID, "a", Error))
+		}
+		r.step(ends...)
+		if got := r.c.dests[1].units[0].state; got != want {
+			t.Errorf("after %d calls that failed: state %d, want %d", try+1, got, want)
+		}
+		r.now += 3 * time.Second
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,6 +35,7 @@
 	sent    time.Duration
 	members []*message    // outcomes still due
 	off     bool          // called off
+	bad     bool          // an error or reset of it was counted
 	idle    time.Duration // how long its connection had idled, or would have
 	reused  int           // 1 if it went out on a connection that was kept
 }
