--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -90,11 +90,26 @@
 // heard is cut off.
 const mostUnread = 4 << 20
 
-func (c *Client) dial(ctx context.Context, addr string, within time.Duration) (*link, error) {
+// dial opens a connection: at most so long, until the agent moves, or ctx ends.
+func (c *Client) dial(ctx context.Context, addr string, within time.Duration, moved <-chan struct{}) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
+	up := make(chan struct{})
+	defer close(up)
+	go func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-up:
+		}
+	}()
 	raw, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
 	if err != nil {
+		select {
+		case <-moved:
+			return nil, errMoved
+		default:
+		}
 		return nil, fmt.Errorf("agent: %w", err)
 	}
 	nb, err := nbio.NBConn(raw)
--- a/internal/agent/notices.go
+++ b/internal/agent/notices.go
@@ -32,10 +32,14 @@
 	wake chan struct{}
 }
 
-// most notices in one request, and how long its answer may take.
 const (
-	mostBatch  = 64
-	answerTime = time.Second
+	mostBatch = 64 // notices in one request
+	// answerTime is how long the answer to one may take: it comes at once, and a notice
+	// counts until 300 ms after its message's time (PROTOCOL), so that a connection that
+	// fell silent leaves room for another try.
+	answerTime = 150 * time.Millisecond
+	// mostRest is the longest rest between two tries, for the same reason.
+	mostRest = 100 * time.Millisecond
 )
 
 // NewNotices makes a queue for most notices; over is told, from Run, of each that
@@ -116,11 +120,11 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		if n.failed(err); errors.Is(err, errEnded) && fails == 0 {
-			fails++ // a kept connection that had ended: at once on a new one
+		if n.failed(err); (errors.Is(err, errEnded) || errors.Is(err, errSilent)) && fails == 0 {
+			fails++ // a kept connection that had ended or fallen silent: at once on a new one
 			continue
 		}
-		timer := time.NewTimer(backOff(fails))
+		timer := time.NewTimer(min(backOff(fails), mostRest))
 		fails++
 		select {
 		case <-ctx.Done():
@@ -144,7 +148,7 @@
 	}
 	var err error
 	if l == nil {
-		if l, err = n.client.dial(ctx, addr, answerTime); err != nil {
+		if l, err = n.client.dial(ctx, addr, answerTime, moved); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -53,8 +53,11 @@
 	Header      int           // bytes of a request's header
 	Body        int           // bytes of its content
 	Connections int           // open at once
+	Lingering   int           // further ones, shut by the relay and not yet by the client
 	Kept        int           // of them between two requests
-	Request     time.Duration // a begun request must be whole by then
+	Request     time.Duration // a begun request may pause so long
+	Whole       time.Duration // and must be whole by then; the first one since the connection came up
+	Linger      time.Duration // a connection that the relay has shut is closed after it, whatever the client does
 	Idle        time.Duration // a connection without a request closes after it
 	WriteBuffer int
 	Door        Door
@@ -70,6 +73,8 @@
 	stop     chan struct{}
 	done     sync.WaitGroup
 	draining atomic.Bool
+	left     atomic.Bool
+	finished atomic.Bool
 	numbers  atomic.Uint64
 
 	mu    sync.Mutex
@@ -114,11 +119,20 @@
 // Drain has every connection close after the answer that comes next.
 func (f *Front) Drain() { f.draining.Store(true) }
 
-// Leave closes the listener, and connections that have no request open.
+// Leave closes the listener, and connections that rest between two requests. One that is
+// new gets the time in which a client sends a request, lest it hears no answer.
 func (f *Front) Leave() {
 	f.Drain()
 	f.sockets.Refuse()
-	f.closeIdle(func(c *conn) bool { return c.state.Load() == idle })
+	f.left.Store(true)
+	f.shutIdle(func(c *conn) bool { return c.overdue(time.Now()) })
+}
+
+// Finish takes nothing further: a request that is not whole yet is answered with 503.
+// Those that were handed in still get their answers.
+func (f *Front) Finish() {
+	f.finished.Store(true)
+	f.shutIdle(func(c *conn) bool { return c.state.Load() != shutting })
 }
 
 // Close ends everything.
@@ -128,7 +142,7 @@
 	f.sockets.Close()
 }
 
-func (f *Front) closeIdle(pick func(*conn) bool) {
+func (f *Front) shutIdle(pick func(*conn) bool) {
 	var out []*conn
 	f.mu.Lock()
 	for c := range f.conns {
@@ -142,21 +156,60 @@
 	}
 }
 
-// end closes a connection unless a request has come on it since it was picked: that
-// is owed its answer. What comes later is not read any more, so that its client may
-// send it again elsewhere.
+// end shuts a connection unless a request has come on it since it was picked: that is
+// owed its answer. What comes later is dropped, so that its client may send it again
+// elsewhere. One that was shut before is closed.
 func (c *conn) end() bool {
 	c.mu.Lock()
-	if c.state.Load() == answering {
-		c.mu.Unlock()
+	defer c.mu.Unlock()
+	switch {
+	case c.state.Load() == answering:
 		return false
+	case c.shut:
+		c.close()
+	case c.state.Load() == reading && c.front.finished.Load():
+		c.reject(http.StatusServiceUnavailable, "the relay ends")
+	case c.state.Load() == reading:
+		c.reject(http.StatusRequestTimeout, "the request did not end")
+	default:
+		c.finish()
 	}
+	return true
+}
+
+// finish ends the sending side: the client reads what was written and then the end. What
+// it has sent meanwhile is read and dropped until it closes as well, within a bound: a
+// close over unread bytes would reset the connection and take the answer with it; under mu.
+func (c *conn) finish() {
+	if c.shut {
+		return
+	}
+	c.shut = true
+	c.since.Store(time.Now().UnixNano())
+	c.state.Store(shutting)
+	if !front.Shut(c.nb) {
+		c.close()
+	}
+}
+
+// close closes the connection whatever the client does; under mu.
+func (c *conn) close() {
 	c.shut = true
-	c.mu.Unlock()
+	c.front.gone(c)
 	_ = c.nb.Close()
-	return true
 }
 
+// gone takes a connection off the table.
+func (f *Front) gone(c *conn) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+}
+
+// mostDropped bytes of a client are read after the relay has shut the connection: what
+// was on its way by then, and not all of a body without end.
+const mostDropped = 1 << 20
+
 // look is how often connections are looked over.
 const look = 100 * time.Millisecond
 
@@ -169,7 +222,7 @@
 		case <-f.stop:
 			return
 		case now := <-tick.C:
-			f.closeIdle(func(c *conn) bool { return c.overdue(now) })
+			f.shutIdle(func(c *conn) bool { return c.overdue(now) })
 		}
 	}
 }
@@ -179,6 +232,7 @@
 	idle int32 = iota
 	reading
 	answering
+	shutting // by the relay; what comes is dropped
 )
 
 // conn is one client's connection.
@@ -186,15 +240,17 @@
 	front   *Front
 	nb      *nbio.Conn
 	name    string
-	since   atomic.Int64 // unix ns: of the state
+	since   atomic.Int64 // unix ns: of the state, or of the last byte while reading
+	begun   atomic.Int64 // unix ns: of the request, or of the connection before the first
 	state   atomic.Int32
 	asked   atomic.Bool // a request was answered
 	leaving atomic.Bool // about to be closed to make room
 
-	mu   sync.Mutex
-	req  http1.Request
-	open *exchange
-	shut bool
+	mu      sync.Mutex
+	req     http1.Request
+	open    *exchange
+	shut    bool
+	dropped int // bytes after that
 }
 
 // open makes room for a connection: at the bound one without an open request goes, and
@@ -203,16 +259,19 @@
 func (f *Front) open(nb *nbio.Conn) front.Conn {
 	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
 	c.since.Store(time.Now().UnixNano())
+	c.begun.Store(c.since.Load())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
 	f.mu.Lock()
-	var out, rests *conn
+	var out, rests, lingers *conn
 	resting, going, now := 0, 0, time.Now()
 	for o := range f.conns {
-		if o.leaving.Load() {
-			going++
+		state := o.state.Load()
+		if state == shutting || o.leaving.Load() {
+			if going++; state == shutting && (lingers == nil || o.since.Load() < lingers.since.Load()) {
+				lingers = o
+			}
 			continue
 		}
-		state := o.state.Load()
 		if state == idle && o.asked.Load() {
 			if resting++; rests == nil || o.since.Load() < rests.since.Load() {
 				rests = o
@@ -236,14 +295,18 @@
 		out.leaving.Store(true)
 	}
 	f.conns[c] = struct{}{}
+	if going < f.opt.Lingering {
+		lingers = nil
+	}
 	f.mu.Unlock()
+	if lingers != nil {
+		lingers.end()
+	}
 	if out != nil {
 		f.counts.Evicted.Add(1)
-		go func() { // not within the poller's opening
-			if !out.end() {
-				out.leaving.Store(false)
-			}
-		}()
+		if !out.end() {
+			out.leaving.Store(false)
+		}
 	}
 	return c
 }
@@ -274,9 +337,14 @@
 	age := now.UnixNano() - c.since.Load()
 	switch c.state.Load() {
 	case idle:
+		if c.front.left.Load() {
+			return c.asked.Load() || age > int64(c.front.opt.Request)/2
+		}
 		return age > int64(c.front.opt.Idle)
 	case reading:
-		return age > int64(c.front.opt.Request)
+		return age > int64(c.front.opt.Request) || now.UnixNano()-c.begun.Load() > int64(c.front.opt.Whole)
+	case shutting:
+		return age > int64(c.front.opt.Linger)
 	}
 	return false
 }
@@ -284,9 +352,7 @@
 // Closed takes in the end of the connection. Whoever had a request open there
 // hears no answer any more, so that none is owed.
 func (c *conn) Closed() {
-	c.front.mu.Lock()
-	delete(c.front.conns, c)
-	c.front.mu.Unlock()
+	c.front.gone(c)
 	go func() { // the engine calls this from within a Write or Close of ours, under mu
 		c.mu.Lock()
 		c.shut = true
@@ -304,15 +370,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.shut {
+		if c.dropped += len(b); c.dropped > mostDropped {
+			c.close()
+		}
 		return
 	}
 	if c.state.Load() == answering { // one request at a time, by the protocol
 		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
 		return
 	}
-	if c.state.CompareAndSwap(idle, reading) {
-		c.since.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	if c.state.CompareAndSwap(idle, reading) && c.asked.Load() {
+		c.begun.Store(now)
 	}
+	c.since.Store(now)
 	rest, err := c.req.Feed(b, &c.req)
 	switch {
 	case errors.Is(err, http1.ErrTooLong):
@@ -348,6 +419,8 @@
 		c.say(http.StatusMethodNotAllowed, "POST a message here")
 	case !f.opt.Ready():
 		c.say(http.StatusServiceUnavailable, "not ready")
+	case f.finished.Load(): // after Finish had looked at this connection, or before it did
+		c.say(http.StatusServiceUnavailable, "the relay ends")
 	default:
 		m, err := c.message()
 		if err != nil {
@@ -402,7 +475,7 @@
 	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, Once: true,
 		Left: time.Duration(left) * time.Millisecond, Front: Name, Body: r.Body}
 	if f.opt.Ordered[class] {
-		m.Key = cookie(r.Header("Cookie"), "about")
+		m.Key = cookie(strings.Join(r.All("Cookie"), "; "), "about")
 		if m.Way = []byte(m.Key); len(m.Key) > 256 {
 			return nil, errors.New("Cookie: the key is over 256 bytes")
 		}
@@ -461,9 +534,12 @@
 	}
 	b = append(append(b, "\r\n\r\n"...), body...)
 	_, err := c.nb.Write(b)
-	if !keep || err != nil {
+	switch {
+	case err != nil: // closed by the engine
 		c.shut = true
-		_ = c.nb.Close()
+		return
+	case !keep:
+		c.finish()
 		return
 	}
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -25,10 +25,12 @@
 	Body   int // bytes of content
 }
 
-// most interim responses before the final one, and fields of one header.
+// most interim responses before the final one, fields of one header, and bytes of
+// empty lines before a request.
 const (
 	mostInterim = 16
 	mostFields  = 256
+	mostBlank   = 8
 )
 
 // Framing tells how a message's content is delimited, beyond what its own
@@ -70,6 +72,7 @@
 	toClose bool
 	interim int
 	fields  int
+	blank   int
 }
 
 // States of the parser.
@@ -214,6 +217,14 @@
 
 // head collects start line and fields up to the empty line.
 func (p *Parser) head(b []byte, h Handler) (rest []byte, err error) {
+	if len(p.line) == 0 && p.Prefix == "" { // empty lines before a request (RFC 9112, 2.2)
+		for len(b) > 0 && p.blank < mostBlank && (b[0] == '\r' || b[0] == '\n') {
+			b, p.blank = b[1:], p.blank+1
+		}
+		if len(b) == 0 {
+			return nil, nil
+		}
+	}
 	from := max(0, len(p.line)-3)
 	before := len(p.line)
 	p.line = append(p.line, b[:min(len(b), p.limits.Header+4)]...)
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -17,9 +17,16 @@
 
 type field struct{ name, value string }
 
+const scheme = "http://"
+
 // Start takes the request line.
 func (r *Request) Start(line string) error {
 	parts := strings.Split(line, " ")
+	if len(parts) == 3 && len(parts[1]) > len(scheme) && strings.EqualFold(parts[1][:len(scheme)], scheme) {
+		// The absolute form (RFC 9112, 3.2.2); only its path counts here.
+		_, path, _ := strings.Cut(parts[1][len(scheme):], "/")
+		parts[1] = "/" + path
+	}
 	if len(parts) != 3 || !Token(parts[0]) || !strings.HasPrefix(parts[1], "/") {
 		return Malformed("request line %.60q", line)
 	}
@@ -61,6 +68,16 @@
 	return nil
 }
 
+// All are the values of every field of a name, in their order.
+func (r *Request) All(name string) (values []string) {
+	for _, f := range r.fields {
+		if strings.EqualFold(f.name, name) {
+			values = append(values, f.value)
+		}
+	}
+	return values
+}
+
 // Header is the value of the first field of a name, empty for none.
 func (r *Request) Header(name string) string {
 	v, _ := r.Only(name)
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -17,6 +17,10 @@
 	// A connection that says nothing is owed its close 3 s after it came up, and one
 	// without an open request may be closed after 2 s (DAYS).
 	silent = 2*time.Second + 100*time.Millisecond
+	// Nor may a request that does not end take longer than 3 s since its connection came up.
+	whole = 2500 * time.Millisecond
+	// A client that reads the end closes at once; one that does not is not waited for.
+	linger = time.Second
 )
 
 // Bounds are what a node allows itself, each from the limits and settings.
@@ -25,12 +29,14 @@
 	Memory      int64 // bytes at which the runtime collects harder
 	Files       int   // highest descriptor
 	Clients     int   // connections of clients
+	Lingering   int   // further ones that the relay has shut and the client has not
 	Kept        int   // of them between two requests
 	Hosts       int   // connections to hosts, idle ones included
 	Held        int   // messages held
 	Identities  int   // of messages held and ended
 	Notices     int   // owed to the platform
 	Disk        int64 // bytes of the journal
+	List        int64 // bytes of the list of hosts in the same folder
 	WriteBuffer int   // bytes waiting for one client
 	Keep        addr.KeepSettings
 }
@@ -48,10 +54,13 @@
 	free := l.Sockets - reserved
 	b := Bounds{Procs: max(1, int(math.Ceil(l.Cores))), Files: l.Sockets, Disk: int64(l.DiskMB * (1 << 20)),
 		Memory: int64(l.MemoryMB)<<20*3/4 - int64(l.DiskMB*(1<<20)), WriteBuffer: 64 << 10}
+	b.List = b.Disk / 16 // twice that while a new one takes the old one's place
+	b.Disk -= 2 * b.List
 	b.Memory = max(b.Memory, int64(l.MemoryMB)<<20/2)
-	b.Clients = free * 5 / 9
+	b.Clients = free * 4 / 9
+	b.Lingering = free / 9
 	b.Kept = l.Sockets / 4 // of the third that clients may use, so that some of it is always free
-	b.Hosts = free - b.Clients
+	b.Hosts = free - b.Clients - b.Lingering
 	b.Held = s.MaxHeld
 	b.Identities = max(1024, 48*l.MemoryMB)
 	b.Notices = max(1024, 16*l.MemoryMB)
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -147,12 +147,21 @@
 		n.keep.Handed(identity)
 		n.core.Settled(identity)
 	}, func(err error) { n.warn("notices").Err(err).Msg("notices are owed") })
+	lasting := hostsIn(cfg.State, b.List)
+	known, err := lasting.newer(cfg.Known)
+	if err != nil {
+		n.warn("discovery").Err(err).Msg("the configuration's list counts")
+	}
 	n.list = directory.New(directory.Options{Names: directory.Names{Host: n.host},
-		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: cfg.Known, Told: n.named}},
-		To:      directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
+		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: known, Told: n.named, Keep: func(l agent.List) {
+			if err := lasting.keep(l); err != nil {
+				n.warn("discovery").Err(err).Msg("")
+			}
+		}}},
+		To: directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
 		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
 	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
-		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Kept: b.Kept, Request: 2 * clientWaits, Idle: silent,
+		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Lingering: b.Lingering, Kept: b.Kept, Request: 2 * clientWaits, Whole: whole, Idle: silent, Linger: linger,
 		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said,
 		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
 	if err != nil {
@@ -316,6 +325,7 @@
 		time.Sleep(leaveAfter)
 		n.front.Leave()
 		time.Sleep(parkAfter - time.Since(began))
+		n.front.Finish() // before the core is parked: what was handed in until then is answered
 		idle := make(chan struct{})
 		n.core.Park(func() { close(idle) })
 		select {
