Repeats leave within their window or not at all; 202 waits for its record

Review of windows for repeats, which may be as short as 1 s: a repeat was decided within the window and could be written after it, where its connection came up late (up to 1.5 s). choice.Send.Within now says how long it may still leave; partner looks at it before the first byte and ends the attempt as not sent. After a restart the time of the start was not counted to the age of the first send (core.Restore adjusted Left alone), which lengthened the window by it.

Review of what is owed at a kill: core.work told a front that its step was over (Decided, which writes the 202) also where the record of the message was still waiting to be written. It goes through durable now, like every other answer.

--- a/choice/api.go
+++ b/choice/api.go
@@ -225,6 +225,7 @@
 	ID      string
 	Host    string
 	Timeout time.Duration
+	Within  time.Duration // not sent any more once this is over, as where no connection was up; 0 for no such time
 }
 
 // Refuse ends a message: it did not run, and the client may safely come again.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -960,7 +960,11 @@
 	}
 	for _, m := range k.members {
 		m.timeout = min(longest, left)
-		c.act(Send{m.ID, h.Addr, m.timeout})
+		s := Send{ID: m.ID, Host: h.Addr, Timeout: m.timeout}
+		if m.ran && m.class.Effect == Keyed { // a connection may come up after its repeats are remembered
+			s.Within = c.windowEnd(m) - c.now
+		}
+		c.act(s)
 	}
 	if len(k.members) > 1 {
 		u.sends = append(u.sends, c.now) // further messages weigh a little: counted as one more call
--- a/choice/platform_test.go
+++ b/choice/platform_test.go
@@ -154,3 +154,24 @@
 		r.now += 3 * time.Second
 	}
 }
+
+// A repeat that is remembered for a while tells how long it may still leave: a connection
+// may come up after that. A first try has no such time, nor has what may always come again.
+func TestRepeatsSayUntilWhen(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	if s := sends(r.step(arrival("safe", 0), arrival("keyed", 1))); len(s) != 2 || s[0].Within != 0 || s[1].Within != 0 {
+		t.Fatalf("first tries %+v", s)
+	}
+	r.now += time.Second
+	acts := append(r.step(r.end("safe", "a", Reset), r.end("keyed", "a", Reset)), r.after(1500*ms)...)
+	again := sends(acts)
+	i := slices.IndexFunc(again, func(s Send) bool { return s.ID == "keyed" })
+	if i < 0 || again[i].Within <= 0 || again[i].Within > 2*time.Second {
+		t.Fatalf("tries again %+v, want keyed within what is left of its 3 s", again)
+	}
+	for _, s := range again {
+		if s.ID == "safe" && s.Within != 0 {
+			t.Errorf("safe within %v", s.Within)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -85,6 +86,7 @@
 	Idem    string // idempotency key; empty where the class keeps none
 	Body    []byte
 	Patient time.Duration // time-out, from the moment of sending
+	Within  time.Duration // nothing is written later than this after it; 0 for no such time
 	// End takes the attempt's outcome, once, from any goroutine.
 	End func(Ending)
 }
@@ -208,6 +210,7 @@
 	partner int
 	sent    time.Duration
 	end     time.Duration // time-out
+	by      time.Duration // nothing is written after it; 0 for no such time
 	sock    Attempt
 	passed  atomic.Int64
 	settle  func(now time.Duration, passed int64, whole bool)
@@ -558,7 +561,7 @@
 		c.nows = c.nows[:0]
 	}
 	for _, d := range c.fresh {
-		d.Decided()
+		c.durable(true, d.Decided) // not before the record of what was taken is down
 	}
 	clear(c.fresh)
 	c.fresh = c.fresh[:0]
@@ -815,11 +818,13 @@
 		first = append(first, &choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
 			Key: r.Key}, Attempts: r.Attempts, Ran: r.Ran, Since: r.Since, Zone: r.Zone})
 	}
+	began := c.now
 	_ = c.put(event{call: func() {
 		c.batch = append(c.batch, owed...)
 		for _, r := range first { // the time that the start took is gone
 			if m := c.msgs[r.ID]; m != nil {
 				r.Left = m.due - c.now
+				r.Since += min(c.now-began, math.MaxInt64-r.Since)
 				c.batch = append(c.batch, *r)
 			}
 		}
@@ -1053,6 +1058,9 @@
 	}
 	a := &attempt{m: m, n: m.tries, host: s.Host, partner: m.Partner, sent: c.now,
 		end: c.now + s.Timeout, zone: c.zones[s.Host], place: -1}
+	if s.Within > 0 {
+		a.by = c.now + s.Within
+	}
 	m.tries++
 	m.out = a
 	c.outs[a] = struct{}{}
@@ -1074,7 +1082,11 @@
 		call.Idem = m.idem()
 	}
 	first := false // records come before the first byte
+	by := time.Duration(0)
 	for _, b := range a.all() {
+		if b.by > 0 && (by == 0 || b.by < by) {
+			by = b.by
+		}
 		if len(a.with) > 0 {
 			call.Several = append(call.Several, Item{ID: b.m.Identity, Key: b.m.Key, Body: b.m.Body})
 			call.Body = nil
@@ -1085,6 +1097,9 @@
 		}
 	}
 	heap.Push(&c.waits, a)
+	if by > 0 {
+		call.Within = max(by-c.Now(), 1)
+	}
 	if !first {
 		a.sock = c.opt.Caller.Send(call)
 		return
@@ -1094,6 +1109,9 @@
 	c.durable(true, func() {
 		if !g.off && slices.ContainsFunc(a.all(), func(b *attempt) bool { return b.m.out == b }) {
 			call.Patient = max(a.end-c.now, time.Millisecond)
+			if by > 0 {
+				call.Within = max(by-c.Now(), 1)
+			}
 			g.sock = c.opt.Caller.Send(call)
 		}
 	})
--- /dev/null
+++ b/internal/core/ending_test.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// slowJournal keeps what waits for its records until the test writes them.
+type slowJournal struct {
+	nothing
+	wait []func()
+	slow bool
+}
+
+type nothing struct{}
+
+func (nothing) Stamp() journal.Stamp  { return journal.Stamp{} }
+func (nothing) Room(int) bool         { return true }
+func (nothing) Taken(journal.Message) {}
+func (nothing) Tried(journal.Attempt) {}
+func (nothing) Ended(journal.End)     {}
+func (nothing) Waits(journal.Wait)    {}
+func (nothing) Forget(string)         {}
+
+func (j *slowJournal) Then(done func()) bool {
+	if j.slow {
+		j.wait = append(j.wait, done)
+	}
+	return !j.slow
+}
+
+func (j *slowJournal) write() {
+	for _, done := range j.wait {
+		done()
+	}
+	j.wait = nil
+}
+
+// decider is a reply that is told when its step is over.
+type decider struct {
+	reply
+	decided int
+}
+
+func (d *decider) Decided() { d.decided++ }
+
+func kept(t *testing.T, j Journal) *rig {
+	t.Helper()
+	r := &rig{}
+	class := choice.Class{Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: choice.Keyed, Window: 2 * time.Second}
+	c, err := New(Options{Seed: 1, Arrivals: 20, Identities: 20, Keep: time.Minute, Caller: r, Observer: r, Journal: j, Every: true,
+		Names: Names{Partner: func(int) string { return "p" }},
+		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Cancels: true, Certain: true,
+			ReportLimit: -1, Classes: []choice.Class{class}, Kinds: []choice.Kind{{PerCall: 1}},
+			Rules: choice.Rules{OverloadFactor: 2, Fall: time.Second, ColdFrom: 0.2, Cold: 5 * time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.clock = func() time.Duration { return c.now }
+	r.Core = c
+	r.at(0)
+	r.List(choice.Listing{Whole: true, Hosts: []choice.Host{{Addr: "a", State: choice.Ready}}})
+	r.at(ms)
+	return r
+}
+
+// A client hears that its message was taken only once the record of that is down: a kill
+// in between would lose what it was promised.
+func TestDecidedWaitsForTheRecord(t *testing.T) {
+	j := &slowJournal{slow: true}
+	r := kept(t, j)
+	d := &decider{}
+	if err := r.Submit(&Message{Identity: "m", Left: 5 * time.Second, Reply: d}); err != nil {
+		t.Fatal(err)
+	}
+	r.at(2 * ms)
+	if len(d.taken) != 0 || d.decided != 0 || len(r.calls) != 0 {
+		t.Fatalf("taken %d, decided %d, %d calls before the record is down", len(d.taken), d.decided, len(r.calls))
+	}
+	j.slow = false
+	j.write()
+	r.at(3 * ms)
+	if len(d.taken) != 1 || d.decided != 1 || len(r.calls) != 1 {
+		t.Errorf("taken %d, decided %d, %d calls after it", len(d.taken), d.decided, len(r.calls))
+	}
+}
+
+// The time in which a repeat is remembered is counted from the first send, over a restart
+// and whatever it takes; what is left of it goes with the call.
+func TestWindowOverRestart(t *testing.T) {
+	r := kept(t, &slowJournal{})
+	restore := func(id string, seq uint64, since time.Duration) *reply {
+		re := &reply{}
+		r.Restore([]Restored{{Message: Message{Identity: id, Left: 5 * time.Second, Reply: re}, Seq: seq, Attempts: 1, Ran: true,
+			Since: since, Zone: 0}}, nil, nil, seq)
+		return re
+	}
+	restore("left", 1, 1200*ms)
+	over := restore("over", 2, 1800*ms)
+	r.at(500 * ms) // the start took so long
+	if len(r.calls) != 1 || r.calls[0].Name != "left" {
+		t.Fatalf("%d calls, want one: the other's window is over", len(r.calls))
+	}
+	if w := r.calls[0].Within; w <= 0 || w > 300*ms+ms {
+		t.Errorf("to be sent within %v, want what is left of 2 s: about 300 ms", w)
+	}
+	if len(over.answers) != 1 || over.answers[0].Verdict != ledger.Failed {
+		t.Errorf("answers %+v, want failed", over.answers)
+	}
+}
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -44,6 +44,11 @@
 		k.mu.Unlock()
 		return false
 	}
+	if k.Within > 0 && time.Since(k.began) >= k.Within { // a repeat might take effect again by now
+		k.mu.Unlock()
+		k.end(unready, nil)
+		return false
+	}
 	cn.mu.Lock()
 	if cn.gone.Load() || cn.call != nil {
 		cn.mu.Unlock()
--- a/internal/partner/hook_test.go
+++ b/internal/partner/hook_test.go
@@ -238,3 +238,25 @@
 		}
 	}
 }
+
+// A call whose connection is up only after the time in which its repeat is remembered is
+// not written: it was not sent, and the connection serves the next one.
+func TestNothingIsWrittenTooLate(t *testing.T) {
+	var calls atomic.Int32
+	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) })}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	c := hookCaller(t, l.Addr().String())
+	ended := make(chan core.Ending, 1)
+	c.Send(core.Call{ID: "m", Name: "late", Host: "h", Patient: 10 * time.Second, Within: 1, End: func(e core.Ending) { ended <- e }})
+	if e := <-ended; e.Outcome != choice.NotSent || e.Over || e.Spent {
+		t.Errorf("%+v, want NotSent", e)
+	}
+	if e := hook(t, c, 10*time.Second); e.Outcome != choice.Served || calls.Load() != 1 {
+		t.Errorf("the next one: %+v, %d calls at the host", e, calls.Load())
+	}
+}
