--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"math"
@@ -184,6 +185,9 @@
 	// late by the clock of who handed it in, which began with the sending: the message
 	// counts as delivered only if its partner says so earlier. 0: every answer counts.
 	Late time.Duration
+	// Together bounds the content of a call that carries several messages, in bytes; 0 for
+	// no bound. Those that do not fit travel in a call of their own.
+	Together int
 	// Forgetful: waits and failures that endpoints told end with the process.
 	Forgetful bool
 }
@@ -987,18 +991,21 @@
 		case choice.Send:
 			a := c.attempt(act)
 			most := c.kind(act.Host).PerCall
-			if a == nil || most <= 1 {
+			if most <= 1 {
 				c.send(a)
 				continue
 			}
-			group := append(sends[act.Host], a)
+			group := sends[act.Host]
+			if a != nil && !c.fits(group, a) {
+				c.sendGroup(group)
+				group = nil
+			}
+			if a != nil { // without it too the others go, where it would have been the last
+				group = append(group, a)
+			}
 			if sends[act.Host] = group; len(group) >= most || !sentLater(actions[i+1:], act.Host) {
-				group[0].with = group[1:]
-				for _, b := range group[1:] {
-					b.lead = group[0]
-				}
 				delete(sends, act.Host)
-				c.send(group[0])
+				c.sendGroup(group)
 			}
 		case choice.Refuse:
 			if m := c.msgs[act.ID]; m != nil {
@@ -1070,6 +1077,33 @@
 	return a
 }
 
+// fits tells whether one more attempt may travel with others in one call.
+func (c *Core) fits(group []*attempt, a *attempt) bool {
+	if c.opt.Together == 0 || len(group) == 0 {
+		return true
+	}
+	size := 0
+	for _, b := range append([]*attempt{a}, group...) {
+		size += perItem + len(b.m.Identity) + len(b.m.Key) + base64.StdEncoding.EncodedLen(len(b.m.Body))
+	}
+	return size <= c.opt.Together
+}
+
+// perItem bytes a message takes in a call that carries several, apart from what is its own.
+const perItem = 40
+
+// sendGroup begins one call with several attempts.
+func (c *Core) sendGroup(group []*attempt) {
+	if len(group) == 0 {
+		return
+	}
+	group[0].with = group[1:]
+	for _, b := range group[1:] {
+		b.lead = group[0]
+	}
+	c.send(group[0])
+}
+
 // send begins a call: an attempt, and those that travel with it.
 func (c *Core) send(a *attempt) {
 	if a == nil {
--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -112,3 +112,23 @@
 		t.Errorf("answers %+v, want failed", over.answers)
 	}
 }
+
+// What would make one call's content too long for its host travels in a second one: a call
+// that is refused for its length would be refused for ever.
+func TestLongBodiesTravelApart(t *testing.T) {
+	r, _ := several(t)
+	r.opt.Together = 2000
+	r.List(choice.Listing{Whole: true}) // nothing is sent before all are there
+	r.at(3 * ms)
+	for _, id := range []string{"a", "b", "c"} {
+		if err := r.Submit(&Message{Identity: id, Left: 5 * time.Second, Reply: &reply{}, Body: make([]byte, 600)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.at(4 * ms)
+	r.List(choice.Listing{Whole: true, Hosts: []choice.Host{{Addr: "a", State: choice.Ready}}})
+	r.at(5 * ms)
+	if len(r.calls) != 2 || len(r.calls[0].Call.Several) != 2 || r.calls[1].Call.Several != nil || r.calls[1].Name != "c" {
+		t.Fatalf("%d calls, want one with two messages and one with the third", len(r.calls))
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -134,7 +134,7 @@
 		ordered = append(ordered, k.Ordered)
 	}
 	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, Arrivals: b.Clients, Identities: b.Identities, Keep: longest,
-		Caller: n.caller, Observer: n.watch, Journal: n.keep, Every: true, Forgetful: true, Late: clientWaits,
+		Caller: n.caller, Observer: n.watch, Journal: n.keep, Every: true, Together: bodyBytes, Forgetful: true, Late: clientWaits,
 		Names: core.Names{Partner: strconv.Itoa}})
 	if err != nil {
 		return nil, err
--- a/internal/platform/site_test.go
+++ b/internal/platform/site_test.go
@@ -259,6 +259,12 @@
 func (s *site) start(addr string) *process {
 	s.t.Helper()
 	s.config(addr, "")
+	return s.startAsIs(addr)
+}
+
+// startAsIs is start with the configuration that is there.
+func (s *site) startAsIs(addr string) *process {
+	s.t.Helper()
 	p := &process{cmd: exec.Command(os.Args[0], "-test.run=TestNodeProcess"), addr: addr, log: &bytes.Buffer{}}
 	p.cmd.Env = append(os.Environ(), playNode+"=1", "ROUTER_CONFIG="+s.env("ROUTER_CONFIG"), "ROUTER_STATE="+s.env("ROUTER_STATE"))
 	p.cmd.Stderr = p.log
