--- a/choice/choice.go
+++ b/choice/choice.go
@@ -464,9 +464,11 @@
 		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
 		u.cutAt, u.tokens = c.now, min(u.tokens, 0)
 	}
-	// Refusals alone, for longer than a limit explains, are those of a shut destination.
+	// Refusals alone, for longer than a limit explains, are those of a shut destination. Of one that it meets
+	// seldom a relay sees but two before it opens and all relays come at once: a trial soon tells.
 	fall := c.set.Rules.Fall
-	if u.state == healthy && (wait > 2*fall/3 || u.bad > 6 && c.now-u.lastServed >= fall) {
+	alone := (u.bad > 6 || u.bad > 2 && c.thin(u)) && c.now-u.lastServed >= fall
+	if u.state == healthy && (wait > 2*fall/3 || alone) {
 		if c.suspect(u, d, "refusals only", 0); wait > 0 && c.thin(u) {
 			u.trials = 1 // all that were refused would come at once when it opens, cold
 			u.trialAt = u.waitUntil + min(c.gap(u), time.Duration(8*c.rand.Float64()*float64(wait)))
@@ -476,13 +478,24 @@
 
 // spread is a pause drawn by chance, so that relays do not come back in step. It doubles with each step up
 // to the even share of a call, all of it longer the fewer calls after a refusal are served at this kind:
-// where refused calls use up the limit, retries alone keep it shut. May harm where refusals come by chance.
+// where refused calls use up the limit, retries alone keep it shut. May harm where refusals come by chance:
+// it is never longer than what keeps all relays within the budget of a destination just back. What a relay
+// of a large fleet meets once in the rule's window or less it leaves alone for a third of that at first: all
+// that were refused just before it opens would come at once.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
-	pause := min((c.minAim/4).Seconds()*math.Exp2(float64(min(step, 20))), c.even(u).Seconds())
-	pause *= (0.5 + c.rand.Float64()) / math.Pow(max(0.4, 2*d.habits.luck), d.habits.power)
-	return time.Duration(pause * float64(time.Second))
+	base := c.minAim / 4
+	if c.even(u) > c.set.Rules.Fall {
+		base = max(base, c.set.Rules.Fall/3)
+	}
+	pause := min(base.Seconds()*math.Exp2(float64(min(step, 20))), c.even(u).Seconds())
+	pause = min(pause/math.Pow(max(0.4, 2*d.habits.luck), d.habits.power), c.coldGap(u))
+	return time.Duration(pause * (0.5 + c.rand.Float64()) * float64(time.Second))
 }
 
+// coldGap is the time in seconds in which this relay's share of what the rule allows a destination just back
+// is one call.
+func (c *Chooser) coldGap(u *unit) float64 { return c.set.Rules.Fall.Seconds() / c.budget(u, 0) }
+
 func (c *Chooser) served(u *unit, d *dest, took time.Duration) {
 	u.pace = cmp.Or(u.pace, took.Seconds())
 	u.pace += (took.Seconds() - u.pace) / 8
