--- a/choice/api.go
+++ b/choice/api.go
@@ -76,6 +76,9 @@
 	Certain       bool      // refuse only what certainly never ran; else also what may safely come again
 	// Acknowledged: a message that was refused or failed keeps its place in the order of its key until Settled.
 	Acknowledged bool
+	// TakenBack is what it costs to give up a message that has surely not run once the step that took it is over:
+	// a share of its worth, before a share of its time has gone. 0 where that costs nothing.
+	TakenBack struct{ Cost, Before float64 }
 	// ReportLimit is the place in Result.Report of the limit in calls a second;
 	// below 0 where it is not reported.
 	ReportLimit int
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -581,7 +581,7 @@
 
 func (c *Chooser) arrive(e Arrival) *message {
 	k := &c.set.Classes[min(max(e.Class, 0), len(c.set.Classes)-1)]
-	m := &message{Arrival: e, class: k, dest: c.dest(e.Dest), due: c.now + e.Left, unsure: -1}
+	m := &message{Arrival: e, class: k, dest: c.dest(e.Dest), due: c.now + e.Left, taken: c.now, unsure: -1}
 	m.born = m.due - k.Deadline
 	c.msgs[e.ID] = m
 	c.held++
@@ -819,6 +819,10 @@
 		for _, d := range c.live {
 			for _, m := range d.waiting {
 				w := c.worth(m, c.now) / float64(len(d.waiting))
+				if b := c.set.TakenBack; !m.ran && c.now > m.taken &&
+					(c.now-m.taken).Seconds() < b.Before*(m.due-m.taken).Seconds() {
+					w += b.Cost * m.class.Worth // rather refused before it is taken than given up after
+				}
 				if w < least && (!m.ran || m.class.Effect == Safe) {
 					least, worst = w, m
 				}
--- a/choice/platform_test.go
+++ b/choice/platform_test.go
@@ -175,3 +175,44 @@
 		}
 	}
 }
+
+// Where giving up costs something a crowded relay refuses what has just come rather than
+// what it took before, unless that is worth so much less that it pays; late in its time a
+// message costs nothing more.
+func TestCrowdedRelayRefusesBeforeTaking(t *testing.T) {
+	for _, cost := range []float64{0, 0.3} {
+		s := settings()
+		s.MaxHeld = 10
+		s.TakenBack.Cost, s.TakenBack.Before = cost, 0.7
+		r := newRig(t, s) // no host: all wait
+		refused := func(acts []Action) (ids []string) {
+			for _, a := range acts {
+				if f, ok := a.(Refuse); ok {
+					ids = append(ids, f.ID)
+				}
+			}
+			return ids
+		}
+		var old []Event
+		for i := range 9 {
+			old = append(old, arrival("old"+string(rune('0'+i)), 0))
+		}
+		if got := refused(r.step(old...)); len(got) != 0 {
+			t.Fatalf("refused %v with room left", got)
+		}
+		r.now += 3 * time.Second // they are worth less by now than what is new
+		got := refused(r.step(arrival("new", 0)))
+		if want := map[bool]string{true: "old", false: "new"}[cost == 0]; len(got) != 1 || got[0][:3] != want {
+			t.Errorf("cost %v: refused %v, want an %s one", cost, got, want)
+		}
+		other := arrival("other", 0)
+		other.Dest = 2 // nothing waits there
+		if got := refused(r.step(other)); len(got) != 1 || got[0] == "other" {
+			t.Errorf("cost %v: refused %v, want one of those that wait in line", cost, got)
+		}
+		r.now += 5 * time.Second
+		if got := refused(r.step(arrival("last", 0))); len(got) != 1 || got[0] == "last" {
+			t.Errorf("cost %v: refused %v late in the time of the others", cost, got)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -16,6 +16,7 @@
 	dest     *dest
 	due      time.Duration // deadline
 	born     time.Duration // due less the class's deadline: first handed in
+	taken    time.Duration // here
 	attempts int
 	timeout  time.Duration // of the last try
 	call     *call         // out now
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -14,6 +14,9 @@
 	// A client waits so long for its answer (PROTOCOL); a request that is not whole
 	// within twice that has lost its client.
 	clientWaits = 400 * time.Millisecond
+	// A message that was taken and has surely not run costs this share of its worth where
+	// it is given up before that share of its time (STANDING).
+	takenBack, takenBackBefore = 0.3, 0.7
 	// A connection that says nothing is owed its close 3 s after it came up, and one
 	// without an open request may be closed after 2 s (DAYS).
 	silent = 2*time.Second + 100*time.Millisecond
