--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,7 @@
 type Item struct {
 	ID   string // as its client named it
 	Key  string
+	Head []byte // as that of a call with one message
 	Body []byte
 }
 
@@ -1084,7 +1085,7 @@
 	}
 	size := 0
 	for _, b := range append([]*attempt{a}, group...) {
-		size += perItem + len(b.m.Identity) + len(b.m.Key) + base64.StdEncoding.EncodedLen(len(b.m.Body))
+		size += perItem + len(b.m.Identity) + max(len(b.m.Key), len(b.m.Head)) + base64.StdEncoding.EncodedLen(len(b.m.Body))
 	}
 	return size <= c.opt.Together
 }
@@ -1122,7 +1123,7 @@
 			by = b.by
 		}
 		if len(a.with) > 0 {
-			call.Several = append(call.Several, Item{ID: b.m.Identity, Key: b.m.Key, Body: b.m.Body})
+			call.Several = append(call.Several, Item{ID: b.m.Identity, Key: b.m.Key, Head: b.m.Head, Body: b.m.Body})
 			call.Body = nil
 		}
 		if c.harmful(b.m) {
--- a/internal/hookfront/ending_test.go
+++ b/internal/hookfront/ending_test.go
@@ -300,3 +300,28 @@
 		t.Errorf("TCP_NODELAY is %d (%v)", v, errors.Unwrap(err))
 	}
 }
+
+// The key by which a host tells a repeat goes on as it came; two of them, or one that would
+// not be the same behind the relay, are a bad client's.
+func TestIdempotencyKey(t *testing.T) {
+	for field, want := range map[string]string{
+		"":                               "",
+		"Idempotency-Key: 125a169f\r\n":  "Idempotency-Key: 125a169f\r\n",
+		"idempotency-key:  \"a b\" \r\n": "Idempotency-Key: \"a b\"\r\n",
+		"Idempotency-Key: a\r\nIdempotency-Key: a\r\n":          "400",
+		"Idempotency-Key: " + strings.Repeat("k", 257) + "\r\n": "400",
+		"Idempotency-Key: a\tb\r\n":                             "400",
+	} {
+		f, d := patient(t)
+		got := ask(t, dial(t, f), hand("m", "charge", "7", "480", field, "body"))
+		if want == "400" {
+			if got != 400 || len(d.taken) != 0 {
+				t.Errorf("%.40q: %d", field, got)
+			}
+			continue
+		}
+		if <-d.came; got != 202 || string(d.taken[0].Head) != want {
+			t.Errorf("%q: %d, %q goes on, want %q", field, got, d.taken[0].Head, want)
+		}
+	}
+}
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -474,6 +474,13 @@
 	}
 	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, Once: true,
 		Left: time.Duration(left) * time.Millisecond, Front: Name, Body: r.Body}
+	key, n := r.Only(fieldIdempotency)
+	if n > 1 || len(key) > 256 || strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c >= 0x7f }) {
+		return nil, fmt.Errorf("%s: %d fields, %.40q; one of at most 256 visible characters may be there", fieldIdempotency, n, key)
+	}
+	if n == 1 { // by it a host tells a repeat
+		m.Head = []byte(fieldIdempotency + ": " + key + "\r\n")
+	}
 	if f.opt.Ordered[class] {
 		m.Key = cookie(strings.Join(r.All("Cookie"), "; "), "about")
 		if m.Way = []byte(m.Key); len(m.Key) > 256 {
@@ -483,6 +490,10 @@
 	return m, nil
 }
 
+// fieldIdempotency names the field by which hosts of some classes tell a repeat; it goes on
+// to them as it came, with every attempt.
+const fieldIdempotency = "Idempotency-Key"
+
 // destination reads dest=N among parameters.
 func destination(v string) (int, error) {
 	for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ';' || r == ',' }) {
--- a/internal/partner/hook.go
+++ b/internal/partner/hook.go
@@ -42,6 +42,9 @@
 		items := make([]item, len(c.Several))
 		for i, m := range c.Several {
 			items[i] = item{m.ID, m.Key, m.Body}
+			if key := idempotencyKey(m.Head); key != "" {
+				items[i].Key = key
+			}
 			if m.Body == nil {
 				items[i].Body = []byte{}
 			}
@@ -57,7 +60,21 @@
 	}
 	b = strconv.AppendInt(append(b, "\r\n"+fieldLeft+": "...), max(1, left.Milliseconds()), 10)
 	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(body)), 10)
-	return append(append(b, "\r\n\r\n"...), body...)
+	b = append(b, "\r\n"...)
+	if len(c.Several) == 0 {
+		b = append(b, c.Head...)
+	}
+	return append(append(b, "\r\n"...), body...)
+}
+
+// idempotencyKey is the value of that field among header lines.
+func idempotencyKey(head []byte) string {
+	for line := range strings.SplitSeq(string(head), "\r\n") {
+		if name, value, _ := strings.Cut(line, ":"); strings.EqualFold(name, "Idempotency-Key") {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
 }
 
 // ending is the one table from what happened on a socket to what the decision
--- a/internal/partner/hook_test.go
+++ b/internal/partner/hook_test.go
@@ -260,3 +260,36 @@
 		t.Errorf("the next one: %+v, %d calls at the host", e, calls.Load())
 	}
 }
+
+// The client's key for repeats is in each call as it came: as a field of one message, as the
+// key of each of several; a message without one has the key of its order there.
+func TestIdempotencyKeyGoesOn(t *testing.T) {
+	type seen struct{ field, body string }
+	calls := make(chan seen, 2)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		calls <- seen{strings.Join(r.Header.Values("Idempotency-Key"), "|"), string(body)}
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	c := hookCaller(t, l.Addr().String())
+	ended := make(chan core.Ending, 1)
+	head := []byte("Idempotency-Key: key-1\r\n")
+	c.Send(core.Call{ID: "m", Name: "one", Host: "h", Head: head, Body: []byte("x"), Patient: 10 * time.Second,
+		End: func(e core.Ending) { ended <- e }})
+	<-ended
+	if s := <-calls; s.field != "key-1" || s.body != "x" {
+		t.Errorf("one message: %+v", s)
+	}
+	c.Send(core.Call{ID: "m", Host: "h", Patient: 10 * time.Second, End: func(e core.Ending) { ended <- e },
+		Several: []core.Item{{ID: "a", Key: "order", Head: head}, {ID: "b", Key: "order"}, {ID: "c"}}})
+	<-ended
+	want := `[{"id":"a","key":"key-1","body":""},{"id":"b","key":"order","body":""},{"id":"c","key":"","body":""}]`
+	if s := <-calls; s.field != "" || s.body != want {
+		t.Errorf("several: %+v, want %s", s, want)
+	}
+}
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -52,6 +52,46 @@
 	}
 }
 
+// A message's key for repeats outlives the process: the calls after a restart carry it too.
+func TestIdempotencyKeySurvives(t *testing.T) {
+	s := newSite(t, "small")
+	var mu sync.Mutex
+	keys := map[string]bool{}
+	inner := s.hosts[0].srv.Handler
+	status := 503
+	s.hosts[0].srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		keys[fmt.Sprint(status, " ", r.Header.Get("Idempotency-Key"))] = true
+		mu.Unlock()
+		inner.ServeHTTP(w, r)
+	})
+	s.say(0, func(string) (int, bool) { mu.Lock(); defer mu.Unlock(); return status, status == 200 })
+	addr := freeAddr(t)
+	p := s.start(addr)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: sure-1\r\nX-Lane: notice\r\nX-Remaining-Ms: 8000\r\n"+
+		"X-Addressing: dest=0\r\nIdempotency-Key: key-1\r\nContent-Length: 0\r\n\r\n")
+	if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || a.StatusCode != 202 {
+		t.Fatal(a, err)
+	}
+	s.taken["sure-1"] = true
+	_ = p.end(t, syscall.SIGKILL)
+	mu.Lock()
+	status = 200
+	mu.Unlock()
+	s.start(addr)
+	s.settled()
+	mu.Lock()
+	defer mu.Unlock()
+	if !keys["200 key-1"] || keys["200 "] {
+		t.Errorf("calls with %v", keys)
+	}
+}
+
 // What a relay was told lasts: where the agent is silent after a restart, the list that the
 // last run heard counts, and not an older one in the configuration. A file that cannot be
 // read, or one that is older than the configuration's list, counts for nothing.
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -237,7 +237,7 @@
 		}
 		messages = append(messages, core.Restored{Message: core.Message{Source: m.Source, Identity: m.Identity,
 			Class: n.cfg.Settings.Lanes[m.Class], Partner: number(m.Partner), Key: m.Key, Left: m.Left, Front: m.Front, Way: m.Way,
-			Body: m.Body, Once: true, Reply: reply}, Seq: m.Seq, Attempts: m.Attempts, Ran: m.Ran, Since: m.Since, Zone: zone})
+			Head: m.Head, Body: m.Body, Once: true, Reply: reply}, Seq: m.Seq, Attempts: m.Attempts, Ran: m.Ran, Since: m.Since, Zone: zone})
 	}
 	n.core.Restore(messages, ended, nil, k.Last)
 	return len(messages), owed
