--- a/choice/choice.go
+++ b/choice/choice.go
@@ -479,10 +479,10 @@
 // spread is a pause drawn by chance, so that relays do not come back in step. It doubles with each step up
 // to the even share of a call, all of it longer the fewer calls after a refusal are served at this kind:
 // where refused calls use up the limit, retries alone keep it shut. May harm where refusals come by chance:
-// where a rate is listed it is never longer than what keeps all relays within the budget of a destination just
-// back (elsewhere that is known only once it was out). What a relay
-// of a large fleet meets once in the rule's window or less it leaves alone for a third of that at first: all
-// that were refused just before it opens would come at once.
+// where a rate is listed it is never longer than what keeps all relays within the budget of a destination
+// just back; elsewhere that is known only once it was out. What a relay of a large fleet meets once in the
+// rule's window or less it leaves alone for a third of that at first: all that were refused just before it
+// opens would come at once.
 func (c *Chooser) spread(u *unit, d *dest, step int) time.Duration {
 	base := c.minAim / 4
 	if c.even(u) > c.set.Rules.Fall {
