--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,7 +465,7 @@
 		u.cutAt, u.tokens = c.now, min(u.tokens, 0)
 	}
 	// Refusals alone, for longer than a limit explains, are those of a shut destination. Of one that it meets
-	// seldom a relay sees but two before it opens and all relays come at once: a trial soon tells.
+	// seldom a relay sees but few before it opens and all relays come at once: three in a row are enough.
 	fall := c.set.Rules.Fall
 	alone := (u.bad > 6 || u.bad > 2 && c.thin(u)) && c.now-u.lastServed >= fall
 	if u.state == healthy && (wait > 2*fall/3 || alone) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -607,7 +607,7 @@
 			return
 		}
 	}
-	if c.opt.Journal != nil && in.Identity != "" && !c.opt.Journal.Room(len(in.Body)) {
+	if c.opt.Journal != nil && in.Identity != "" && !c.opt.Journal.Room(len(in.Head)+len(in.Body)) {
 		in.Reply.Taken(ErrJournal)
 		return
 	}
--- a/internal/partner/hook_test.go
+++ b/internal/partner/hook_test.go
@@ -239,18 +239,24 @@
 	}
 }
 
-// A call whose connection is up only after the time in which its repeat is remembered is
-// not written: it was not sent, and the connection serves the next one.
-func TestNothingIsWrittenTooLate(t *testing.T) {
-	var calls atomic.Int32
-	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) })}
+// serving is the address of a host that answers as a function says.
+func serving(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	srv := &http.Server{Handler: h}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	c := hookCaller(t, l.Addr().String())
+	return l.Addr().String()
+}
+
+// A call whose connection is up only after the time in which its repeat is remembered is
+// not written: it was not sent, and the connection serves the next one.
+func TestNothingIsWrittenTooLate(t *testing.T) {
+	var calls atomic.Int32
+	c := hookCaller(t, serving(t, func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
 	ended := make(chan core.Ending, 1)
 	c.Send(core.Call{ID: "m", Name: "late", Host: "h", Patient: 10 * time.Second, Within: 1, End: func(e core.Ending) { ended <- e }})
 	if e := <-ended; e.Outcome != choice.NotSent || e.Over || e.Spent {
@@ -266,17 +272,10 @@
 func TestIdempotencyKeyGoesOn(t *testing.T) {
 	type seen struct{ field, body string }
 	calls := make(chan seen, 2)
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	c := hookCaller(t, serving(t, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		calls <- seen{strings.Join(r.Header.Values("Idempotency-Key"), "|"), string(body)}
-	})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = srv.Serve(l) }()
-	t.Cleanup(func() { _ = srv.Close() })
-	c := hookCaller(t, l.Addr().String())
+	}))
 	ended := make(chan core.Ending, 1)
 	head := []byte("Idempotency-Key: key-1\r\n")
 	c.Send(core.Call{ID: "m", Name: "one", Host: "h", Head: head, Body: []byte("x"), Patient: 10 * time.Second,
