A start that fails ends; two tests that raced with themselves

Trace: the undo waits in nbio's Engine.Stop for a poller in EpollWait. A node that could not listen would have hung instead of saying so and ending. engine.Stop bounds the wait to 2 s, for agent, partner and fronts.

TestHandshakesBoundedAndResumed counted a handshake after it had written the answer, so that the caller could look first; it counts before now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/lesismal/nbio"
 
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/http1"
 )
 
@@ -50,7 +51,7 @@
 }
 
 // Close ends all connections.
-func (c *Client) Close() { c.engine.Stop() }
+func (c *Client) Close() { engine.Stop(c.engine) }
 
 // Move has everything go to another address from now on.
 func (c *Client) Move(addr string) {
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"basaltcross.example/basaltcross/internal/engine"
 )
 
 // Conn is what a front keeps of one connection.
@@ -96,4 +98,4 @@
 }
 
 // Close ends everything.
-func (l *Listeners) Close() { l.engine.Stop() }
+func (l *Listeners) Close() { engine.Stop(l.engine) }
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -14,6 +14,7 @@
 	"github.com/lesismal/nbio"
 
 	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/zone"
 )
@@ -161,5 +162,5 @@
 	close(c.stop)
 	c.cancel()
 	c.done.Wait()
-	c.engine.Stop()
+	engine.Stop(c.engine)
 }
--- a/internal/partner/hard_test.go
+++ b/internal/partner/hard_test.go
@@ -302,11 +302,12 @@
 		if request(r) != nil {
 			return
 		}
-		if fmt.Fprint(c, ok); c.(*tls.Conn).ConnectionState().DidResume {
+		if c.(*tls.Conn).ConnectionState().DidResume { // counted before the answer is heard
 			resumed.Add(1)
 		} else {
 			fresh.Add(1)
 		}
+		fmt.Fprint(c, ok)
 		answers(c, r)
 	}
 	one := serve(t, tls.NewListener(listen(t, "tcp", "127.0.0.1:0"), server), script)
