--- a/internal/partner/hard_test.go
+++ b/internal/partner/hard_test.go
@@ -326,6 +326,19 @@
 	if most.Load() > 2 {
 		t.Errorf("%d handshakes at once", most.Load())
 	}
+	setUp := func() bool { // calls may all have been served while the second connection was on its way
+		c.mu.Lock()
+		p := c.pools["e"]
+		c.mu.Unlock()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.connecting == 0 && len(p.idle) == p.open
+	}
+	for end := time.Now().Add(20 * time.Second); !setUp(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("connections that never come up")
+		}
+	}
 	c.CloseIdle("e")
 	before := resumed.Load()
 	if do(t, c, "e", nil); resumed.Load() != before+1 {
