--- /dev/null
+++ b/internal/journal/fault_test.go
@@ -0,0 +1,146 @@
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+)
+
+// brokenDisk makes writes to a log fail, by handing its segment a descriptor that is
+// open for reading only, and returns what repairs it.
+func brokenDisk(t *testing.T, l *Log) (repair func()) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.files[len(l.files)-1]
+	whole := s.f
+	readOnly, err := os.Open(whole.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.f = readOnly
+	return func() {
+		l.mu.Lock()
+		s.f = whole
+		l.mu.Unlock()
+		_ = readOnly.Close()
+		l.again()
+	}
+}
+
+// churn writes and ends so many messages that every older segment is cleaned away.
+func churn(l *Log, most int64, from uint64) {
+	body := make([]byte, 2000)
+	for seq := from; int64(seq-from)*int64(len(body)) < 3*most; seq++ {
+		id := fmt.Sprint("churn", seq)
+		l.Taken(Message{Seq: seq, Identity: id, Body: body, At: l.Stamp()})
+		l.Ended(End{Seq: seq, Identity: id, Verdict: 1, At: l.Stamp()})
+	}
+}
+
+// Guards against a request answered 429 that is forwarded by the next process: its record
+// reached the disk behind a failed write, counted as live although it had ended, and was
+// carried forward past the record of its end.
+func TestEndedWhileWritesFailIsNotCarriedForward(t *testing.T) {
+	const most = 256 << 10
+	dir := t.TempDir()
+	l, _ := openLog(t, dir, most)
+	repair := brokenDisk(t, l)
+	l.Taken(Message{Seq: 1, Identity: "refused", At: l.Stamp()})
+	l.Ended(End{Seq: 1, Identity: "refused", Verdict: 2, At: l.Stamp()})
+	repair()
+	l.Handed("refused")
+	churn(l, most, 2)
+	_, k := openLog(t, dir, most)
+	if slices.ContainsFunc(k.Messages, func(m Message) bool { return m.Seq == 1 }) {
+		t.Error("a message that was refused is held by the next run")
+	}
+}
+
+// Guards against a request answered 202 that is neither delivered nor ended: its record was
+// cleaned away while that of its end still waited in memory, and a kill came in between.
+func TestMessageStaysUntilItsEndIsOnDisk(t *testing.T) {
+	const most = 256 << 10
+	dir := t.TempDir()
+	l, _ := openLog(t, dir, most)
+	l.Taken(Message{Seq: 1, Identity: "owed", At: l.Stamp()})
+	repair := brokenDisk(t, l)
+	l.Ended(End{Seq: 1, Identity: "owed", Verdict: 3, At: l.Stamp()})
+	l.mu.Lock()
+	live := l.live[string(seqKey(kindMessage, 1))] != nil
+	l.mu.Unlock()
+	if !live {
+		t.Error("the message may be cleaned away before its end is on disk")
+	}
+	if _, k := openLog(t, dir, most); len(k.Messages) != 1 {
+		t.Errorf("a kill leaves %d messages, want the one that is owed its end", len(k.Messages))
+	}
+	repair()
+	if _, k := openLog(t, dir, most); len(k.Messages) != 0 || len(k.Ends) != 1 {
+		t.Errorf("after the repair %d messages and %d ends, want the end alone", len(k.Messages), len(k.Ends))
+	}
+}
+
+// Guards against answers that were told and are not on disk: any life of messages over a
+// disk that fails by moments, opened anew without a close, has what Then said was down.
+func TestWhatWasToldSurvivesFailingWrites(t *testing.T) {
+	const most = 192 << 10
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		dir := t.TempDir()
+		l, _ := openLog(t, dir, most)
+		var open []uint64
+		var mu sync.Mutex
+		taken, ended := map[uint64]bool{}, map[uint64]bool{} // as told
+		told := func(what map[uint64]bool, seq uint64) {
+			mark := func() {
+				mu.Lock()
+				what[seq] = true
+				mu.Unlock()
+			}
+			if l.Then(mark) {
+				mark()
+			}
+		}
+		repair := func() {}
+		for seq := uint64(1); seq < 400; seq++ {
+			switch r.IntN(12) {
+			case 0:
+				repair()
+				repair = brokenDisk(t, l)
+			case 1, 2:
+				repair()
+				repair = func() {}
+			}
+			l.Taken(Message{Seq: seq, Identity: fmt.Sprint(seq), Body: make([]byte, r.IntN(1500)), At: l.Stamp()})
+			told(taken, seq)
+			open = slices.DeleteFunc(append(open, seq), func(old uint64) bool {
+				if len(open) < 20 && r.IntN(3) > 0 {
+					return false
+				}
+				l.Ended(End{Seq: old, Identity: fmt.Sprint(old), Verdict: uint8(1 + r.IntN(3)), At: l.Stamp()})
+				told(ended, old)
+				l.Handed(fmt.Sprint(old))
+				return true
+			})
+		}
+		_, k := openLog(t, dir, most)
+		mu.Lock()
+		held := map[uint64]bool{}
+		for _, m := range k.Messages {
+			if held[m.Seq] = true; ended[m.Seq] {
+				t.Fatalf("seed %d: message %d was told its end and is held", seed, m.Seq)
+			}
+		}
+		for _, seq := range open {
+			if taken[seq] && !held[seq] {
+				t.Fatalf("seed %d: message %d was taken, has no end and is gone", seed, seq)
+			}
+		}
+		mu.Unlock()
+		repair()
+	}
+}
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
@@ -24,6 +25,11 @@
 // A record that something is over is never carried forward: what it ends stands
 // in the same segment or in an older one, and is gone with or before it.
 //
+// What "on disk" means: against SIGKILL, that write(2) has taken the whole record.
+// Against a write that fails, that it has succeeded: records that fail wait in memory,
+// in order, and the tables of what is live change when a record is on disk, not when it
+// is handed in. A record of which a kill left a part is cut off at the next start.
+//
 // It is safe for concurrent use.
 type Log struct {
 	dir   string
@@ -39,10 +45,10 @@
 	ends    map[string]End      // by key
 	forget  map[string]bool     // of them those to be dropped once they are handed over
 	owes    func(verdict uint8) bool
-	big     int64    // bytes of the longest record
-	lives   int64    // bytes of live records
-	waiting [][]byte // records that could not be written yet, in order
-	held    int64    // bytes of those
+	big     int64           // bytes of the longest record
+	lives   int64           // bytes of live records
+	waiting []record        // that could not be written yet, in order
+	noted   map[string]bool // hosts with a wait that was handed in and is not gone
 	done    []func()
 	retry   *time.Timer
 	closed  bool
@@ -54,10 +60,20 @@
 type segment struct {
 	n    uint64
 	f    *os.File
-	size int64
+	size int64    // bytes of whole records
+	torn bool     // a part of a record may stand behind them
 	keys []string // of records written here, live or not, in order
 }
 
+// record is one on its way to disk, with what becomes true once it is there.
+type record struct {
+	kind  byte
+	key   string
+	seq   uint64 // of the message that it ends; 0 for none
+	stays bool   // it is not carried forward: nobody waits for the answer that it tells
+	frame []byte // as it is written
+}
+
 // place is where a live record stands.
 type place struct {
 	in     *segment
@@ -95,7 +111,7 @@
 		return nil, nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	l := &Log{dir: dir, most: most - most/16, epoch: time.Now(), live: map[string]*place{}, seqs: map[uint64][]string{},
-		ends: map[string]End{}, forget: map[string]bool{}, owes: owes, failed: failed}
+		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, owes: owes, failed: failed}
 	if l.seg = l.most / segments; l.seg < 8*block {
 		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, most)
 	}
@@ -139,7 +155,10 @@
 			return nil, nil, nil, fmt.Errorf("journal: %w", err)
 		}
 	}
-	l.put(kindRun, runKey(l.run.Number), encode(l.run))
+	for _, w := range k.Waits {
+		l.noted[w.Host] = true
+	}
+	l.put(newRecord(kindRun, runKey(l.run.Number), encode(l.run)))
 	return l, k, damaged, nil
 }
 
@@ -321,14 +340,14 @@
 func (l *Log) Taken(m Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.put(kindMessage, seqKey(kindMessage, m.Seq), encode(m))
+	l.put(newRecord(kindMessage, seqKey(kindMessage, m.Seq), encode(m)))
 }
 
 // Tried records an attempt, before it is sent and again when it is clear.
 func (l *Log) Tried(a Attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.put(kindAttempt, attemptKey(a.Seq, a.N), encode(a))
+	l.put(newRecord(kindAttempt, attemptKey(a.Seq, a.N), encode(a)))
 }
 
 // Ended records a final answer, in place of message and attempts. One that nobody
@@ -337,17 +356,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e.Identity == "" {
-		l.put(kindOver, binary.BigEndian.AppendUint64(nil, e.Seq), nil)
+		r := newRecord(kindOver, binary.BigEndian.AppendUint64(nil, e.Seq), nil)
+		r.seq = e.Seq
+		l.put(r)
 		return
 	}
-	key := textKey(kindEnd, e.Identity)
 	e.Handed = e.Handed || !l.owes(e.Verdict)
+	l.end(e)
+}
+
+// end hands in the record of a final answer.
+func (l *Log) end(e End) {
+	key := textKey(kindEnd, e.Identity)
 	l.ends[string(key)] = e
-	l.put(kindEnd, key, encode(e))
-	l.over(e.Seq)
-	if e.Handed {
-		l.drop(string(key))
-	}
+	r := newRecord(kindEnd, key, encode(e))
+	r.seq, r.stays = e.Seq, e.Handed
+	l.put(r)
 }
 
 // Handed records that whoever was owed the answer has it.
@@ -360,9 +384,7 @@
 		return
 	}
 	e.Handed = true
-	l.ends[string(key)] = e
-	l.put(kindEnd, key, encode(e))
-	l.drop(string(key))
+	l.end(e)
 	if l.forget[string(key)] {
 		delete(l.forget, string(key))
 		delete(l.ends, string(key))
@@ -387,10 +409,11 @@
 	defer l.mu.Unlock()
 	key := textKey(kindWait, w.Host)
 	if w.Left > 0 || w.Failing {
-		l.put(kindWait, key, encode(w))
-	} else if l.live[string(key)] != nil {
-		l.drop(string(key))
-		l.put(kindGone, key, nil)
+		l.noted[w.Host] = true
+		l.put(newRecord(kindWait, key, encode(w)))
+	} else if l.noted[w.Host] {
+		delete(l.noted, w.Host)
+		l.put(newRecord(kindGone, key, nil))
 	}
 }
 
@@ -409,27 +432,31 @@
 	return false
 }
 
-// put writes one record, or lets it wait behind those that could not be written.
-func (l *Log) put(kind byte, key, value []byte) {
-	if l.closed {
-		return
-	}
+// newRecord frames a record.
+func newRecord(kind byte, key, value []byte) record {
 	b := make([]byte, frame, frame+3+len(key)+len(value))
 	b = append(b, kind, byte(len(key)>>8), byte(len(key)))
 	b = append(append(b, key...), value...)
 	binary.BigEndian.PutUint32(b, uint32(len(b)-frame))
 	binary.BigEndian.PutUint32(b[4:], crc32.Checksum(b[frame:], castagnoli))
+	return record{kind: kind, key: string(key), frame: b}
+}
+
+// put writes one record, or lets it wait behind those that could not be written.
+func (l *Log) put(r record) {
+	if l.closed {
+		return
+	}
 	l.stats.Records++
-	l.stats.Bytes += uint64(len(b))
+	l.stats.Bytes += uint64(len(r.frame))
 	if len(l.waiting) == 0 {
-		err := l.write(b)
+		err := l.write(r)
 		if err == nil {
 			return
 		}
 		l.failed(fmt.Errorf("journal: nothing is taken until this is written: %w", err))
 	}
-	l.waiting = append(l.waiting, b)
-	l.held += int64(len(b))
+	l.waiting = append(l.waiting, r)
 	if l.retry == nil {
 		l.retry = time.AfterFunc(retryWait, l.again)
 	}
@@ -440,7 +467,6 @@
 	l.mu.Lock()
 	l.retry = nil
 	for len(l.waiting) > 0 && !l.closed && l.write(l.waiting[0]) == nil {
-		l.held -= int64(len(l.waiting[0]))
 		l.waiting = l.waiting[1:]
 	}
 	var done []func()
@@ -455,15 +481,16 @@
 	}
 }
 
-// write makes room and appends a record; a file never keeps a part of one.
-func (l *Log) write(b []byte) error {
-	if err := l.clean(int64(len(b))); err != nil {
+// write makes room and appends a record.
+func (l *Log) write(r record) error {
+	if err := l.clean(int64(len(r.frame))); err != nil {
 		return err
 	}
-	return l.append(b)
+	return l.append(r)
 }
 
-func (l *Log) append(b []byte) error {
+// append writes a record behind the last whole one, and books it once it is down.
+func (l *Log) append(r record) error {
 	s := l.files[len(l.files)-1]
 	if s.size >= l.seg {
 		if err := l.roll(); err != nil {
@@ -471,23 +498,47 @@
 		}
 		s = l.files[len(l.files)-1]
 	}
-	if n, err := s.f.WriteAt(b, s.size); err != nil {
+	if n, err := s.f.WriteAt(r.frame, s.size); err != nil {
 		if n > 0 {
-			err = errors.Join(err, s.f.Truncate(s.size))
+			s.torn = true
+			err = errors.Join(err, s.cut())
 		}
 		return err
 	}
-	switch kind, length := b[frame], int(binary.BigEndian.Uint16(b[frame+1:])); kind {
+	l.book(s, r)
+	s.size += int64(len(r.frame))
+	l.big = max(l.big, int64(len(r.frame)))
+	return nil
+}
+
+// cut takes off what a failed write may have left behind the last whole record.
+func (s *segment) cut() error {
+	if !s.torn {
+		return nil
+	}
+	if err := s.f.Truncate(s.size); err != nil {
+		return err
+	}
+	s.torn = false
+	return nil
+}
+
+// book brings the tables up to date with a record that is down.
+func (l *Log) book(s *segment, r record) {
+	switch r.kind {
 	case kindOver:
-		l.over(binary.BigEndian.Uint64(b[frame+3:]))
+		l.over(r.seq)
 	case kindGone:
-		l.drop(string(b[frame+3 : frame+3+length]))
+		l.drop(r.key)
 	default:
-		l.note(s, string(b[frame+3:frame+3+length]), int64(len(b)))
+		l.note(s, r.key, int64(len(r.frame)))
+		if r.seq > 0 {
+			l.over(r.seq)
+		}
+		if r.stays {
+			l.drop(r.key)
+		}
 	}
-	s.size += int64(len(b))
-	l.big = max(l.big, int64(len(b)))
-	return nil
 }
 
 // used is what the files hold, in whole blocks.
@@ -520,11 +571,11 @@
 			if _, err := oldest.f.ReadAt(b, p.at); err != nil {
 				return err
 			}
-			if err := l.append(b); err != nil {
+			if err := l.append(record{kind: key[0], key: key, frame: b}); err != nil {
 				return err
 			}
 		}
-		if err := os.Remove(oldest.f.Name()); err != nil {
+		if err := os.Remove(oldest.f.Name()); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
 		_ = oldest.f.Close()
@@ -537,7 +588,11 @@
 func (l *Log) roll() error {
 	n := uint64(1)
 	if len(l.files) > 0 {
-		n = l.files[len(l.files)-1].n + 1
+		last := l.files[len(l.files)-1]
+		if err := last.cut(); err != nil {
+			return err
+		}
+		n = last.n + 1
 	}
 	f, err := os.OpenFile(filepath.Join(l.dir, fmt.Sprintf("%016x%s", n, suffix)), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
