The end of a connection waits for what is still to be written: answers were cut after SIGTERM

Cause: nbio keeps what a short write left over in a buffer that nobody can ask for; shutdown(2) on a duplicate and close(2) went past it. It takes its interest in writability as armed although epoll_ctl(MOD) had failed, so that the rest was never written. A connection that the poller refused for want of memory (ADD) was closed at once. A poller stopped reading at a short read and then closed on the peer's end, with bytes unread.

On a peer read 3,919,872 of 16,777,216 bytes written before Shut, and then a clean end; the same test, TestTheEndComesBehindWhatWasWritten, passes now. TestHostileTLS and the other tests of the relay are as before.

Change: internal/engine writes by itself: a Conn keeps what is left over, bounded, tries again by time, and ends its sending side behind it (CloseWrite, Finish); it uses its descriptor only while it is its own, which replaces the duplicate and the comparison of addresses in front.Shut (TestShut's cases stand in TestAClosedConnectionLeavesItsNumberAlone and TestFinishOverUnreadBytes). EPOLLOUT is not used any more, so that no MOD can fail; a refused ADD is tried again with a duplicate; reading goes on until nothing is left. ENOBUFS and ENOMEM of a write count as a full socket. All three fronts, calls to partners, the agent and TLS go through it; the daemon's fronts finish instead of closing over answers and alerts. Packages engine, hookfront, agent, partner, mqttfront, relay, platform pass under the race detector.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,19 +9,15 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/http1"
 )
 
 // Client opens connections to the agent.
 type Client struct {
-	engine *nbio.Engine
-	fence  atomic.Uint64
+	engine *engine.Engine
 
 	mu    sync.Mutex
 	addr  string
@@ -31,27 +27,15 @@
 // New starts the poller for an agent at host:port.
 func New(addr string) (*Client, error) {
 	c := &Client{addr: addr, moved: make(chan struct{})}
-	c.engine = nbio.NewEngine(nbio.Config{Name: "agent", NPoller: 1, ReadBufferSize: 16 << 10})
-	c.engine.OnData(func(nb *nbio.Conn, b []byte) {
-		c.fence.Load()
-		if l, ok := nb.Session().(*link); ok {
-			l.data(b)
-		}
-	})
-	c.engine.OnClose(func(nb *nbio.Conn, _ error) {
-		c.fence.Load()
-		if l, ok := nb.Session().(*link); ok {
-			l.closed()
-		}
-	})
-	if err := c.engine.Start(); err != nil {
-		return nil, fmt.Errorf("agent: %w", err)
+	var err error
+	if c.engine, err = engine.Start(engine.Options{Name: "agent", ReadBuffer: 16 << 10}); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
 // Close ends all connections.
-func (c *Client) Close() { engine.Stop(c.engine) }
+func (c *Client) Close() { c.engine.Stop() }
 
 // Move has everything go to another address from now on.
 func (c *Client) Move(addr string) {
@@ -79,7 +63,7 @@
 
 // link is one connection. What it reads waits, bounded, until it is asked for.
 type link struct {
-	nb    *nbio.Conn
+	nb    *engine.Conn
 	to    string
 	wake  chan struct{}
 	mu    sync.Mutex
@@ -113,22 +97,19 @@
 		}
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	nb, err := nbio.NBConn(raw)
+	l := &link{to: addr, wake: make(chan struct{}, 1)}
+	_, err = c.engine.Adopt(raw, func(nb *engine.Conn) engine.Handler {
+		l.nb = nb
+		return l
+	})
 	if err != nil {
-		_ = raw.Close()
-		return nil, fmt.Errorf("agent: %w", err)
-	}
-	l := &link{nb: nb, to: addr, wake: make(chan struct{}, 1)}
-	nb.SetSession(l)
-	c.fence.Add(1)
-	if _, err := c.engine.AddConn(nb); err != nil {
-		_ = nb.Close()
-		return nil, fmt.Errorf("agent: %w", err)
+		return nil, err
 	}
 	return l, nil
 }
 
-func (l *link) data(b []byte) {
+// Data takes in what the socket gave.
+func (l *link) Data(b []byte) {
 	l.mu.Lock()
 	l.buf = append(l.buf, b...)
 	over := len(l.buf) > mostUnread
@@ -139,7 +120,8 @@
 	}
 }
 
-func (l *link) closed() {
+// Closed takes in the end of the connection.
+func (l *link) Closed() {
 	l.mu.Lock()
 	l.ended = true
 	l.mu.Unlock()
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -4,19 +4,14 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/internal/engine"
 )
 
 // Conn is what a front keeps of one connection.
-type Conn interface {
-	Data(b []byte) // on the connection's poller; b is not to be kept
-	Closed()
-}
+type Conn = engine.Handler
 
 // Sockets are the listeners of one sort, and how their connections are served.
 type Sockets struct {
@@ -26,70 +21,89 @@
 	ReadBuffer  int
 	WriteBuffer int // bytes that wait for one connection; over it, it is closed
 	// Open makes the front's side of a connection, nil to close it at once.
-	Open func(nb *nbio.Conn) Conn
+	Open func(nb *engine.Conn) Conn
 	// Failed is told that an accept failed, out of descriptors mostly.
 	Failed func(err error)
 }
 
 // Listeners are open sockets.
 type Listeners struct {
-	Addrs  []string
-	engine *nbio.Engine
-	all    []net.Listener
-	// fence orders the making of a Conn before its use on a poller: the engine
-	// hands it over through the kernel, which the race detector cannot see.
-	fence atomic.Uint64
+	Addrs     []string
+	sockets   Sockets
+	engine    *engine.Engine
+	all       []net.Listener
+	accepting sync.WaitGroup
 }
 
+// Farewell is how long a client may take to read what was written to it before a close.
+const Farewell = time.Second
+
 // acceptPause keeps failing accepts from a hot loop.
 const acceptPause = 20 * time.Millisecond
 
 // Listen opens the sockets and begins to serve them.
 func Listen(s Sockets) (*Listeners, error) {
-	l := &Listeners{}
-	l.engine = nbio.NewEngine(nbio.Config{Name: s.Name, Network: "tcp", Addrs: s.Addrs, NPoller: max(1, s.Pollers),
-		ReadBufferSize: s.ReadBuffer, MaxWriteBufferSize: s.WriteBuffer,
-		Listen: func(network, addr string) (net.Listener, error) {
-			one, err := net.Listen(network, addr)
-			if err == nil {
-				l.Addrs, l.all = append(l.Addrs, one.Addr().String()), append(l.all, one)
-			}
-			return one, err
-		}})
-	l.engine.OnOpen(func(nb *nbio.Conn) {
-		c := s.Open(nb)
-		if c == nil {
-			go nb.Close() // not within the poller's opening
-			return
-		}
-		nb.SetSession(c)
-		l.fence.Add(1)
-		_ = nb.SetNoDelay(true)
-	})
-	l.engine.OnData(func(nb *nbio.Conn, b []byte) {
-		l.fence.Load()
-		if c, ok := nb.Session().(Conn); ok {
-			c.Data(b)
+	l := &Listeners{sockets: s}
+	for _, addr := range s.Addrs {
+		one, err := net.Listen("tcp", addr)
+		if err != nil {
+			l.Refuse()
+			return nil, fmt.Errorf("%s: %w", s.Name, err)
 		}
-	})
-	l.engine.OnClose(func(nb *nbio.Conn, _ error) {
-		l.fence.Load()
-		if c, ok := nb.Session().(Conn); ok {
-			c.Closed()
+		l.Addrs, l.all = append(l.Addrs, one.Addr().String()), append(l.all, one)
+	}
+	var err error
+	l.engine, err = engine.Start(engine.Options{Name: s.Name, Pollers: s.Pollers, ReadBuffer: s.ReadBuffer, WriteBuffer: s.WriteBuffer})
+	if err != nil {
+		l.Refuse()
+		return nil, err
+	}
+	for _, one := range l.all {
+		l.accepting.Go(func() { l.accept(one) })
+	}
+	return l, nil
+}
+
+// accept serves one listener until it is closed.
+func (l *Listeners) accept(from net.Listener) {
+	for {
+		raw, err := from.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			l.sockets.Failed(err)
+			time.Sleep(acceptPause)
+		default:
+			l.serve(raw)
 		}
-	})
-	l.engine.OnAcceptError(func(err error) {
-		if !errors.Is(err, net.ErrClosed) { // else by Refuse
-			s.Failed(err)
+	}
+}
+
+// serve hands one connection to the engine, and to the front.
+func (l *Listeners) serve(raw net.Conn) {
+	refused := false
+	nb, err := l.engine.Adopt(raw, func(nb *engine.Conn) engine.Handler {
+		c := l.sockets.Open(nb)
+		if refused = c == nil; refused {
+			return refusal{}
 		}
-		time.Sleep(acceptPause)
+		return c
 	})
-	if err := l.engine.Start(); err != nil {
-		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	switch {
+	case err != nil:
+		l.sockets.Failed(err)
+	case refused:
+		_ = nb.Close()
 	}
-	return l, nil
 }
 
+// refusal handles a connection that the front did not want.
+type refusal struct{}
+
+func (refusal) Data([]byte) {}
+func (refusal) Closed()     {}
+
 // Refuse closes the listeners; connections stand.
 func (l *Listeners) Refuse() {
 	for _, one := range l.all {
@@ -98,4 +112,8 @@
 }
 
 // Close ends everything.
-func (l *Listeners) Close() { engine.Stop(l.engine) }
+func (l *Listeners) Close() {
+	l.Refuse()
+	l.accepting.Wait()
+	l.engine.Stop()
+}
--- a/internal/hookfront/ending_test.go
+++ b/internal/hookfront/ending_test.go
@@ -295,7 +295,7 @@
 		t.Fatal(got)
 	}
 	<-d.came
-	v, err := syscall.GetsockoptInt(only(t, f).nb.Hash(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+	v, err := syscall.GetsockoptInt(only(t, f).nb.Descriptor(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
 	if err != nil || v == 0 {
 		t.Errorf("TCP_NODELAY is %d (%v)", v, errors.Unwrap(err))
 	}
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -14,9 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/ledger"
@@ -187,9 +186,7 @@
 	c.shut = true
 	c.since.Store(time.Now().UnixNano())
 	c.state.Store(shutting)
-	if !front.Shut(c.nb) {
-		c.close()
-	}
+	c.nb.CloseWrite()
 }
 
 // close closes the connection whatever the client does; under mu.
@@ -238,7 +235,7 @@
 // conn is one client's connection.
 type conn struct {
 	front   *Front
-	nb      *nbio.Conn
+	nb      *engine.Conn
 	name    string
 	since   atomic.Int64 // unix ns: of the state, or of the last byte while reading
 	begun   atomic.Int64 // unix ns: of the request, or of the connection before the first
@@ -256,7 +253,7 @@
 // open makes room for a connection: at the bound one without an open request goes, and
 // where too many are between two requests the longest silent of those. Clients have a
 // bound of their own, and hold what they asked on until the relay closes it.
-func (f *Front) open(nb *nbio.Conn) front.Conn {
+func (f *Front) open(nb *engine.Conn) front.Conn {
 	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
 	c.since.Store(time.Now().UnixNano())
 	c.begun.Store(c.since.Load())
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -11,9 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/mqtt"
 	"basaltcross.example/basaltcross/internal/secure"
@@ -22,7 +21,7 @@
 // conn is one client's connection.
 type conn struct {
 	front   *Front
-	nb      *nbio.Conn
+	nb      *engine.Conn
 	sec     *secure.Conn // nil without TLS
 	out     io.Writer
 	named   string // by a verified client certificate
@@ -109,7 +108,11 @@
 	}
 	c.wmu.Unlock()
 	c.front.opt.Observer.Closed(code)
-	_ = c.nb.Close()
+	if code == mqtt.QuotaExceeded { // its memory is wanted now
+		_ = c.nb.Close()
+		return
+	}
+	c.nb.Finish(front.Farewell)
 }
 
 // Data takes in what the socket gave.
@@ -340,7 +343,7 @@
 	s.mu.Unlock()
 	c.polite.Store(d.Code != mqtt.DisconnectWithWill)
 	c.ended.Store(true)
-	_ = c.nb.Close()
+	c.nb.Finish(front.Farewell)
 	return nil
 }
 
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -18,9 +18,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"golang.org/x/crypto/bcrypt"
 
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/mqtt"
 	"basaltcross.example/basaltcross/internal/secure"
@@ -113,7 +113,7 @@
 			continue
 		}
 		l, err := front.Listen(front.Sockets{Name: "mqtt", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 64 << 10,
-			WriteBuffer: opt.WriteBuffer, Open: func(nb *nbio.Conn) front.Conn { return f.open(nb, i == 1) },
+			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn) front.Conn { return f.open(nb, i == 1) },
 			Failed: func(err error) {
 				if !f.draining.Load() {
 					opt.Observer.Logf("mqtt: accept: %v", err)
@@ -180,7 +180,7 @@
 	}
 }
 
-func (f *Front) open(nb *nbio.Conn, secured bool) front.Conn {
+func (f *Front) open(nb *engine.Conn, secured bool) front.Conn {
 	c := &conn{front: f, nb: nb, out: nb}
 	now := time.Now()
 	c.opened = now
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/http1"
@@ -56,7 +54,7 @@
 // Caller holds the connections to all endpoints.
 type Caller struct {
 	opt    Options
-	engine *nbio.Engine
+	engine *engine.Engine
 	mu     sync.Mutex
 	pools  map[string]*pool
 	books  map[string]*addr.Book // of endpoints with addresses of their own
@@ -70,9 +68,6 @@
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
 	done   sync.WaitGroup
-	// fence orders the making of a conn before its use on a poller: the engine
-	// hands it over through the kernel, which the race detector cannot see.
-	fence atomic.Uint64
 }
 
 // bill says who is charged with a connection's bytes.
@@ -122,34 +117,14 @@
 	c := &Caller{opt: opt, pools: map[string]*pool{}, books: map[string]*addr.Book{}, news: make(chan struct{}),
 		barred: map[string]bool{}, epoch: time.Now(), stop: make(chan struct{}), tls: newSessions(opt.Sessions)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.engine = nbio.NewEngine(nbio.Config{Name: "partner", NPoller: max(1, opt.Pollers), ReadBufferSize: 16 << 10})
-	c.engine.OnData(func(nb *nbio.Conn, data []byte) {
-		c.fence.Load()
-		if cn, ok := nb.Session().(*conn); ok {
-			c.count(cn, len(data), false)
-			if cn.sec != nil {
-				cn.sec.Data(data)
-			} else {
-				cn.data(c, data)
-			}
-		}
-	})
-	c.engine.OnClose(func(nb *nbio.Conn, err error) {
-		c.fence.Load()
-		if cn, ok := nb.Session().(*conn); ok {
-			if cn.sec != nil {
-				cn.sec.End()
-			}
-			cn.closed()
-		}
-	})
-	c.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if cn, ok := nb.Session().(*conn); ok && n > 0 {
+	var err error
+	c.engine, err = engine.Start(engine.Options{Name: "partner", Pollers: opt.Pollers, ReadBuffer: 16 << 10,
+		Sent: func(h engine.Handler, n int) {
+			cn := h.(*conn)
 			cn.sent.Add(int64(n))
 			c.count(cn, n, true)
-		}
-	})
-	if err := c.engine.Start(); err != nil {
+		}})
+	if err != nil {
 		return nil, err
 	}
 	c.done.Add(1)
@@ -162,5 +137,5 @@
 	close(c.stop)
 	c.cancel()
 	c.done.Wait()
-	engine.Stop(c.engine)
+	c.engine.Stop()
 }
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -6,9 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/secure"
 )
 
@@ -16,7 +15,7 @@
 type conn struct {
 	pool *pool
 	host string
-	nb   *nbio.Conn
+	nb   *engine.Conn
 	out  io.Writer
 	sec  *secure.Conn // nil without TLS
 	addr addr.Address
@@ -77,6 +76,25 @@
 	})
 }
 
+// Data takes in what the socket gave.
+func (cn *conn) Data(b []byte) {
+	c := cn.pool.c
+	c.count(cn, len(b), false)
+	if cn.sec != nil {
+		cn.sec.Data(b)
+	} else {
+		cn.data(c, b)
+	}
+}
+
+// Closed takes in the end of the connection.
+func (cn *conn) Closed() {
+	if cn.sec != nil {
+		cn.sec.End()
+	}
+	cn.closed()
+}
+
 // data takes in what the socket gave; it runs on the connection's poller.
 func (cn *conn) data(c *Caller, b []byte) {
 	cn.mu.Lock()
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -5,18 +5,15 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/addr"
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/secure"
 )
 
@@ -70,8 +67,8 @@
 	for found == nil && len(p.idle) > 0 {
 		cn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		switch closed, _ := cn.nb.IsClosed(); {
-		case closed || !p.keep.Fresh(now, cn.born, cn.life, cn.since):
+		switch {
+		case cn.nb.IsClosed() || !p.keep.Fresh(now, cn.born, cn.life, cn.since):
 			old = append(old, cn)
 		default:
 			switch cn.peek() {
@@ -375,12 +372,10 @@
 // peek looks whether the peer closed a connection that idles, which the engine
 // may not have noticed yet: a request into it would be lost, and may have run.
 func (cn *conn) peek() int {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(cn.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case err == syscall.EAGAIN || err == syscall.EINTR:
+	switch found := cn.nb.Peek(); {
+	case found == engine.Nothing:
 		return ready
-	case err == nil && n > 0 && cn.sec != nil:
+	case found == engine.Bytes && cn.sec != nil:
 		return unread
 	}
 	return ended
@@ -430,26 +425,12 @@
 	}
 }
 
-// push is how a connection's bytes are written.
-func (cn *conn) push() func(nb *nbio.Conn, b []byte) (int, error) {
-	if cn.addr.Family == addr.Unix {
-		return (&overflow{sent: &cn.sent}).write
-	}
-	return func(nb *nbio.Conn, b []byte) (int, error) { return nb.Write(b) }
-}
-
 func (c *Caller) plain(cn *conn, raw net.Conn) (*conn, error) {
-	nb, err := nbio.NBConn(raw) // duplicates the descriptor and closes the first
+	_, err := c.engine.Adopt(raw, func(nb *engine.Conn) engine.Handler {
+		cn.nb, cn.out = nb, nb
+		return cn
+	})
 	if err != nil {
-		_ = raw.Close()
-		return nil, errOurs
-	}
-	push := cn.push()
-	cn.nb, cn.out = nb, writer(func(b []byte) (int, error) { return push(nb, b) })
-	nb.SetSession(cn)
-	c.fence.Add(1)
-	if _, err := c.engine.AddConn(nb); err != nil {
-		_ = nb.Close()
 		return cn, errOurs
 	}
 	return cn, nil
@@ -460,65 +441,15 @@
 		t.ServerName, _, _ = net.SplitHostPort(cn.host)
 	}
 	t.ClientSessionCache = c.tls.of(cn.pool.partner, t.RootCAs, cn.host+" "+cn.addr.String())
-	push := cn.push()
-	return secure.Client(ctx, counted{raw, c, cn}, t, c.engine, func(nb *nbio.Conn, b []byte) (int, error) {
+	return secure.Client(ctx, counted{raw, c, cn}, t, c.engine, func(nb *engine.Conn, b []byte) (int, error) {
 		cn.size.Add(int64(len(b)))
-		return push(nb, b)
-	}, func(nb *nbio.Conn, s *secure.Conn) {
+		return nb.Write(b)
+	}, func(nb *engine.Conn, s *secure.Conn) engine.Handler {
 		cn.nb, cn.out, cn.sec = nb, s, s
-		nb.SetSession(cn)
-		c.fence.Add(1)
+		return cn
 	}, func(b []byte) { cn.data(c, b) })
 }
 
-type writer func([]byte) (int, error)
-
-func (w writer) Write(b []byte) (int, error) { return w(b) }
-
-var _ io.Writer = writer(nil)
-
-// overflow keeps what a Unix socket did not take at once: the engine queues only
-// for TCP and drops it here. It holds at most what was handed to it, a request.
-type overflow struct {
-	sent interface{ Load() int64 }
-	mu   sync.Mutex
-	rest []byte
-}
-
-func (o *overflow) write(nb *nbio.Conn, b []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(o.rest) > 0 {
-		o.rest = append(o.rest, b...)
-		return len(b), nil
-	}
-	before := o.sent.Load()
-	if n, err := nb.Write(b); err != nil {
-		return n, err
-	}
-	if done := int(o.sent.Load() - before); done < len(b) {
-		o.rest = append([]byte(nil), b[done:]...)
-		go o.drain(nb)
-	}
-	return len(b), nil
-}
-
-func (o *overflow) drain(nb *nbio.Conn) {
-	for {
-		time.Sleep(time.Millisecond)
-		o.mu.Lock()
-		before := o.sent.Load()
-		_, err := nb.Write(o.rest)
-		o.rest = o.rest[o.sent.Load()-before:]
-		if err != nil || len(o.rest) == 0 { // closed: its end is booked there
-			o.rest = nil
-			o.mu.Unlock()
-			return
-		}
-		o.mu.Unlock()
-	}
-}
-
 // sessions are TLS sessions to resume, by endpoint and address: two addresses of
 // one name may be two machines with keys of their own. With new authorities, or
 // another partner's, none is resumed.
--- a/internal/secure/secure.go
+++ b/internal/secure/secure.go
@@ -1,4 +1,4 @@
-// Package secure puts crypto/tls over non-blocking connections of the nbio
+// Package secure puts crypto/tls over non-blocking connections of an
 // engine. A handshake has a goroutine for as long as it lasts; after it, records
 // are opened on the engine's poller and an idle connection holds none.
 //
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
+	"basaltcross.example/basaltcross/internal/engine"
 )
 
 // errNothing says that no bytes are there now.
@@ -31,6 +31,9 @@
 // ErrFlood ends a connection whose reader cannot keep up with it.
 var ErrFlood = errors.New("secure: too much is waiting to be read")
 
+// farewell is how long the peer may take to read what was written before a close.
+const farewell = time.Second
+
 // most bytes that wait for a blocking reader.
 const most = 1 << 20
 
@@ -41,9 +44,9 @@
 // feed is the net.Conn beneath a tls.Conn: reads come from what the poller
 // hands over, writes go to the engine, which never blocks.
 type feed struct {
-	nb    *nbio.Conn
+	nb    *engine.Conn
 	slots Slots
-	write func(*nbio.Conn, []byte) (int, error) // nil for the engine's
+	write func(*engine.Conn, []byte) (int, error) // nil for the engine's
 
 	mu       sync.Mutex
 	some     sync.Cond
@@ -54,7 +57,7 @@
 	timer    *time.Timer
 }
 
-func newFeed(nb *nbio.Conn, slots Slots) *feed {
+func newFeed(nb *engine.Conn, slots Slots) *feed {
 	f := &feed{nb: nb, slots: slots}
 	f.some.L = &f.mu
 	return f
@@ -121,7 +124,11 @@
 	return f.nb.Write(b)
 }
 
-func (f *feed) Close() error                     { return f.nb.Close() }
+func (f *feed) Close() error {
+	f.nb.Finish(farewell) // behind the alert that ends TLS
+	return nil
+}
+
 func (f *feed) LocalAddr() net.Addr              { return f.nb.LocalAddr() }
 func (f *feed) RemoteAddr() net.Addr             { return f.nb.RemoteAddr() }
 func (f *feed) SetWriteDeadline(time.Time) error { return nil } // writes never block
@@ -161,7 +168,7 @@
 // called on a goroutine of its own; it returns what takes in the plaintext, on
 // the poller from then on, or nil: then it has used the connection as a
 // blocking one, and is done with it.
-func Server(nb *nbio.Conn, cfg *tls.Config, slots Slots, within time.Duration,
+func Server(nb *engine.Conn, cfg *tls.Config, slots Slots, within time.Duration,
 	ready func(c *Conn, err error) func([]byte)) *Conn {
 	f := newFeed(nb, slots)
 	c := &Conn{Conn: tls.Server(f, cfg), feed: f}
@@ -178,7 +185,7 @@
 		_ = f.SetReadDeadline(time.Time{})
 		got := ready(c, err)
 		if err != nil {
-			_ = nb.Close()
+			nb.Finish(farewell) // the alert that says why is read
 			return
 		}
 		if got != nil {
@@ -239,8 +246,8 @@
 // a wrapped socket that has an Unwrap is unwrapped for that.
 // Records are written by write, which must not block. made is called with the
 // engine's connection before any data can come.
-func Client(ctx context.Context, raw net.Conn, cfg *tls.Config, engine *nbio.Engine,
-	write func(*nbio.Conn, []byte) (int, error), made func(*nbio.Conn, *Conn), got func([]byte)) error {
+func Client(ctx context.Context, raw net.Conn, cfg *tls.Config, sockets *engine.Engine,
+	write func(*engine.Conn, []byte) (int, error), made func(*engine.Conn, *Conn) engine.Handler, got func([]byte)) error {
 	s := &swap{raw}
 	tc := tls.Client(s, cfg)
 	if err := tc.HandshakeContext(ctx); err != nil {
@@ -250,18 +257,14 @@
 	if w, ok := raw.(interface{ Unwrap() net.Conn }); ok {
 		raw = w.Unwrap()
 	}
-	nb, err := nbio.NBConn(raw)
+	c := &Conn{Conn: tc}
+	_, err := sockets.Adopt(raw, func(nb *engine.Conn) engine.Handler {
+		c.feed = newFeed(nb, nil)
+		c.feed.write = write
+		s.Conn = c.feed
+		return made(nb, c)
+	})
 	if err != nil {
-		_ = raw.Close()
-		return err
-	}
-	f := newFeed(nb, nil)
-	f.write = write
-	s.Conn = f
-	c := &Conn{Conn: tc, feed: f}
-	made(nb, c)
-	if _, err := engine.AddConn(nb); err != nil {
-		_ = nb.Close()
 		return err
 	}
 	c.calm(got)
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -17,9 +17,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"golang.org/x/net/http2"
 
+	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/secure"
@@ -109,7 +109,7 @@
 			continue
 		}
 		l, err := front.Listen(front.Sockets{Name: "webpush", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 32 << 10,
-			WriteBuffer: opt.WriteBuffer, Open: func(nb *nbio.Conn) front.Conn { return f.open(nb, i == 1) },
+			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn) front.Conn { return f.open(nb, i == 1) },
 			Failed: func(err error) { opt.Observer.Logf("webpush: accept: %v", err) }})
 		if err != nil {
 			f.closeAll()
@@ -184,7 +184,7 @@
 			}
 			f.conMu.Unlock()
 			for _, c := range late {
-				_ = c.nb.Close()
+				c.nb.Finish(front.Farewell)
 			}
 			f.opt.Observer.Push(n, messages, boxes)
 		}
@@ -194,7 +194,7 @@
 // conn is one connection.
 type conn struct {
 	front *Front
-	nb    *nbio.Conn
+	nb    *engine.Conn
 	sec   *secure.Conn // nil without TLS
 	out   io.Writer
 	since atomic.Int64 // unix ns: a request began, or the connection idles since
@@ -206,7 +206,7 @@
 	shut bool
 }
 
-func (f *Front) open(nb *nbio.Conn, secured bool) front.Conn {
+func (f *Front) open(nb *engine.Conn, secured bool) front.Conn {
 	c := &conn{front: f, nb: nb, out: nb}
 	c.since.Store(time.Now().UnixNano())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
@@ -363,7 +363,7 @@
 	_, err := c.out.Write(b)
 	if !c.req.Keep || err != nil {
 		c.shut = true
-		_ = c.nb.Close()
+		c.nb.Finish(front.Farewell)
 		return
 	}
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
