Ages across a restart are spans of real time: a stepped wall clock gave messages up untried

Evidence: TestRestartUnderASteppedWallClock with the clocks as they were: 'step 1h0m0s: left 0s, sent 1h0m2s ago; want 5s and 2s', the same wrong way for -1h, 3s and -3s. It passes with boot and monotonic clock recorded.

Why it works: a run's record has the machine's boot id and its monotonic clock, stamps are by that clock, and ages within one boot are its difference.

--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -12,9 +12,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
 )
 
 // Log is a journal of bounded size for a small folder: segments that are written
@@ -32,11 +35,12 @@
 //
 // It is safe for concurrent use.
 type Log struct {
-	dir   string
-	most  int64 // bytes of all files, each in whole blocks
-	seg   int64 // bytes after which a segment is full
-	epoch time.Time
-	run   Run
+	dir    string
+	most   int64 // bytes of all files, each in whole blocks
+	seg    int64 // bytes after which a segment is full
+	clocks func() (Run, error)
+	epoch  time.Time // when run's clocks were read
+	run    Run
 
 	mu      sync.Mutex
 	files   []*segment // oldest first; the last one is written
@@ -101,20 +105,39 @@
 // ErrSmall says that a folder's bound leaves no room for a journal.
 var ErrSmall = errors.New("journal: the bound is too small for one segment and its successor")
 
-// OpenLog opens or makes the journal in a folder that may hold most bytes. What a
-// crash tore off at the end is cut off; a segment with a record that cannot be read
-// is read up to it, and damaged tells of it. failed is told of writes that fail,
-// which are tried again; nothing is taken meanwhile. owes tells of which final answers
-// somebody must hear; the others need no Handed.
-func OpenLog(dir string, most int64, owes func(verdict uint8) bool, failed func(error)) (_ *Log, _ *Kept, damaged error, err error) {
+// LogOptions of a Log.
+type LogOptions struct {
+	Dir  string
+	Most int64 // bytes that the folder may hold
+	// Owes tells of which final answers somebody must hear; the others need no Handed.
+	Owes func(verdict uint8) bool
+	// Failed is told of writes that fail, which are tried again; nothing is taken meanwhile.
+	Failed func(error)
+	// Clocks reads those of the machine; nil for Clocks.
+	Clocks func() (Run, error)
+}
+
+// OpenLog opens or makes the journal in a folder. What a crash tore off at the end is cut
+// off; a segment with a record that cannot be read is read up to it, and damaged tells of
+// it. On an error nothing is held open and the folder is as it was, so that it may be
+// tried again.
+func OpenLog(opt LogOptions) (_ *Log, _ *Kept, damaged error, err error) {
+	dir := opt.Dir
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	l := &Log{dir: dir, most: most - most/16, epoch: time.Now(), live: map[string]*place{}, seqs: map[uint64][]string{},
-		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, owes: owes, failed: failed}
+	if opt.Clocks == nil {
+		opt.Clocks = Clocks
+	}
+	l := &Log{dir: dir, most: opt.Most - opt.Most/16, clocks: opt.Clocks, live: map[string]*place{}, seqs: map[uint64][]string{},
+		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, owes: opt.Owes, failed: opt.Failed}
 	if l.seg = l.most / segments; l.seg < 8*block {
-		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, most)
+		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, opt.Most)
+	}
+	if l.run, err = l.clocks(); err != nil {
+		return nil, nil, nil, fmt.Errorf("journal: %w", err)
 	}
+	l.epoch = time.Now()
 	names, err := filepath.Glob(filepath.Join(dir, "*"+suffix))
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("journal: %w", err)
@@ -136,7 +159,7 @@
 			damaged = errors.Join(damaged, fmt.Errorf("%w: %s: %w", ErrDamaged, filepath.Base(name), torn))
 		}
 	}
-	l.run = Run{Version: Version, Number: 1, Wall: l.epoch.UnixNano()}
+	l.run.Version, l.run.Number = Version, 1
 	for n := range k.Runs {
 		l.run.Number = max(l.run.Number, n+1)
 	}
@@ -325,8 +348,30 @@
 	delete(l.seqs, seq)
 }
 
+// Clocks reads those of the machine. Ages across a restart are taken from the monotonic one,
+// which nobody sets; the wall clock counts only after a new start of the machine.
+func Clocks() (Run, error) {
+	boot, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return Run{}, err
+	}
+	var t syscall.Timespec
+	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, unix.CLOCK_MONOTONIC, uintptr(unsafe.Pointer(&t)), 0); errno != 0 {
+		return Run{}, errno
+	}
+	return Run{Boot: strings.TrimSpace(string(boot)), Clock: t.Nano(), Wall: time.Now().UnixNano()}, nil
+}
+
 // Stamp is the moment now.
-func (l *Log) Stamp() Stamp { return Stamp{l.run.Number, int64(time.Since(l.epoch))} }
+func (l *Log) Stamp() Stamp { return Stamp{l.run.Number, l.run.Clock + int64(time.Since(l.epoch))} }
+
+// Now is this run with its clocks as they stand.
+func (l *Log) Now() Run {
+	now := l.run
+	passed := int64(time.Since(l.epoch))
+	now.Clock, now.Wall = now.Clock+passed, now.Wall+passed
+	return now
+}
 
 // Room tells whether a message of that size may be taken: live records may fill
 // half of the bound, so that carrying them forward always frees the other half.
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -16,7 +16,7 @@
 
 func openLog(t testing.TB, dir string, most int64) (*Log, *Kept) {
 	t.Helper()
-	l, k, damaged, err := OpenLog(dir, most, owes, func(err error) { t.Log(err) })
+	l, k, damaged, err := OpenLog(LogOptions{Dir: dir, Most: most, Owes: owes, Failed: func(err error) { t.Log(err) }})
 	if err != nil || damaged != nil {
 		t.Fatal(err, damaged)
 	}
@@ -207,7 +207,7 @@
 	if err := os.WriteFile(name, whole, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	_, k, damaged, err := OpenLog(dir, 1<<20, owes, func(error) {})
+	_, k, damaged, err := OpenLog(LogOptions{Dir: dir, Most: 1 << 20, Owes: owes, Failed: func(error) {}})
 	if err != nil || damaged == nil || len(k.Messages) != 2 {
 		t.Errorf("err %v, damaged %v, %d messages; want it told, and what is left", err, damaged, len(k.Messages))
 	}
--- a/internal/journal/small_test.go
+++ b/internal/journal/small_test.go
@@ -38,7 +38,7 @@
 	}
 	b.Run("log", func(b *testing.B) {
 		dir := b.TempDir()
-		l, _, _, err := OpenLog(dir, 3<<20, owes, func(err error) { b.Fatal(err) })
+		l, _, _, err := OpenLog(LogOptions{Dir: dir, Most: 3 << 20, Owes: owes, Failed: func(err error) { b.Fatal(err) }})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -72,7 +72,7 @@
 	}
 	k.mu.Unlock()
 	// From here on the answer may come at any moment, on the poller.
-	if n, err := cn.out.Write(request); err != nil {
+	if n, err := k.send(cn, request); err != nil {
 		cn.drop(k)
 		if n <= 0 { // nothing went out before the error
 			k.end(lostUnsent, nil)
@@ -83,6 +83,14 @@
 	return true
 }
 
+// send writes a request, and nothing of it once a repeat might take effect again.
+func (k *call) send(cn *conn, request []byte) (int, error) {
+	if k.Within == 0 || cn.sec != nil {
+		return cn.out.Write(request)
+	}
+	return cn.nb.WriteBy(request, k.began.Add(k.Within))
+}
+
 func (k *call) request() []byte {
 	if h := k.caller.opt.Hook; h != nil {
 		return h.request(&k.Call, k.Patient-time.Since(k.began))
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -107,9 +107,9 @@
 	owes := func(v uint8) bool { return ledger.Verdict(v) == ledger.Refused || ledger.Verdict(v) == ledger.Failed }
 	var kept *journal.Kept
 	var damaged error
-	n.keep, kept, damaged, err = journal.OpenLog(cfg.State, b.Disk, owes, func(err error) {
+	n.keep, kept, damaged, err = journal.OpenLog(journal.LogOptions{Dir: cfg.State, Most: b.Disk, Owes: owes, Failed: func(err error) {
 		n.warn("journal").Err(err).Msg("records wait to be written, nothing is taken")
-	})
+	}})
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +186,7 @@
 
 // plan decides what follows from a journal's records now: ages count until this
 // moment, not until the journal was opened.
-func plan(cfg *Config, k *journal.Kept) (recover.Plan, map[string]recover.Class) {
+func plan(cfg *Config, k *journal.Kept, now journal.Run) (recover.Plan, map[string]recover.Class) {
 	classes, dests := map[string]recover.Class{}, map[string]bool{}
 	longest := time.Duration(0)
 	for _, c := range cfg.Settings.Classes {
@@ -198,7 +198,7 @@
 			dests[m.Partner] = true
 		}
 	}
-	k.Now.Wall = time.Now().UnixNano()
+	k.Now = now
 	return recover.Decide(k, classes, dests, longest, 0), classes
 }
 
@@ -208,7 +208,7 @@
 		d, _ := strconv.Atoi(name)
 		return d
 	}
-	plan, classes := plan(n.cfg, k)
+	plan, classes := plan(n.cfg, k, n.keep.Now())
 	var ended []core.Ended
 	for _, e := range plan.Ends {
 		a := ledger.Answer{Verdict: ledger.Verdict(e.Verdict), After: time.Duration(e.After)}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -210,12 +210,51 @@
 	}
 	wall := time.Now().Add(-time.Minute).UnixNano()
 	p, _ := plan(cfg, &journal.Kept{Runs: map[uint32]journal.Run{1: {Number: 1, Wall: wall}}, Now: journal.Run{Number: 2, Wall: wall}, Last: 1,
-		Messages: []journal.Message{{Seq: 1, Identity: "m", Class: "notice", Partner: "7", At: journal.Stamp{Run: 1}, Left: int64(7 * time.Second)}}})
+		Messages: []journal.Message{{Seq: 1, Identity: "m", Class: "notice", Partner: "7", At: journal.Stamp{Run: 1}, Left: int64(7 * time.Second)}}},
+		journal.Run{Number: 2, Wall: time.Now().UnixNano()})
 	if len(p.Messages) != 1 || p.Messages[0].Left != 0 || p.Messages[0].Verdict != 0 {
 		t.Errorf("%+v: its time has passed a minute ago", p.Messages)
 	}
 }
 
+// Guards against messages that a restart gives up untried, and windows that it misjudges,
+// because the wall clock was set: deadlines and windows are spans of real time.
+func TestRestartUnderASteppedWallClock(t *testing.T) {
+	s := newSite(t, "small")
+	s.config("127.0.0.1:0", "")
+	cfg, err := Load(s.env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour, 3 * time.Second, -3 * time.Second} {
+		dir := t.TempDir()
+		clocks := journal.Run{Boot: "one", Clock: int64(time.Hour), Wall: int64(1_000_000 * time.Hour)}
+		open := func() (*journal.Log, *journal.Kept) {
+			l, k, damaged, err := journal.OpenLog(journal.LogOptions{Dir: dir, Most: 1 << 20, Owes: func(uint8) bool { return true },
+				Failed: func(err error) { t.Error(err) }, Clocks: func() (journal.Run, error) { return clocks, nil }})
+			if err != nil || damaged != nil {
+				t.Fatal(err, damaged)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			return l, k
+		}
+		l, _ := open()
+		l.Taken(journal.Message{Seq: 1, Identity: "m", Class: "notice", Partner: "7", At: l.Stamp(), Left: int64(7 * time.Second)})
+		l.Tried(journal.Attempt{Seq: 1, At: l.Stamp()})
+		clocks.Clock += int64(2 * time.Second)
+		clocks.Wall += int64(2*time.Second + step)
+		l, k := open()
+		p, _ := plan(cfg, k, l.Now())
+		if len(p.Messages) != 1 {
+			t.Fatalf("step %v: %d messages", step, len(p.Messages))
+		}
+		// The time that passes within the test counts as well, but for whole seconds.
+		if m := p.Messages[0]; m.Left.Round(time.Second) != 5*time.Second || m.Since.Round(time.Second) != 2*time.Second {
+			t.Errorf("step %v: left %v, sent %v ago; want 5s and 2s", step, m.Left, m.Since)
+		}
+	}
+}
+
 // started is a node within the test's process.
 func (s *site) started(limits string) *Node {
 	s.t.Helper()
