A start waits for its folder instead of ending, and never takes one it cannot read as empty

What operators would see: a node that exits, or starts with nothing of what it owed, because a system call failed in its first second; SIGHUP lost for the same reason, or while the node drains.

A list of hosts that could not be written was not tried again.

Change: platform.Run, used by the program and by the tests' processes, tries loading and starting again while the error is the system's, says so once each, and ends on what no waiting mends (bad settings, a file that is not there). The folder is listed by os.ReadDir. hosts.json is written later where that fails now. SIGHUP is followed while the node drains.

TestStartWaitsForItsFolder: a node whose folder cannot be read waits, then goes on with the message of the run before.

Fronts' time limits are measured by front.Now, which nobody sets: with the wall clock stepped back no limit would have ended, stepped on all at once (found by reading, in hookfront, webpush and mqttfront; the soak steps the clock).

--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -184,7 +184,7 @@
 		return
 	}
 	c.shut = true
-	c.since.Store(time.Now().UnixNano())
+	c.since.Store(front.Now())
 	c.state.Store(shutting)
 	c.nb.CloseWrite()
 }
@@ -237,8 +237,8 @@
 	front   *Front
 	nb      *engine.Conn
 	name    string
-	since   atomic.Int64 // unix ns: of the state, or of the last byte while reading
-	begun   atomic.Int64 // unix ns: of the request, or of the connection before the first
+	since   atomic.Int64 // by front.Now: of the state, or of the last byte while reading
+	begun   atomic.Int64 // by front.Now: of the request, or of the connection before the first
 	state   atomic.Int32
 	asked   atomic.Bool // a request was answered
 	leaving atomic.Bool // about to be closed to make room
@@ -255,7 +255,7 @@
 // bound of their own, and hold what they asked on until the relay closes it.
 func (f *Front) open(nb *engine.Conn) front.Conn {
 	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
-	c.since.Store(time.Now().UnixNano())
+	c.since.Store(front.Now())
 	c.begun.Store(c.since.Load())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
 	f.mu.Lock()
@@ -323,7 +323,7 @@
 	switch {
 	case c.asked.Load():
 		return 1
-	case now.UnixNano()-c.since.Load() > int64(c.front.opt.Request)/2:
+	case front.Nanos(now)-c.since.Load() > int64(c.front.opt.Request)/2:
 		return 0
 	}
 	return 2
@@ -331,7 +331,7 @@
 
 // overdue tells whether a connection was silent too long, or its request does not end.
 func (c *conn) overdue(now time.Time) bool {
-	age := now.UnixNano() - c.since.Load()
+	age := front.Nanos(now) - c.since.Load()
 	switch c.state.Load() {
 	case idle:
 		if c.front.left.Load() {
@@ -339,7 +339,7 @@
 		}
 		return age > int64(c.front.opt.Idle)
 	case reading:
-		return age > int64(c.front.opt.Request) || now.UnixNano()-c.begun.Load() > int64(c.front.opt.Whole)
+		return age > int64(c.front.opt.Request) || front.Nanos(now)-c.begun.Load() > int64(c.front.opt.Whole)
 	case shutting:
 		return age > int64(c.front.opt.Linger)
 	}
@@ -376,7 +376,7 @@
 		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
 		return
 	}
-	now := time.Now().UnixNano()
+	now := front.Now()
 	if c.state.CompareAndSwap(idle, reading) && c.asked.Load() {
 		c.begun.Store(now)
 	}
@@ -553,7 +553,7 @@
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
 	c.req.Body = nil
 	c.asked.Store(true)
-	c.since.Store(time.Now().UnixNano())
+	c.since.Store(front.Now())
 	c.state.Store(idle)
 }
 
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -138,11 +138,16 @@
 		return nil, nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	l.epoch = time.Now()
-	names, err := filepath.Glob(filepath.Join(dir, "*"+suffix))
+	defer func() {
+		if err != nil {
+			l.closeAll()
+			err = fmt.Errorf("journal: %w", err)
+		}
+	}()
+	names, err := segmentFiles(dir)
 	if err != nil {
-		return nil, nil, nil, fmt.Errorf("journal: %w", err)
+		return nil, nil, nil, err
 	}
-	slices.Sort(names)
 	k := &Kept{Runs: map[uint32]Run{}, Attempts: map[uint64][]Attempt{}}
 	r := &reader{l: l, runs: k.Runs, messages: map[uint64]Message{}, attempts: map[string]Attempt{}, waits: map[string]Wait{}}
 	for i, name := range names {
@@ -152,8 +157,7 @@
 		}
 		torn, err := r.segment(name, n)
 		if err != nil {
-			l.closeAll()
-			return nil, nil, nil, fmt.Errorf("journal: %w", err)
+			return nil, nil, nil, err
 		}
 		if torn != nil && i < len(names)-1 {
 			damaged = errors.Join(damaged, fmt.Errorf("%w: %s: %w", ErrDamaged, filepath.Base(name), torn))
@@ -175,7 +179,7 @@
 	defer l.mu.Unlock()
 	if len(l.files) == 0 {
 		if err := l.roll(); err != nil {
-			return nil, nil, nil, fmt.Errorf("journal: %w", err)
+			return nil, nil, nil, err
 		}
 	}
 	for _, w := range k.Waits {
@@ -185,6 +189,22 @@
 	return l, k, damaged, nil
 }
 
+// segmentFiles are the paths of a folder's segments, the oldest first. That the folder
+// cannot be read is an error, and does not count as a folder without any.
+func segmentFiles(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir) // sorted by name
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if strings.HasSuffix(e.Name(), suffix) {
+			names = append(names, filepath.Join(dir, e.Name()))
+		}
+	}
+	return names, nil
+}
+
 // reader takes in segments.
 type reader struct {
 	l        *Log
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -165,7 +165,7 @@
 		if !ok {
 			break
 		}
-		c.last.Store(time.Now().UnixNano())
+		c.last.Store(front.Now())
 		c.since.Store(0)
 		b = rest
 		if err := c.packet(first, body); err != nil {
@@ -194,7 +194,7 @@
 		c.buf = bytes.Clone(b)
 	}
 	if len(b) > 0 && c.since.Load() == 0 {
-		c.since.Store(time.Now().UnixNano())
+		c.since.Store(front.Now())
 	}
 	c.front.reserve(c, len(b)-int(c.held.Load()))
 }
@@ -234,7 +234,7 @@
 // overdue ends a connection whose time for something is over.
 func (c *conn) overdue(now time.Time) {
 	wait := c.front.opt.Handshake
-	if since := c.since.Load(); since != 0 && now.UnixNano()-since > int64(wait) {
+	if since := c.since.Load(); since != 0 && front.Nanos(now)-since > int64(wait) {
 		c.end(mqtt.ProtocolError, "packet was not finished in time")
 		return
 	}
@@ -244,7 +244,7 @@
 	switch {
 	case st != connected && now.Sub(c.opened) > wait:
 		c.end(mqtt.ProtocolError, "no CONNECT in time")
-	case st == connected && keep > 0 && now.UnixNano()-c.last.Load() > int64(keep+keep/2):
+	case st == connected && keep > 0 && front.Nanos(now)-c.last.Load() > int64(keep+keep/2):
 		c.end(mqtt.KeepAliveTimeout, "nothing came within one and a half keep-alive times")
 	}
 }
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -184,7 +184,7 @@
 	c := &conn{front: f, nb: nb, out: nb}
 	now := time.Now()
 	c.opened = now
-	c.last.Store(now.UnixNano())
+	c.last.Store(front.Nanos(now))
 	f.mu.Lock()
 	full := len(f.conns) >= f.opt.Connections || f.stopping
 	if !full {
@@ -221,7 +221,7 @@
 		}
 		sessions := make([]*session, 0, 16)
 		for _, s := range f.sessions {
-			if s.dueAt.Load() <= now.UnixNano() {
+			if s.dueAt.Load() <= front.Nanos(now) {
 				sessions = append(sessions, s)
 			}
 		}
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -24,7 +24,7 @@
 	user  string
 	born  int64 // tells it from earlier sessions of the same client
 	front *Front
-	dueAt atomic.Int64 // next time that something ends, unix ns
+	dueAt atomic.Int64 // next time that something ends, by front.Now
 
 	mu      sync.Mutex
 	dead    bool
@@ -95,9 +95,9 @@
 		s.dueAt.Store(never)
 		return
 	}
-	at := s.away.Add(s.expiry).UnixNano()
+	at := front.Nanos(s.away.Add(s.expiry))
 	if s.will != nil {
-		at = min(at, s.willAt.UnixNano())
+		at = min(at, front.Nanos(s.willAt))
 	}
 	s.dueAt.Store(at)
 }
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -97,7 +97,8 @@
 // read, or one that is older than the configuration's list, counts for nothing.
 func TestListSurvives(t *testing.T) {
 	dir := t.TempDir()
-	h := hostsIn(dir, 400)
+	var failed error
+	h := hostsIn(dir, 400, func(err error) { failed = err })
 	list := func(rev int64, uids ...string) agent.List {
 		l := agent.List{Rev: rev, All: true}
 		for _, uid := range uids {
@@ -114,12 +115,12 @@
 	}
 	check("none kept", 5, false)
 	for _, rev := range []int64{4, 7, 9} {
-		if err := h.keep(list(rev, "a")); err != nil {
-			t.Fatal(err)
+		if h.keep(list(rev, "a")); failed != nil {
+			t.Fatal(failed)
 		}
 		check("kept", max(5, rev), false)
 	}
-	if err := h.keep(list(10, strings.Repeat("long", 200))); err == nil {
+	if h.keep(list(10, strings.Repeat("long", 200))); failed == nil {
 		t.Error("a list over the bound was kept")
 	}
 	check("too long to keep", 5, false)
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -49,8 +49,11 @@
 	list   *directory.Directory
 	front  *hookfront.Front
 	watch  *watcher
+	hosts  *hosts
 
 	ready  atomic.Bool
+	reload sync.Mutex
+	ctx    context.Context
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 	kept   sync.WaitGroup // notices
@@ -148,18 +151,16 @@
 		n.keep.Handed(identity)
 		n.core.Settled(identity)
 	}, func(err error) { n.warn("notices").Err(err).Msg("notices are owed") })
-	lasting := hostsIn(cfg.State, b.List)
-	known, err := lasting.newer(cfg.Known)
-	if err != nil {
+	n.hosts = hostsIn(cfg.State, b.List, func(err error) { n.warn("discovery").Err(err).Msg("") })
+	known, err := n.hosts.newer(cfg.Known)
+	if transient(err) {
+		return nil, err
+	} else if err != nil {
 		n.warn("discovery").Err(err).Msg("the configuration's list counts")
 	}
 	n.list = directory.New(directory.Options{Names: directory.Names{Host: n.host},
-		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: known, Told: n.named, Keep: func(l agent.List) {
-			if err := lasting.keep(l); err != nil {
-				n.warn("discovery").Err(err).Msg("")
-			}
-		}}},
-		To: directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
+		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: known, Told: n.named, Keep: n.hosts.keep}},
+		To:      directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
 		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
 	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
 		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Lingering: b.Lingering, Kept: b.Kept, Request: 2 * clientWaits, Whole: whole, Idle: silent, Linger: linger,
@@ -170,7 +171,7 @@
 	}
 	held, owed := n.restore(kept)
 	ctx, stop := context.WithCancel(context.Background())
-	n.stop = stop
+	n.ctx, n.stop = ctx, stop
 	unsaid, silence := context.WithCancel(context.Background())
 	n.unsaid = silence
 	n.done.Go(func() { n.core.Run(ctx, 0) })
@@ -286,8 +287,11 @@
 
 // ReadAgain loads the configuration anew: the address of discovery counts from now
 // on, all else from the next start. A broken file changes nothing.
+// One that cannot be read for a moment is waited for.
 func (n *Node) ReadAgain(getenv func(string) string) {
-	cfg, err := Load(getenv)
+	n.reload.Lock() // the later of two reads counts
+	defer n.reload.Unlock()
+	cfg, err := whenPossible(n.ctx, n.log, func() (*Config, error) { return Load(getenv) })
 	if err != nil {
 		n.log.Error().Err(err).Msg("the configuration in force stays")
 		return
@@ -347,6 +351,7 @@
 	n.front.Close()
 	n.caller.Close()
 	n.client.Close()
+	n.hosts.close()
 	if err := n.keep.Close(); err != nil {
 		n.warn("journal").Err(err).Msg("")
 	}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,28 +27,13 @@
 	if os.Getenv(playNode) == "" {
 		t.Skip("no test of its own")
 	}
-	again, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
-	signal.Notify(stop, syscall.SIGTERM)
-	log := zerolog.New(os.Stderr)
-	cfg, err := Load(os.Getenv)
-	if err != nil {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	if err := Run(ctx, reload, os.Getenv, zerolog.New(os.Stderr)); err != nil {
 		t.Fatal(err)
 	}
-	Tune(BoundsOf(cfg), log)
-	n, err := Start(cfg, log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for {
-		select {
-		case <-again:
-			n.ReadAgain(os.Getenv)
-		case <-stop:
-			n.Drain()
-			return
-		}
-	}
 }
 
 // load hands in messages from several clients until ctx ends, and counts them.
@@ -272,6 +260,61 @@
 	return n
 }
 
+// Guards against a node that exits, or begins as if its folder were empty, because the
+// folder cannot be read for a moment when it starts.
+func TestStartWaitsForItsFolder(t *testing.T) {
+	s := newSite(t, "small")
+	s.say(0, func(string) (int, bool) { return 503, false })
+	n := s.started("")
+	if !s.client().hand(n.Addr(), "sure", "notice", 0, "", nil) {
+		t.Fatal("not taken")
+	}
+	n.Drain()
+	blocked := filepath.Join(s.dir, "blocked")
+	if err := os.WriteFile(blocked, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.config("127.0.0.1:0", "")
+	cfg, err := Load(s.env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := cfg.State
+	cfg.State = filepath.Join(blocked, "state")
+	said := make(chan struct{}, 1)
+	log := zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, text string) {
+		select {
+		case said <- struct{}{}:
+		default:
+		}
+	}))
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		n, err = StartWhenPossible(context.Background(), cfg, log)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		t.Fatalf("the start ended: %v", err)
+	case <-said:
+	}
+	s.say(0, func(string) (int, bool) { return 200, true })
+	if err := errors.Join(os.Remove(blocked), os.Mkdir(blocked, 0o700), os.Rename(state, cfg.State)); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.once.Do(n.close) })
+	s.settled()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs["sure"] != 1 {
+		t.Errorf("the message of the run before took effect %d times", s.runs["sure"])
+	}
+}
+
 // SIGHUP's work under load: the list and the notices come from the new address, the
 // old one may go, and a broken file changes nothing.
 func TestReload(t *testing.T) {
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -197,7 +197,7 @@
 	nb    *engine.Conn
 	sec   *secure.Conn // nil without TLS
 	out   io.Writer
-	since atomic.Int64 // unix ns: a request began, or the connection idles since
+	since atomic.Int64 // by front.Now: a request began, or the connection idles since
 	busy  atomic.Int32 // 0 idles, 1 within a request, 2 answering, 3 HTTP/2
 
 	mu   sync.Mutex
@@ -208,7 +208,7 @@
 
 func (f *Front) open(nb *engine.Conn, secured bool) front.Conn {
 	c := &conn{front: f, nb: nb, out: nb}
-	c.since.Store(time.Now().UnixNano())
+	c.since.Store(front.Now())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
 	f.conMu.Lock()
 	full := len(f.conns) >= f.opt.Connections
@@ -232,7 +232,7 @@
 	if err != nil {
 		return nil
 	}
-	c.since.Store(time.Now().UnixNano())
+	c.since.Store(front.Now())
 	if s.ConnectionState().NegotiatedProtocol == "h2" {
 		c.busy.Store(3)
 		c.front.h2.ServeConn(s.Conn, &http2.ServeConnOpts{Handler: http.HandlerFunc(c.front.serveHTTP),
@@ -263,7 +263,7 @@
 
 // overdue tells whether a connection idled too long, or its request does not end.
 func (c *conn) overdue(now time.Time) bool {
-	age := now.UnixNano() - c.since.Load()
+	age := front.Nanos(now) - c.since.Load()
 	switch c.busy.Load() {
 	case 0:
 		return age > int64(c.front.opt.Idle)
@@ -291,7 +291,7 @@
 func (c *conn) parse(b []byte) {
 	for len(b) > 0 && !c.shut {
 		if c.busy.CompareAndSwap(0, 1) {
-			c.since.Store(time.Now().UnixNano())
+			c.since.Store(front.Now())
 		}
 		rest, err := c.req.Feed(b, &c.req)
 		if err != nil {
@@ -368,7 +368,7 @@
 	}
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
 	c.req.Body = nil
-	c.since.Store(time.Now().UnixNano())
+	c.since.Store(front.Now())
 	c.busy.Store(0)
 }
 
