After a restart a message that may have run is failed, not refused

Cause: the module may refuse a safe message that may have run, since coming again does no harm; restored ones too (hypothesis E1). What became of a call that an earlier run began is not known, its answer may have come. That the end of a delivered message was not on disk at the kill (E2) is how it came to be restored, and is no fault by itself.

Change: a restored message with an attempt that may have run is not refused any more, and not picked where messages are shed by refusing them. TestRestoredThatMayHaveRunIsNotRefused failed before ('class 0, may have run true: refused true, failed false') and passes.

--- a/choice/api.go
+++ b/choice/api.go
@@ -118,7 +118,7 @@
 	Arrival
 	Attempts int
 	Answered bool          // refused or failed then, and not Settled yet
-	Ran      bool          // one of them may have run
+	Ran      bool          // one of them may have run, and its answer have come: it is not refused any more
 	Since    time.Duration // ago the first of those was sent
 	Zone     int           // to which zone; below 0 if it is not known any more
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -90,7 +90,7 @@
 			m := c.arrive(e.Arrival)
 			if m.attempts = e.Attempts; e.Ran {
 				m.ran, m.ranAt, m.ranZone = true, c.now-min(e.Since, math.MaxInt64/4), e.Zone
-				m.unsure = c.now
+				m.unsure, m.noRefuse = c.now, true
 			}
 			if e.Answered {
 				c.owing[m.ID] = m
@@ -660,7 +660,7 @@
 	case e.Done || m.over:
 		c.end(m)
 	case e.Outcome == Served: // too late for who waits: its end is still owed
-		m.ran, m.late = true, true
+		m.ran, m.noRefuse = true, true
 		c.final(m)
 	case m.unwanted || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts:
 		c.final(m)
@@ -727,7 +727,7 @@
 // final answers a message that is not out: refused where that is lawful, else failed.
 func (c *Chooser) final(m *message) {
 	harmless := m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone
-	if !m.ran || harmless && !c.set.Certain && !m.late {
+	if !m.ran || harmless && !c.set.Certain && !m.noRefuse {
 		c.act(Refuse{m.ID, c.back(m)})
 	} else {
 		c.act(Fail{m.ID})
@@ -824,7 +824,7 @@
 					(c.now-m.taken).Seconds() < b.Before*(m.due-m.taken).Seconds() {
 					w += b.Cost * m.class.Worth // rather refused before it is taken than given up after
 				}
-				if w < least && (!m.ran || m.class.Effect == Safe) {
+				if w < least && (!m.ran || m.class.Effect == Safe && !m.noRefuse) {
 					least, worst = w, m
 				}
 			}
--- a/choice/platform_test.go
+++ b/choice/platform_test.go
@@ -216,3 +216,25 @@
 		}
 	}
 }
+
+// Guards against a notice that promises no effect of a message which its host had answered
+// 200: after a restart nothing tells whether a call that may have run was answered.
+func TestRestoredThatMayHaveRunIsNotRefused(t *testing.T) {
+	for class := range 2 { // safe, keyed
+		for _, ran := range []bool{false, true} {
+			s := settings() // not Certain
+			r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Draining})
+			m := arrival("m", class)
+			r.step(Restored{Arrival: m, Attempts: 1, Ran: ran, Since: 100 * ms})
+			var acts []Action
+			for range 200 {
+				acts = append(acts, r.after(100*ms)...)
+			}
+			refused := slices.ContainsFunc(acts, func(a Action) bool { _, is := a.(Refuse); return is })
+			failed := slices.Contains(acts, Action(Fail{ID: "m"}))
+			if refused == ran || failed != ran {
+				t.Errorf("class %d, may have run %v: refused %v, failed %v", class, ran, refused, failed)
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -27,7 +27,7 @@
 	unsure   time.Duration // time of the last unsure outcome; its key rests after it
 	over     bool          // answered or withdrawn
 	unwanted bool          // withdrawn
-	late     bool          // served, maybe after its time
+	noRefuse bool          // it ran, or an earlier run may have had its answer: no refusal is lawful
 }
 
 // call is one call out; sends of one turn to one host may share it.
