One module decides what may be sent, ended, told and closed; answers wait for no dead disk

internal/lifecycle has the typed state of a message (held, out, ended; what may have run) and of a client's exchange (idle, reading, answering, closing).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,6 +20,7 @@
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/limit"
 )
 
@@ -53,7 +54,12 @@
 
 // Decider is a Reply that is told when the step that took its message is over: an
 // Answer that the module gave at once has come by then.
-type Decider interface{ Decided() }
+type Decider interface {
+	Decided()
+	// Undecided ends the wait for records at the end of the process, if Decided has not come:
+	// the message is held by the next run, or nobody knows it.
+	Undecided(held bool)
+}
 
 // Why a hand-in was not taken.
 var (
@@ -153,6 +159,14 @@
 	Then(done func()) bool
 }
 
+// Backlog is a Journal that tells what of it is not on disk yet; journal.Log is one.
+type Backlog interface {
+	// Waiting tells whether a record about a message waits to be written.
+	Waiting(seq uint64) bool
+	// Cancel takes back a message whose own record waits; false where that is on disk.
+	Cancel(seq uint64) bool
+}
+
 // Names are those that records have.
 type Names struct {
 	Partner func(int) string
@@ -189,6 +203,8 @@
 	// Together bounds the content of a call that carries several messages, in bytes; 0 for
 	// no bound. Those that do not fit travel in a call of their own.
 	Together int
+	// Guard decides whether a message may be sent and ended; nil for one that keeps no count.
+	Guard *lifecycle.Guard
 	// Forgetful: waits and failures that endpoints told end with the process.
 	Forgetful bool
 }
@@ -205,6 +221,7 @@
 	out      *attempt
 	seq      uint64
 	kept     bool // in the journal
+	life     lifecycle.Message
 }
 
 type attempt struct {
@@ -269,12 +286,14 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
-	deferred int               // what waits for the journal
+	steps    []func()          // that wait for the journal, in order
+	stepped  uint64            // steps that were done
 	noted    map[string]noted  // by endpoint, as recorded
 	waited   map[string]noted  // from an earlier run, for endpoints not yet listed
 	lastAt   time.Duration     // while shutting down: what waits for the journal is given up then
 	nows     []string          // messages that go in this step or not at all
-	fresh    []Decider         // taken in this step
+	fresh    []*message        // taken in this step, with a Decider
+	open     map[*message]bool // Deciders that were not told yet
 	owing    map[string]string // ids by identity: refused or failed, and not Settled
 	idle     func()            // to be called once nothing is out
 	parked   bool              // a later run goes on with what is held
@@ -299,7 +318,7 @@
 	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: led,
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
-		outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
+		open: map[*message]bool{}, outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
 		owing: map[string]string{}, noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
 }
 
@@ -437,7 +456,7 @@
 		c.now = c.Now()
 		c.work()
 		// A journal that failed never says that something is on disk.
-		if c.draining && len(c.msgs) == 0 && (c.deferred == 0 || c.now >= c.lastAt) {
+		if c.draining && len(c.msgs) == 0 && (len(c.steps) == 0 || c.now >= c.lastAt) {
 			return
 		}
 	}
@@ -565,8 +584,14 @@
 		}
 		c.nows = c.nows[:0]
 	}
-	for _, d := range c.fresh {
-		c.durable(true, d.Decided) // not before the record of what was taken is down
+	for _, m := range c.fresh {
+		c.open[m] = true
+		c.durable(true, func() { // not before the record of what was taken is down
+			if c.open[m] {
+				delete(c.open, m)
+				m.Reply.(Decider).Decided()
+			}
+		})
 	}
 	clear(c.fresh)
 	c.fresh = c.fresh[:0]
@@ -622,6 +647,7 @@
 		}
 		m.entry, c.byEntry[e] = e, m
 	}
+	m.life = lifecycle.Message{ID: m.Identity, Repeat: repeats[k.Effect], Window: k.Window, Due: m.due, Kept: m.kept}
 	c.msgs[m.id] = m
 	c.owed++
 	if m.kept {
@@ -633,8 +659,8 @@
 	c.opt.Observer.Taken(in.Class)
 	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
 		Left: m.due - c.now, Key: in.Key})
-	if d, ok := in.Reply.(Decider); ok {
-		c.fresh = append(c.fresh, d)
+	if _, ok := in.Reply.(Decider); ok {
+		c.fresh = append(c.fresh, m)
 	}
 	if in.Now {
 		c.nows = append(c.nows, m.id)
@@ -643,7 +669,7 @@
 
 // answer gives a message its one final answer.
 func (c *Core) answer(m *message, a ledger.Answer) {
-	if m.answered {
+	if m.answered || !m.life.MayEnd(c.opt.Guard, a.Verdict == ledger.Refused) {
 		return
 	}
 	m.answered = true
@@ -659,7 +685,11 @@
 		c.opt.Journal.Ended(journal.End{Seq: m.seq, Identity: m.Identity, Class: c.opt.Settings.Classes[m.Class].Name,
 			Verdict: uint8(a.Verdict), After: int64(a.After), At: c.opt.Journal.Stamp(), Front: m.Front, Way: m.Way})
 	}
-	c.durable(m.kept, func() { m.Reply.Answer(a) })
+	c.durable(m.kept, func() {
+		if m.life.MayTell(c.opt.Guard, c.recorded(m)) {
+			m.Reply.Answer(a)
+		}
+	})
 	c.opt.Observer.Answered(m.Class, a, c.now-m.taken)
 	c.forget(m)
 }
@@ -671,16 +701,52 @@
 		do()
 		return
 	}
-	if c.opt.Journal.Then(func() {
-		_ = c.put(event{call: func() {
-			c.deferred--
-			do()
-		}})
-	}) {
+	number := c.stepped + uint64(len(c.steps)) + 1
+	down := c.opt.Journal.Then(func() { c.release(number) })
+	if down && len(c.steps) == 0 {
 		do()
 		return
 	}
-	c.deferred++
+	c.steps = append(c.steps, do)
+	if down { // behind those whose turn is in the inbox already
+		c.release(number)
+	}
+}
+
+// release has the steps up to a number done, in their order.
+func (c *Core) release(number uint64) {
+	_ = c.put(event{call: func() {
+		for c.stepped < number && len(c.steps) > 0 {
+			do := c.steps[0]
+			c.steps[0] = nil
+			c.steps = c.steps[1:]
+			c.stepped++
+			do()
+		}
+	}})
+}
+
+// recorded tells whether all that was recorded of a message is on disk.
+func (c *Core) recorded(m *message) bool {
+	b, ok := c.opt.Journal.(Backlog)
+	return !ok || !b.Waiting(m.seq)
+}
+
+// repeats translates effects.
+var repeats = [...]lifecycle.Repeat{choice.Safe: lifecycle.Freely, choice.Keyed: lifecycle.InWindow, choice.Unsafe: lifecycle.Never}
+
+// Resolve ends the wait of clients for records that cannot be written, before the process
+// ends: a message that the next run will hold counts as taken, of the others nobody knows.
+// done is called when all have heard.
+func (c *Core) Resolve(done func()) {
+	_ = c.put(event{call: func() {
+		b, ok := c.opt.Journal.(Backlog)
+		for m := range c.open {
+			delete(c.open, m)
+			m.Reply.(Decider).Undecided(!ok || !b.Cancel(m.seq))
+		}
+		done()
+	}})
 }
 
 // harmful tells whether a second effect of a message would do harm: then each
@@ -816,6 +882,8 @@
 		k := &c.opt.Settings.Classes[r.Class]
 		m := &message{Message: r.Message, taken: c.now, due: c.now + r.Message.Left, seq: r.Seq, kept: true, tries: r.Attempts,
 			id: strconv.FormatUint(r.Seq, 36)}
+		m.life = lifecycle.Message{ID: m.Identity, Repeat: repeats[k.Effect], Window: k.Window, Due: m.due, Kept: true}
+		m.life.Restore(r.Ran, c.now-min(r.Since, math.MaxInt64/4))
 		m.entry = c.led.Reopen(m.Identity, m.id, k.Effect == choice.Safe)
 		c.byEntry[m.entry] = m
 		c.msgs[m.id] = m
@@ -890,7 +958,9 @@
 	if e.Over && !m.answered { // the platform says so: nobody is owed anything
 		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
 	}
-	if sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent; sure && c.harmful(m) && !m.answered {
+	sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent
+	m.life.Back(sure)
+	if sure && c.harmful(m) && !m.answered {
 		c.tried(a, true)
 	}
 	served := e.Outcome == choice.Served && (c.opt.Late == 0 || c.now <= m.due-c.opt.Late)
@@ -1064,6 +1134,13 @@
 	if m == nil {
 		return nil
 	}
+	if !m.life.MaySend(c.opt.Guard, c.now, c.parked) {
+		c.later(event{call: func() {
+			c.batch = append(c.batch, choice.Result{ID: m.id, Host: s.Host, Attempt: m.tries, Outcome: choice.NotSent})
+			m.tries++
+		}})
+		return nil
+	}
 	a := &attempt{m: m, n: m.tries, host: s.Host, partner: m.Partner, sent: c.now,
 		end: c.now + s.Timeout, zone: c.zones[s.Host], place: -1}
 	if s.Within > 0 {
@@ -1142,16 +1219,39 @@
 	g := &gated{}
 	a.sock = g
 	c.durable(true, func() {
-		if !g.off && slices.ContainsFunc(a.all(), func(b *attempt) bool { return b.m.out == b }) {
-			call.Patient = max(a.end-c.now, time.Millisecond)
-			if by > 0 {
-				call.Within = max(by-c.Now(), 1)
-			}
-			g.sock = c.opt.Caller.Send(call)
+		if g.off {
+			return
+		}
+		if !c.begins(a, by) {
+			g.off = true
+			c.later(event{ended: a, ending: Ending{Outcome: choice.NotSent, Took: c.now - a.sent}})
+			return
 		}
+		call.Patient = max(a.end-c.now, time.Millisecond)
+		if by > 0 {
+			call.Within = max(by-c.Now(), 1)
+		}
+		g.sock = c.opt.Caller.Send(call)
 	})
 }
 
+// begins decides whether a call that waited for its records may still leave: nothing does
+// once the relay leaves, and nothing behind the time of one of its messages.
+func (c *Core) begins(a *attempt, by time.Duration) bool {
+	now := c.Now()
+	for _, b := range a.all() {
+		if c.parked || now > b.m.due || by > 0 && now >= by || b.m.out != b || b.m.answered {
+			return false
+		}
+	}
+	for _, b := range a.all() {
+		if !b.m.life.MayBegin(c.opt.Guard, now, c.recorded(b.m)) {
+			return false
+		}
+	}
+	return true
+}
+
 // idem is the idempotency key: the identity where there is one, so that a
 // hand-in at another relay carries the same.
 func (m *message) idem() string {
--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -1,12 +1,14 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // slowJournal keeps what waits for its records until the test writes them.
@@ -44,15 +46,18 @@
 type decider struct {
 	reply
 	decided int
+	held    []bool
 }
 
-func (d *decider) Decided() { d.decided++ }
+func (d *decider) Decided()            { d.decided++ }
+func (d *decider) Undecided(held bool) { d.held = append(d.held, held) }
 
 func kept(t *testing.T, j Journal) *rig {
 	t.Helper()
 	r := &rig{}
 	class := choice.Class{Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: choice.Keyed, Window: 2 * time.Second}
 	c, err := New(Options{Seed: 1, Arrivals: 20, Identities: 20, Keep: time.Minute, Caller: r, Observer: r, Journal: j, Every: true,
+		Guard: &lifecycle.Guard{Strict: true},
 		Names: Names{Partner: func(int) string { return "p" }},
 		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Cancels: true, Certain: true,
 			ReportLimit: -1, Classes: []choice.Class{class}, Kinds: []choice.Kind{{PerCall: 1}},
@@ -89,6 +94,71 @@
 	}
 }
 
+// backlog is a slow journal that knows which messages it could not write.
+type backlog struct {
+	slowJournal
+	unwritten map[uint64]bool
+}
+
+func (b *backlog) Waiting(seq uint64) bool { return b.slow }
+
+func (b *backlog) Cancel(seq uint64) bool { return b.unwritten[seq] }
+
+// Guards against requests that are closed without an answer because a record cannot be
+// written until the process ends: the next run has the message, or nobody will.
+func TestResolveAnswersWhatWaitsForRecords(t *testing.T) {
+	j := &backlog{slowJournal: slowJournal{slow: true}, unwritten: map[uint64]bool{2: true}}
+	r := kept(t, j)
+	written, unwritten := &decider{}, &decider{}
+	for id, d := range map[string]*decider{"written": written, "unwritten": unwritten} {
+		if err := r.Submit(&Message{Identity: id, Left: 5 * time.Second, Reply: d}); err != nil {
+			t.Fatal(err)
+		}
+		r.at(r.now + ms)
+	}
+	j.unwritten = map[uint64]bool{}
+	for seq := uint64(1); seq <= 2; seq++ { // by the order in which they were handed in
+		for _, m := range r.msgs {
+			j.unwritten[m.seq] = m.Identity == "unwritten"
+		}
+	}
+	told := false
+	r.Resolve(func() { told = true })
+	r.at(r.now + ms)
+	if !told || !slices.Equal(written.held, []bool{true}) || !slices.Equal(unwritten.held, []bool{false}) {
+		t.Errorf("told %v, written %v, unwritten %v", told, written.held, unwritten.held)
+	}
+	j.slow = false
+	j.write() // too late: nothing is told twice
+	r.at(r.now + ms)
+	if written.decided+unwritten.decided > 0 || len(written.held)+len(unwritten.held) != 2 {
+		t.Errorf("told again: %+v, %+v", written, unwritten)
+	}
+}
+
+// Guards against calls that leave after the relay began to end, or after their message's
+// time, because they had waited for their record.
+func TestCallsThatWaitedAreDecidedAnew(t *testing.T) {
+	for name, pass := range map[string]func(r *rig){
+		"its time is over": func(r *rig) { r.at(r.now + 6*time.Second) },
+		"the relay leaves": func(r *rig) { r.Park(func() {}); r.at(r.now + ms) },
+	} {
+		j := &slowJournal{slow: true}
+		r := kept(t, j)
+		if err := r.Submit(&Message{Identity: "m", Left: 5 * time.Second, Reply: &decider{}}); err != nil {
+			t.Fatal(err)
+		}
+		r.at(r.now + ms)
+		pass(r)
+		j.slow = false
+		j.write()
+		r.at(r.now + ms)
+		if len(r.calls) != 0 {
+			t.Errorf("%s: %d calls", name, len(r.calls))
+		}
+	}
+}
+
 // The time in which a repeat is remembered is counted from the first send, over a restart
 // and whatever it takes; what is left of it goes with the call.
 func TestWindowOverRestart(t *testing.T) {
--- a/internal/hookfront/ending_test.go
+++ b/internal/hookfront/ending_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // patient is a front that closes nothing by time within a test.
@@ -183,7 +184,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		for c := range f.conns {
-			if c.state.Load() == reading {
+			if c.life.Phase() == lifecycle.Reading {
 				n++
 			}
 		}
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -19,6 +19,7 @@
 	"basaltcross.example/basaltcross/internal/front"
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // Name is that of the front in records.
@@ -62,6 +63,7 @@
 	Door        Door
 	Keeper      Keeper
 	Notices     Notices
+	Guard       *lifecycle.Guard // decides what may be answered and closed; nil for one that keeps no count
 	Logf        func(format string, args ...any)
 }
 
@@ -131,11 +133,28 @@
 // Those that were handed in still get their answers.
 func (f *Front) Finish() {
 	f.finished.Store(true)
-	f.shutIdle(func(c *conn) bool { return c.state.Load() != shutting })
+	f.shutIdle(func(c *conn) bool { return c.life.Phase() != lifecycle.Closing })
+}
+
+// Quiet tells whether nothing is owed to a client: no response, and no byte of one.
+func (f *Front) Quiet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.life.Phase() == lifecycle.Answering || c.nb.Unsent() > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Close ends everything.
 func (f *Front) Close() {
+	f.mu.Lock()
+	for c := range f.conns {
+		_ = c.life.MayClose(f.opt.Guard) // counted
+	}
+	f.mu.Unlock()
 	close(f.stop)
 	f.done.Wait()
 	f.sockets.Close()
@@ -161,14 +180,15 @@
 func (c *conn) end() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	phase := c.life.Phase()
 	switch {
-	case c.state.Load() == answering:
+	case phase == lifecycle.Answering:
 		return false
 	case c.shut:
 		c.close()
-	case c.state.Load() == reading && c.front.finished.Load():
+	case phase == lifecycle.Reading && c.front.finished.Load():
 		c.reject(http.StatusServiceUnavailable, "the relay ends")
-	case c.state.Load() == reading:
+	case phase == lifecycle.Reading:
 		c.reject(http.StatusRequestTimeout, "the request did not end")
 	default:
 		c.finish()
@@ -180,12 +200,11 @@
 // it has sent meanwhile is read and dropped until it closes as well, within a bound: a
 // close over unread bytes would reset the connection and take the answer with it; under mu.
 func (c *conn) finish() {
-	if c.shut {
+	if c.shut || !c.life.MayClose(c.front.opt.Guard) {
 		return
 	}
 	c.shut = true
 	c.since.Store(front.Now())
-	c.state.Store(shutting)
 	c.nb.CloseWrite()
 }
 
@@ -224,14 +243,6 @@
 	}
 }
 
-// What a connection does.
-const (
-	idle int32 = iota
-	reading
-	answering
-	shutting // by the relay; what comes is dropped
-)
-
 // conn is one client's connection.
 type conn struct {
 	front   *Front
@@ -239,7 +250,7 @@
 	name    string
 	since   atomic.Int64 // by front.Now: of the state, or of the last byte while reading
 	begun   atomic.Int64 // by front.Now: of the request, or of the connection before the first
-	state   atomic.Int32
+	life    lifecycle.Exchange
 	asked   atomic.Bool // a request was answered
 	leaving atomic.Bool // about to be closed to make room
 
@@ -262,19 +273,19 @@
 	var out, rests, lingers *conn
 	resting, going, now := 0, 0, time.Now()
 	for o := range f.conns {
-		state := o.state.Load()
-		if state == shutting || o.leaving.Load() {
-			if going++; state == shutting && (lingers == nil || o.since.Load() < lingers.since.Load()) {
+		phase := o.life.Phase()
+		if phase == lifecycle.Closing || o.leaving.Load() {
+			if going++; phase == lifecycle.Closing && (lingers == nil || o.since.Load() < lingers.since.Load()) {
 				lingers = o
 			}
 			continue
 		}
-		if state == idle && o.asked.Load() {
+		if phase == lifecycle.Idle && o.asked.Load() {
 			if resting++; rests == nil || o.since.Load() < rests.since.Load() {
 				rests = o
 			}
 		}
-		if state != answering && (out == nil || o.before(out, now)) {
+		if phase != lifecycle.Answering && (out == nil || o.before(out, now)) {
 			out = o
 		}
 	}
@@ -332,15 +343,15 @@
 // overdue tells whether a connection was silent too long, or its request does not end.
 func (c *conn) overdue(now time.Time) bool {
 	age := front.Nanos(now) - c.since.Load()
-	switch c.state.Load() {
-	case idle:
+	switch c.life.Phase() {
+	case lifecycle.Idle:
 		if c.front.left.Load() {
 			return c.asked.Load() || age > int64(c.front.opt.Request)/2
 		}
 		return age > int64(c.front.opt.Idle)
-	case reading:
+	case lifecycle.Reading:
 		return age > int64(c.front.opt.Request) || front.Nanos(now)-c.begun.Load() > int64(c.front.opt.Whole)
-	case shutting:
+	case lifecycle.Closing:
 		return age > int64(c.front.opt.Linger)
 	}
 	return false
@@ -353,15 +364,20 @@
 	go func() { // the engine calls this from within a Write or Close of ours, under mu
 		c.mu.Lock()
 		c.shut = true
-		x := c.open
-		c.open = nil
+		c.life.Gone()
+		c.withdraw()
 		c.mu.Unlock()
-		if x != nil {
-			c.front.opt.Door.Abandon(x.id, x)
-		}
 	}()
 }
 
+// withdraw says that nobody waits for the answer to the open request any more; under mu.
+func (c *conn) withdraw() {
+	if x := c.open; x != nil {
+		c.open = nil
+		c.front.opt.Door.Abandon(x.id, x)
+	}
+}
+
 // Data takes in what the socket gave.
 func (c *conn) Data(b []byte) {
 	c.mu.Lock()
@@ -372,12 +388,13 @@
 		}
 		return
 	}
-	if c.state.Load() == answering { // one request at a time, by the protocol
+	if c.life.Phase() == lifecycle.Answering { // one request at a time, by the protocol
+		c.withdraw()
 		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
 		return
 	}
 	now := front.Now()
-	if c.state.CompareAndSwap(idle, reading) && c.asked.Load() {
+	if c.life.Begin() && c.asked.Load() {
 		c.begun.Store(now)
 	}
 	c.since.Store(now)
@@ -395,7 +412,7 @@
 	case len(rest) > 0:
 		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
 	default:
-		c.state.Store(answering)
+		c.life.Whole(c.name)
 		c.serve()
 	}
 }
@@ -432,6 +449,7 @@
 			c.say(http.StatusServiceUnavailable, "notices are owed, and not taken")
 			return
 		}
+		c.life.Name(m.Identity)
 		x := &exchange{conn: c, id: m.Identity}
 		m.Reply = x
 		c.open = x
@@ -528,7 +546,7 @@
 
 // write sends an answer and readies the connection for the next request; under mu.
 func (c *conn) write(status int, field, body string) {
-	if c.shut {
+	if c.shut || !c.life.MayAnswer(c.front.opt.Guard) {
 		return
 	}
 	keep := c.req.Keep && !c.front.draining.Load()
@@ -554,7 +572,6 @@
 	c.req.Body = nil
 	c.asked.Store(true)
 	c.since.Store(front.Now())
-	c.state.Store(idle)
 }
 
 // exchange is one hand-in; the core tells it what becomes of the message.
@@ -627,6 +644,19 @@
 	f.opt.Door.Settled(x.id)
 }
 
+// Undecided: the process ends, and a record of what was decided cannot be written.
+func (x *exchange) Undecided(held bool) {
+	x.decided = true
+	x.respond(func(c *conn) {
+		if held {
+			x.of().counts.Taken.Add(1)
+			c.write(http.StatusAccepted, "", "")
+			return
+		}
+		c.say(http.StatusServiceUnavailable, "nothing can be recorded")
+	})
+}
+
 // retryAfter is that field, in seconds with milliseconds.
 func retryAfter(d time.Duration) string {
 	if d <= 0 {
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -52,6 +52,7 @@
 	big     int64           // bytes of the longest record
 	lives   int64           // bytes of live records
 	waiting []record        // that could not be written yet, in order
+	behind  map[uint64]int  // of them, by message
 	noted   map[string]bool // hosts with a wait that was handed in and is not gone
 	done    []func()
 	retry   *time.Timer
@@ -73,6 +74,7 @@
 type record struct {
 	kind  byte
 	key   string
+	of    uint64 // number of the message that it is about; 0 for none
 	seq   uint64 // of the message that it ends; 0 for none
 	stays bool   // it is not carried forward: nobody waits for the answer that it tells
 	frame []byte // as it is written
@@ -130,7 +132,7 @@
 		opt.Clocks = Clocks
 	}
 	l := &Log{dir: dir, most: opt.Most - opt.Most/16, clocks: opt.Clocks, live: map[string]*place{}, seqs: map[uint64][]string{},
-		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, owes: opt.Owes, failed: opt.Failed}
+		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, behind: map[uint64]int{}, owes: opt.Owes, failed: opt.Failed}
 	if l.seg = l.most / segments; l.seg < 8*block {
 		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, opt.Most)
 	}
@@ -405,14 +407,18 @@
 func (l *Log) Taken(m Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.put(newRecord(kindMessage, seqKey(kindMessage, m.Seq), encode(m)))
+	r := newRecord(kindMessage, seqKey(kindMessage, m.Seq), encode(m))
+	r.of = m.Seq
+	l.put(r)
 }
 
 // Tried records an attempt, before it is sent and again when it is clear.
 func (l *Log) Tried(a Attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.put(newRecord(kindAttempt, attemptKey(a.Seq, a.N), encode(a)))
+	r := newRecord(kindAttempt, attemptKey(a.Seq, a.N), encode(a))
+	r.of = a.Seq
+	l.put(r)
 }
 
 // Ended records a final answer, in place of message and attempts. One that nobody
@@ -435,7 +441,7 @@
 	key := textKey(kindEnd, e.Identity)
 	l.ends[string(key)] = e
 	r := newRecord(kindEnd, key, encode(e))
-	r.seq, r.stays = e.Seq, e.Handed
+	r.of, r.seq, r.stays = e.Seq, e.Seq, e.Handed
 	l.put(r)
 }
 
@@ -522,16 +528,46 @@
 		l.failed(fmt.Errorf("journal: nothing is taken until this is written: %w", err))
 	}
 	l.waiting = append(l.waiting, r)
+	l.behind[r.of]++
 	if l.retry == nil {
 		l.retry = time.AfterFunc(retryWait, l.again)
 	}
 }
 
+// caughtUp books that a record does not wait any more.
+func (l *Log) caughtUp(r record) {
+	if l.behind[r.of]--; l.behind[r.of] == 0 {
+		delete(l.behind, r.of)
+	}
+}
+
+// Waiting tells whether a record about a message is not on disk yet.
+func (l *Log) Waiting(seq uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.behind[seq] > 0
+}
+
+// Cancel takes back a message whose own record is not on disk yet, with all that waits
+// about it: no later run will know it. It reports false where the record is on disk.
+func (l *Log) Cancel(seq uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := string(seqKey(kindMessage, seq))
+	if !slices.ContainsFunc(l.waiting, func(r record) bool { return r.key == key }) {
+		return false
+	}
+	l.waiting = slices.DeleteFunc(l.waiting, func(r record) bool { return r.of == seq })
+	delete(l.behind, seq)
+	return true
+}
+
 // again tries what waits.
 func (l *Log) again() {
 	l.mu.Lock()
 	l.retry = nil
 	for len(l.waiting) > 0 && !l.closed && l.write(l.waiting[0]) == nil {
+		l.caughtUp(l.waiting[0])
 		l.waiting = l.waiting[1:]
 	}
 	var done []func()
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -23,6 +24,7 @@
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/member"
 	"basaltcross.example/basaltcross/internal/partner"
 	"basaltcross.example/basaltcross/internal/recover"
@@ -34,8 +36,14 @@
 	leaveAfter = 600 * time.Millisecond  // then no connection is taken any more
 	parkAfter  = 2800 * time.Millisecond // then nothing further is sent to hosts
 	endAfter   = 3500 * time.Millisecond // then the process ends, whatever is out
+	lastBytes  = 100 * time.Millisecond  // further for what still has to reach clients
+	lastLook   = 2 * time.Millisecond    // between two looks at that
 )
 
+// strictVariable names the variable of the environment that has a violation of the rules in
+// package lifecycle end the process, for tests.
+const strictVariable = "BASALTCROSS_STRICT"
+
 // Node is a running relay of the platform.
 type Node struct {
 	cfg    *Config
@@ -50,6 +58,7 @@
 	front  *hookfront.Front
 	watch  *watcher
 	hosts  *hosts
+	guard  *lifecycle.Guard
 
 	ready  atomic.Bool
 	reload sync.Mutex
@@ -98,6 +107,9 @@
 	n := &Node{cfg: cfg, bounds: BoundsOf(cfg), log: log, dests: map[int]bool{}}
 	b := &n.bounds
 	n.watch = &watcher{node: n}
+	n.guard = &lifecycle.Guard{Strict: os.Getenv(strictVariable) != "", Told: func(v lifecycle.Violation) {
+		n.log.Error().Str("cause", "violation").Str("rule", string(v.Rule)).Str("id", v.ID).Msg(v.What)
+	}}
 	var undo []func()
 	defer func() {
 		if err != nil {
@@ -139,7 +151,7 @@
 	}
 	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, Arrivals: b.Clients, Identities: b.Identities, Keep: longest,
 		Caller: n.caller, Observer: n.watch, Journal: n.keep, Every: true, Together: bodyBytes, Forgetful: true, Late: clientWaits,
-		Names: core.Names{Partner: strconv.Itoa}})
+		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard})
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +176,7 @@
 		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
 	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
 		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Lingering: b.Lingering, Kept: b.Kept, Request: 2 * clientWaits, Whole: whole, Idle: silent, Linger: linger,
-		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said,
+		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said, Guard: n.guard,
 		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
 	if err != nil {
 		return nil, err
@@ -337,12 +349,32 @@
 		case <-idle:
 		case <-time.After(endAfter - time.Since(began)):
 		}
+		n.settle(began.Add(endAfter))
 		n.log.Info().Dur("after", time.Since(began)).Msg("nothing more is sent")
 		n.close()
 		n.log.Info().Dur("after", time.Since(began)).Msg("closed")
 	})
 }
 
+// settle waits until what was decided is on disk and told, and ends the wait where that
+// cannot be: no request that was read stays without its response.
+func (n *Node) settle(by time.Time) {
+	down := make(chan struct{})
+	if n.keep.Then(func() { close(down) }) {
+		close(down)
+	}
+	select {
+	case <-down:
+	case <-time.After(time.Until(by)):
+	}
+	resolved := make(chan struct{})
+	n.core.Resolve(func() { close(resolved) })
+	<-resolved
+	for end := by.Add(lastBytes); !n.front.Quiet() && time.Now().Before(end); {
+		time.Sleep(lastLook)
+	}
+}
+
 func (n *Node) close() {
 	n.stop()
 	n.done.Wait()
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -246,6 +246,7 @@
 // started is a node within the test's process.
 func (s *site) started(limits string) *Node {
 	s.t.Helper()
+	s.t.Setenv(strictVariable, "1")
 	s.config("127.0.0.1:0", limits)
 	cfg, err := Load(s.env)
 	if err != nil {
--- a/internal/platform/site_test.go
+++ b/internal/platform/site_test.go
@@ -266,7 +266,7 @@
 func (s *site) startAsIs(addr string) *process {
 	s.t.Helper()
 	p := &process{cmd: exec.Command(os.Args[0], "-test.run=TestNodeProcess"), addr: addr, log: &bytes.Buffer{}}
-	p.cmd.Env = append(os.Environ(), playNode+"=1", "ROUTER_CONFIG="+s.env("ROUTER_CONFIG"), "ROUTER_STATE="+s.env("ROUTER_STATE"))
+	p.cmd.Env = append(os.Environ(), playNode+"=1", strictVariable+"=1", "ROUTER_CONFIG="+s.env("ROUTER_CONFIG"), "ROUTER_STATE="+s.env("ROUTER_STATE"))
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
