A shim that has system calls fail for moments, by ptrace and seccomp

No privileges. TestFaultsReachTheProgram: each kind tried reaches the program, none without being set.

--- /dev/null
+++ b/internal/shim/call.go
@@ -0,0 +1,168 @@
+package shim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// longestStall is how long a write may be held up.
+const longestStall = 150 * time.Millisecond
+
+// call decides what becomes of a system call that is about to be made.
+func (t *tracer) call(pid int) {
+	var regs unix.PtraceRegs
+	if unix.PtraceGetRegs(pid, &regs) != nil {
+		return // killed meanwhile
+	}
+	if regs.Orig_rax == unix.SYS_CLOCK_GETTIME {
+		t.clock(pid, &regs)
+		return
+	}
+	if t.p.any.Load() == 0 {
+		return
+	}
+	switch regs.Orig_rax {
+	case unix.SYS_READ:
+		t.read(pid, &regs)
+	case unix.SYS_WRITE:
+		t.write(pid, &regs)
+	case unix.SYS_PWRITE64:
+		t.writeFile(pid, &regs)
+	case unix.SYS_FTRUNCATE:
+		t.fail(pid, &regs, TruncFails, t.inState(pid, regs.Rdi), unix.EIO)
+	case unix.SYS_OPENAT:
+		t.fail(pid, &regs, OpenFails, t.names(pid, regs.Rsi), unix.EIO)
+	case unix.SYS_RENAMEAT:
+		t.fail(pid, &regs, OpenFails, t.names(pid, regs.Rsi), unix.EIO)
+	case unix.SYS_UNLINKAT:
+		t.fail(pid, &regs, UnlinkFails, t.names(pid, regs.Rsi), unix.EIO)
+	case unix.SYS_ACCEPT4:
+		t.fail(pid, &regs, AcceptFails, true, unix.ECONNABORTED, unix.ENFILE)
+	case unix.SYS_SOCKET:
+		t.fail(pid, &regs, SocketFails, true, unix.ENFILE, unix.ENOBUFS)
+	case unix.SYS_CONNECT:
+		t.fail(pid, &regs, ConnectFails, true, unix.EADDRNOTAVAIL, unix.ENETUNREACH)
+	case unix.SYS_DUP:
+		t.fail(pid, &regs, DupFails, true, unix.EMFILE)
+	case unix.SYS_EPOLL_CTL:
+		t.fail(pid, &regs, PollNoMemory, regs.Rsi != unix.EPOLL_CTL_DEL, unix.ENOMEM)
+	case unix.SYS_EPOLL_WAIT:
+		t.fail(pid, &regs, Interrupted, true, unix.EINTR)
+	}
+}
+
+// fail has a call fail, with an even chance, where a kind is active and the call is one of it.
+func (t *tracer) fail(pid int, regs *unix.PtraceRegs, k Kind, concerned bool, errnos ...unix.Errno) bool {
+	if !t.p.is(k) || !concerned || t.r.IntN(2) == 0 {
+		return false
+	}
+	t.instead(pid, regs, -int64(errnos[t.r.IntN(len(errnos))]))
+	t.p.hit(k)
+	return true
+}
+
+// instead has a call return something without being made.
+func (t *tracer) instead(pid int, regs *unix.PtraceRegs, result int64) {
+	regs.Orig_rax = ^uint64(0)
+	regs.Rax = uint64(result)
+	_ = unix.PtraceSetRegs(pid, regs)
+}
+
+// cut shortens a call's length.
+func (t *tracer) cut(pid int, regs *unix.PtraceRegs, k Kind) {
+	if regs.Rdx < 2 {
+		return
+	}
+	regs.Rdx = 1 + t.r.Uint64N(min(regs.Rdx-1, 40))
+	_ = unix.PtraceSetRegs(pid, regs)
+	t.p.hit(k)
+}
+
+func (t *tracer) read(pid int, regs *unix.PtraceRegs) {
+	if !isSocket(pid, regs.Rdi) || t.fail(pid, regs, Interrupted, true, unix.EINTR) {
+		return
+	}
+	if t.p.is(ShortRead) {
+		t.cut(pid, regs, ShortRead)
+	}
+}
+
+func (t *tracer) write(pid int, regs *unix.PtraceRegs) {
+	if !isSocket(pid, regs.Rdi) {
+		t.writeFile(pid, regs)
+		return
+	}
+	if t.p.is(Stall) && t.r.IntN(8) == 0 {
+		t.p.hit(Stall)
+		time.Sleep(time.Duration(t.r.Int64N(int64(longestStall))))
+	}
+	if t.fail(pid, regs, Interrupted, true, unix.EINTR) {
+		return
+	}
+	if t.p.is(ShortWrite) {
+		t.cut(pid, regs, ShortWrite)
+	}
+}
+
+func (t *tracer) writeFile(pid int, regs *unix.PtraceRegs) {
+	if !t.inState(pid, regs.Rdi) {
+		return
+	}
+	if t.torn[pid] {
+		delete(t.torn, pid)
+		t.instead(pid, regs, -int64(unix.ENOSPC))
+		return
+	}
+	if t.fail(pid, regs, DiskFull, true, unix.ENOSPC) || t.fail(pid, regs, DiskError, true, unix.EIO) {
+		return
+	}
+	if t.p.is(WriteTorn) && regs.Rdx > 1 && t.r.IntN(2) == 0 {
+		t.torn[pid] = true
+		regs.Rdx = 1 + t.r.Uint64N(regs.Rdx-1)
+		_ = unix.PtraceSetRegs(pid, regs)
+		t.p.hit(WriteTorn)
+	}
+}
+
+// clock answers for the wall clock.
+func (t *tracer) clock(pid int, regs *unix.PtraceRegs) {
+	offset := t.p.wall.Load()
+	if offset == 0 {
+		return
+	}
+	now := time.Now().UnixNano() + offset
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(now/int64(time.Second)))
+	binary.LittleEndian.PutUint64(b[8:], uint64(now%int64(time.Second)))
+	if _, err := unix.PtracePokeData(pid, uintptr(regs.Rsi), b[:]); err != nil {
+		return
+	}
+	t.instead(pid, regs, 0)
+	t.p.hit(WallClock)
+}
+
+func isSocket(pid int, fd uint64) bool {
+	return strings.HasPrefix(target(pid, fd), "socket:")
+}
+
+func target(pid int, fd uint64) string {
+	name, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", pid, int32(fd)))
+	return name
+}
+
+// inState tells whether a descriptor is that of a file in the state folder.
+func (t *tracer) inState(pid int, fd uint64) bool {
+	return t.p.opt.State != "" && strings.HasPrefix(target(pid, fd), t.p.opt.State+"/")
+}
+
+// names tells whether a path in the program's memory lies in the state folder.
+func (t *tracer) names(pid int, at uint64) bool {
+	b := make([]byte, len(t.p.opt.State)+1)
+	n, err := unix.PtracePeekData(pid, uintptr(at), b)
+	return err == nil && n == len(b) && t.p.opt.State != "" && strings.HasPrefix(string(b), t.p.opt.State)
+}
--- /dev/null
+++ b/internal/shim/exec.go
@@ -0,0 +1,94 @@
+package shim
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// traced are the system calls that the tracer is asked about.
+var traced = []uint32{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FTRUNCATE, unix.SYS_OPENAT, unix.SYS_RENAMEAT,
+	unix.SYS_UNLINKAT, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_DUP, unix.SYS_EPOLL_CTL, unix.SYS_EPOLL_WAIT}
+
+// Offsets in struct seccomp_data.
+const (
+	offsetNumber = 0
+	offsetArg0   = 16
+)
+
+// filter asks the tracer about the traced calls, and about clock_gettime of the wall clock.
+func filter() []unix.SockFilter {
+	load := func(offset uint32) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: offset}
+	}
+	equal := func(k uint32, yes, no uint8) unix.SockFilter {
+		return unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: yes, Jf: no, K: k}
+	}
+	ret := func(k uint32) unix.SockFilter { return unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: k} }
+	program := []unix.SockFilter{load(offsetNumber)}
+	for i, number := range traced {
+		program = append(program, equal(number, uint8(len(traced)-i+3), 0))
+	}
+	return append(program,
+		equal(unix.SYS_CLOCK_GETTIME, 0, 2),
+		load(offsetArg0),
+		equal(unix.CLOCK_REALTIME, 1, 0),
+		ret(unix.SECCOMP_RET_ALLOW),
+		ret(unix.SECCOMP_RET_TRACE))
+}
+
+// Exec asks for the tracer's attention and becomes the program named by the first argument.
+// It returns only on an error.
+func Exec(args []string) error {
+	if len(args) == 0 {
+		return errors.New("shim: no program")
+	}
+	runtime.LockOSThread()
+	program := filter()
+	fprog := unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]}
+	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
+		return fmt.Errorf("shim: %w", err)
+	}
+	// Of this thread alone: the others end at the exec.
+	if err := unix.Prctl(unix.PR_SET_SECCOMP, unix.SECCOMP_MODE_FILTER, uintptr(unsafe.Pointer(&fprog)), 0, 0); err != nil {
+		return fmt.Errorf("shim: %w", err)
+	}
+	return fmt.Errorf("shim: %s: %w", args[0], syscall.Exec(args[0], args, os.Environ()))
+}
+
+// Types of entries in the auxiliary vector.
+const (
+	auxNull   = 0
+	auxIgnore = 1
+	auxVDSO   = 33 // AT_SYSINFO_EHDR
+)
+
+// hideVDSO has a program that has just been loaded read its clocks by system calls.
+func hideVDSO(pid int) {
+	var regs unix.PtraceRegs
+	if unix.PtraceGetRegs(pid, &regs) != nil {
+		return
+	}
+	word := func(at uint64) uint64 {
+		var b [8]byte
+		_, _ = unix.PtracePeekData(pid, uintptr(at), b[:])
+		return binary.LittleEndian.Uint64(b[:])
+	}
+	at := regs.Rsp + 8*(word(regs.Rsp)+2) // behind the arguments and their end
+	for word(at) != 0 {                   // the environment
+		at += 8
+	}
+	for at += 8; word(at) != auxNull; at += 16 {
+		if word(at) == auxVDSO {
+			var b [8]byte
+			binary.LittleEndian.PutUint64(b[:], auxIgnore)
+			_, _ = unix.PtracePokeData(pid, uintptr(at), b[:])
+		}
+	}
+}
--- /dev/null
+++ b/internal/shim/shim_test.go
@@ -0,0 +1,97 @@
+package shim
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const playProgram = "BASALTCROSS_SHIM_TEST"
+
+// TestMain lets the test's binary be the program under the shim.
+func TestMain(m *testing.M) {
+	switch os.Getenv(playProgram) {
+	case "exec":
+		_ = os.Setenv(playProgram, "play")
+		fmt.Fprintln(os.Stderr, Exec([]string{os.Args[0]}))
+		os.Exit(3)
+	case "play":
+		play()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// play does what the shim may have fail, and tells what it saw.
+func play() {
+	file, err := os.Create(os.Getenv("STATE") + "/file")
+	if err == nil {
+		_, err = file.WriteAt(make([]byte, 100), 0)
+	}
+	fmt.Fprintf(os.Stderr, "file: %v\n", err)
+	fmt.Fprintf(os.Stderr, "wall: %d\n", time.Now().Unix())
+	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	n, err := syscall.Write(pair[0], make([]byte, 100))
+	fmt.Fprintf(os.Stderr, "socket: %d %v\n", n, err)
+	_, err = net.Dial("tcp", "127.0.0.1:1")
+	fmt.Fprintf(os.Stderr, "dial: %v\n", err)
+}
+
+// Each injected fault is seen by the program, and none of those that are not active.
+func TestFaultsReachTheProgram(t *testing.T) {
+	for _, c := range []struct {
+		kind Kind
+		want string // in what some play of the program says
+	}{
+		{WriteTorn, "no space left"}, {DiskError, "input/output error"}, {ShortWrite, "socket: "}, {SocketFails, "dial: dial tcp 127.0.0.1:1: socket:"},
+		{WallClock, "wall: "}, {"", ""},
+	} {
+		seen := false
+		for seed := uint64(0); seed < 20 && !seen; seed++ {
+			var out bytes.Buffer
+			state := t.TempDir()
+			p, err := Start(Options{Path: os.Args[0], Env: append(os.Environ(), playProgram+"=exec", "STATE="+state), State: state,
+				Stderr: &out, Seed: seed})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.kind == WallClock {
+				p.SetWall(time.Hour)
+			} else if c.kind != "" {
+				p.Set(c.kind, true)
+			}
+			<-p.Done()
+			if !p.Exit().Exited() || p.Exit().ExitStatus() != 0 {
+				t.Fatalf("%s: ended with %v: %s", c.kind, p.Exit(), out.String())
+			}
+			text := out.String()
+			switch c.kind {
+			case ShortWrite:
+				seen = !strings.Contains(text, "socket: 100 <nil>")
+			case WallClock:
+				var wall int64
+				_, _ = fmt.Sscanf(text[strings.Index(text, "wall: "):], "wall: %d", &wall)
+				seen = wall-time.Now().Unix() > 3000
+			case "":
+				seen = strings.Contains(text, "file: <nil>") && strings.Contains(text, "socket: 100 <nil>") && len(p.Hits()) == 0
+			default:
+				seen = strings.Contains(text, c.want)
+			}
+			if seen != (p.Hits()[c.kind] > 0) && c.kind != "" {
+				t.Errorf("%s: seen %v, hits %v: %s", c.kind, seen, p.Hits(), text)
+			}
+		}
+		if !seen {
+			t.Errorf("%s: never seen", c.kind)
+		}
+	}
+}
