--- a/cmd/basaltcross/main.go
+++ b/cmd/basaltcross/main.go
@@ -31,7 +31,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "basaltcross", Short: "A delivery service: carries messages to partners through failures",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(relayCommand(), nodeCommand(), checkCommand(), keysCommand(), zonesCommand(), addressesCommand(), standinCommand(), dayCommand(), loadCommand(), crashCommand(), journalCommand(), modelCommand(), demoCommand(), proxyCommand(), versionCommand())
+	c.AddCommand(relayCommand(), nodeCommand(), checkCommand(), keysCommand(), zonesCommand(), addressesCommand(), standinCommand(), dayCommand(), loadCommand(), crashCommand(), journalCommand(), modelCommand(), soakCommand(), shimCommand(), demoCommand(), proxyCommand(), versionCommand())
 	return c
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,11 +5,13 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -222,6 +224,7 @@
 	seq      uint64
 	kept     bool // in the journal
 	life     lifecycle.Message
+	told     bool // its final answer has left
 }
 
 type attempt struct {
@@ -286,17 +289,18 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
-	steps    []func()          // that wait for the journal, in order
-	stepped  uint64            // steps that were done
-	noted    map[string]noted  // by endpoint, as recorded
-	waited   map[string]noted  // from an earlier run, for endpoints not yet listed
-	lastAt   time.Duration     // while shutting down: what waits for the journal is given up then
-	nows     []string          // messages that go in this step or not at all
-	fresh    []*message        // taken in this step, with a Decider
-	open     map[*message]bool // Deciders that were not told yet
-	owing    map[string]string // ids by identity: refused or failed, and not Settled
-	idle     func()            // to be called once nothing is out
-	parked   bool              // a later run goes on with what is held
+	steps    []func()            // that wait for the journal, in order
+	stepped  uint64              // steps that were done
+	noted    map[string]noted    // by endpoint, as recorded
+	waited   map[string]noted    // from an earlier run, for endpoints not yet listed
+	lastAt   time.Duration       // while shutting down: what waits for the journal is given up then
+	nows     []string            // messages that go in this step or not at all
+	fresh    []*message          // taken in this step, with a Decider
+	open     map[*message]bool   // Deciders that were not told yet
+	untold   map[*message]func() // final answers that wait for their records
+	owing    map[string]string   // ids by identity: refused or failed, and not Settled
+	idle     func()              // to be called once nothing is out
+	parked   bool                // a later run goes on with what is held
 	spare    []event
 }
 
@@ -318,7 +322,7 @@
 	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: led,
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
-		open: map[*message]bool{}, outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
+		open: map[*message]bool{}, untold: map[*message]func(){}, outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
 		owing: map[string]string{}, noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
 }
 
@@ -508,6 +512,11 @@
 	if c.stopAt >= 0 && (at < 0 || c.stopAt < at) {
 		at = c.stopAt
 	}
+	for m := range c.untold {
+		if !c.open[m] && (at < 0 || m.due < at) {
+			at = m.due
+		}
+	}
 	if c.draining && (at < 0 || c.lastAt < at) {
 		at = c.lastAt
 	}
@@ -595,6 +604,7 @@
 	}
 	clear(c.fresh)
 	c.fresh = c.fresh[:0]
+	c.tellOverdue()
 	if c.idle != nil && len(c.outs) == 0 {
 		c.idle()
 		c.idle = nil
@@ -667,6 +677,19 @@
 	}
 }
 
+// tellOverdue tells final answers whose records cannot be written, once their messages'
+// time is over: later they would be of no use, and no later run sends these messages.
+func (c *Core) tellOverdue() {
+	if len(c.untold) == 0 {
+		return
+	}
+	late := slices.DeleteFunc(slices.Collect(maps.Keys(c.untold)), func(m *message) bool { return c.now < m.due || c.open[m] })
+	slices.SortFunc(late, func(x, y *message) int { return cmp.Compare(x.seq, y.seq) })
+	for _, m := range late {
+		c.untold[m]()
+	}
+}
+
 // answer gives a message its one final answer.
 func (c *Core) answer(m *message, a ledger.Answer) {
 	if m.answered || !m.life.MayEnd(c.opt.Guard, a.Verdict == ledger.Refused) {
@@ -685,11 +708,20 @@
 		c.opt.Journal.Ended(journal.End{Seq: m.seq, Identity: m.Identity, Class: c.opt.Settings.Classes[m.Class].Name,
 			Verdict: uint8(a.Verdict), After: int64(a.After), At: c.opt.Journal.Stamp(), Front: m.Front, Way: m.Way})
 	}
-	c.durable(m.kept, func() {
-		if m.life.MayTell(c.opt.Guard, c.recorded(m)) {
+	tell := func() {
+		if m.told {
+			return
+		}
+		m.told = true
+		delete(c.untold, m)
+		if m.life.MayTell(c.opt.Guard, c.now, c.recorded(m)) {
 			m.Reply.Answer(a)
 		}
-	})
+	}
+	if c.opt.Settings.Acknowledged {
+		c.untold[m] = tell
+	}
+	c.durable(m.kept, tell)
 	c.opt.Observer.Answered(m.Class, a, c.now-m.taken)
 	c.forget(m)
 }
--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -136,6 +136,39 @@
 	}
 }
 
+// Guards against notices that come too late because the record of the end cannot be written:
+// past its time no later run sends a message, and its end is told without the record.
+func TestOverdueEndsAreToldWithoutTheirRecord(t *testing.T) {
+	j := &slowJournal{}
+	r := kept(t, j)
+	r.opt.Settings.Acknowledged = true
+	r.List(choice.Listing{Whole: true}) // nobody takes it
+	r.at(r.now + ms)
+	d := &decider{}
+	if err := r.Submit(&Message{Identity: "m", Left: 5 * time.Second, Reply: d}); err != nil {
+		t.Fatal(err)
+	}
+	r.at(r.now + ms)
+	j.slow = true
+	due := r.now + 5*time.Second
+	r.Withdraw("m") // ended before its time
+	r.at(r.now + ms)
+	if len(d.answers) != 0 {
+		t.Fatalf("told %v before the record", d.answers)
+	}
+	if next := r.nextTime(); next < 0 || next > due {
+		t.Errorf("the next look is at %v, want %v at the latest", next, due)
+	}
+	if r.at(due); len(d.answers) != 1 {
+		t.Errorf("told %v at the end of its time", d.answers)
+	}
+	j.slow = false
+	j.write()
+	if r.at(r.now + ms); len(d.answers) != 1 {
+		t.Errorf("told %v, want one answer", d.answers)
+	}
+}
+
 // Guards against calls that leave after the relay began to end, or after their message's
 // time, because they had waited for their record.
 func TestCallsThatWaitedAreDecidedAnew(t *testing.T) {
--- /dev/null
+++ b/internal/emulator/audit.go
@@ -0,0 +1,206 @@
+package emulator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits of the protocol, as the audit holds them.
+const (
+	overdue      = 300 * time.Millisecond  // a notice may come so long after its message's time
+	afterRestart = 1500 * time.Millisecond // and none is overdue until so long after a relay is ready again
+	waitGrace    = 100 * time.Millisecond  // calls that arrive so soon after the wait was told pass
+	socketGrace  = 50 * time.Millisecond   // every time limit is longer by this on sockets
+	latestPause  = 150 * time.Millisecond  // a relay may be held up so long between its clock and a write
+)
+
+// Finding is one invariant and what was found of it.
+type Finding struct {
+	Invariant string   `json:"invariant"`
+	Checked   int      `json:"checked"`
+	Broken    int      `json:"broken"`
+	Examples  []string `json:"examples,omitempty"`
+}
+
+// mostExamples of a finding are kept.
+const mostExamples = 5
+
+func (f *Finding) check(ok bool, example func() string) {
+	f.Checked++
+	if ok {
+		return
+	}
+	if f.Broken++; len(f.Examples) < mostExamples {
+		f.Examples = append(f.Examples, example())
+	}
+}
+
+// Audit holds a record against the rules. lag is how late the emulator's own timers were at
+// most: every time that it took itself may be wrong by so much. now is when the record ends.
+func (r *Record) Audit(lag time.Duration, now time.Time) []*Finding {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := &audit{record: r, lag: lag, now: now}
+	ids := make([]string, 0, len(r.courses))
+	for id := range r.courses {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		c := r.courses[id]
+		a.replies(c)
+		a.refusals(c)
+		a.owed(c)
+		a.repeats(c)
+		a.ended(c)
+	}
+	a.orders()
+	a.strangers()
+	return a.findings
+}
+
+type audit struct {
+	record   *Record
+	lag      time.Duration
+	now      time.Time
+	findings []*Finding
+}
+
+func (a *audit) of(invariant string) *Finding {
+	for _, f := range a.findings {
+		if f.Invariant == invariant {
+			return f
+		}
+	}
+	f := &Finding{Invariant: invariant}
+	a.findings = append(a.findings, f)
+	return f
+}
+
+// killed tells whether a process of a node ended between two moments.
+func (a *audit) killed(node int, from, to time.Time) bool {
+	return slices.ContainsFunc(a.record.lives, func(l *Life) bool {
+		return l.Node == node && !l.Ended.IsZero() && l.Ended.After(from.Add(-a.lag)) && l.Ended.Before(to.Add(a.lag+socketGrace))
+	})
+}
+
+// replies: a response is complete, or there is none at all and nothing came of the request.
+func (a *audit) replies(c *Course) {
+	died := a.killed(c.Node, c.Sent, c.Reply.At)
+	a.of("a response is complete").check(c.Reply.Complete || c.Reply.Text == "" || c.Reply.End == "timeout" || died, c.String)
+	if c.Reply.End == "eof" || c.Reply.End == "reset" {
+		read := len(c.Calls) > 0 || len(c.Notices) > 0
+		a.of("a request that was read is not closed unanswered").check(!read || died, c.String)
+	}
+	if c.Reply.Status == 429 || c.Reply.Status == 503 || c.Reply.Status == 202 {
+		a.of("a connection has one response for a request").check(c.Reply.End != "more", c.String)
+	}
+}
+
+// refusals: what was answered 429 or 503 is never forwarded from then on.
+func (a *audit) refusals(c *Course) {
+	if !c.Reply.Complete || c.Reply.Status != 429 && c.Reply.Status != 503 {
+		return
+	}
+	late := c.Reply.At.Add(latestPause + socketGrace + a.lag)
+	a.of("a refused request is not forwarded").check(!slices.ContainsFunc(c.Calls, func(x Call) bool { return x.At.After(late) }), c.String)
+}
+
+// owed: what was taken is delivered, or ends by a notice in time.
+func (a *audit) owed(c *Course) {
+	if !c.taken() {
+		return
+	}
+	by := c.Due.Add(overdue + a.lag)
+	for _, l := range a.record.lives { // no notice is overdue around a restart
+		if l.Node != c.Node || l.Told.IsZero() || l.Told.After(by) {
+			continue
+		}
+		until := a.now
+		for _, next := range a.record.lives {
+			if next.Node == l.Node && next.Started.After(l.Started) && !next.Ready.IsZero() {
+				until = next.Ready.Add(afterRestart + a.lag)
+				break
+			}
+		}
+		if until.After(by) {
+			by = until
+		}
+	}
+	if c.delivered() || !a.now.After(by) {
+		a.of("what was taken is delivered or ends in time").Checked++
+		return
+	}
+	a.of("what was taken is delivered or ends in time").check(slices.ContainsFunc(c.Notices, func(n Notice) bool { return !n.At.After(by) }), c.String)
+}
+
+// repeats: no second effect where that does harm, none after the window, none in parallel.
+func (a *audit) repeats(c *Course) {
+	var first time.Time // the first call that may have run
+	for i, x := range c.Calls {
+		if i > 0 {
+			before := c.Calls[i-1]
+			over := !before.Over.IsZero() && before.Over.Before(x.At.Add(socketGrace+a.lag))
+			a.of("one call of a message is out at a time").check(over, c.String)
+		}
+		if !first.IsZero() {
+			switch c.Lane.Effect {
+			case AtMostOnce:
+				a.of("a message that may not be repeated is not sent again").check(false, c.String)
+			case Deduplicated:
+				end := first.Add(c.Lane.Window + latestPause + socketGrace + a.lag)
+				a.of("a repeat leaves within its window").check(!x.At.After(end), c.String)
+			}
+		} else if c.Lane.Effect == AtMostOnce {
+			a.of("a message that may not be repeated is not sent again").Checked++
+		}
+		refused := x.Status == 429 || x.Status == 503 || x.Status == 504 || x.Status == 410
+		if first.IsZero() && !refused {
+			first = x.At
+		}
+	}
+}
+
+// ended: no call begins for a message that has ended, or whose time is over.
+func (a *audit) ended(c *Course) {
+	late := latestPause + socketGrace + a.lag
+	for _, x := range c.Calls {
+		a.of("no call after a message's time").check(!x.At.After(c.Due.Add(late)), c.String)
+		if len(c.Notices) > 0 {
+			a.of("no call after the notice").check(!x.At.After(c.Notices[0].At.Add(late)), c.String)
+		}
+	}
+	if len(c.Notices) > 0 && c.Notices[0].Result == "bounced" {
+		a.of("a message delivered before a restart has no refusal").check(!a.forgotten(c), c.String)
+	}
+}
+
+// forgotten tells whether a message was answered 200 in time with its one call, and refused
+// by a later process. Within one process a call may be given up while its answer is on its way.
+func (a *audit) forgotten(c *Course) bool {
+	if len(c.Calls) != 1 || c.Calls[0].Status != 200 {
+		return false
+	}
+	call := c.Calls[0]
+	return call.Told.Before(c.Due) && a.killed(c.Node, call.Told, c.Notices[0].At)
+}
+
+// orders: messages of one key take effect in the order in which they were handed in.
+func (a *audit) orders() {
+	f := a.of("messages of one key keep their order")
+	for _, ids := range a.record.order {
+		last := -1
+		for _, id := range ids {
+			c := a.record.courses[id]
+			f.check(c.Number >= last, func() string { return fmt.Sprintf("after number %d: %s", last, c) })
+			last = max(last, c.Number)
+		}
+	}
+}
+
+func (a *audit) strangers() {
+	f := a.of("nothing is sent that nobody handed in")
+	f.check(len(a.record.strange) == 0, func() string { return strings.Join(a.record.strange, ", ") })
+}
--- /dev/null
+++ b/internal/emulator/client.go
@@ -0,0 +1,181 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// clientWaits is how long a client waits for its answer (PROTOCOL).
+const clientWaits = 400 * time.Millisecond
+
+// Client hands messages in to one node, one after the other, and keeps its connection.
+type Client struct {
+	Platform *Platform
+	Node     int
+	Addr     string
+	Name     string // unique
+	Lanes    []Lane
+	Left     time.Duration // of each message's time
+	Pause    time.Duration // the longest between two requests
+	Seed     uint64
+	Rude     func() bool // whether the next request is left half sent; may be nil
+
+	conn    net.Conn
+	reader  *bufio.Reader
+	used    bool
+	numbers int
+	r       *rand.Rand
+}
+
+// Run hands in until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.r = rand.New(rand.NewPCG(c.Seed, 0xc))
+	for ctx.Err() == nil {
+		c.hand(ctx)
+		pauseFor(ctx, time.Duration(c.r.Int64N(int64(c.Pause)+1)))
+	}
+	c.drop()
+}
+
+func (c *Client) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// course of the next request.
+func (c *Client) course() *Course {
+	lane := c.Lanes[c.r.IntN(len(c.Lanes))]
+	c.numbers++
+	x := &Course{ID: fmt.Sprintf("%s-%d", c.Name, c.numbers), Node: c.Node, Lane: lane, Number: c.numbers}
+	if lane.Ordered {
+		x.Key = c.Name
+	}
+	return x
+}
+
+// request as it goes over the wire.
+func (c *Client) request(x *Course) string {
+	var b strings.Builder
+	dest := len(c.Name) // any that stays the same for a key
+	for _, ch := range c.Name {
+		dest += int(ch)
+	}
+	if !x.Lane.Ordered {
+		dest += x.Number
+	}
+	body := strings.Repeat("x", c.r.IntN(900))
+	fmt.Fprintf(&b, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining-Ms: %d\r\nX-Addressing: dest=%d\r\n",
+		x.ID, x.Lane.Name, c.Left.Milliseconds(), dest%len(c.Platform.Hosts))
+	if x.Lane.Effect == Deduplicated {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", x.ID)
+	}
+	if x.Key != "" {
+		fmt.Fprintf(&b, "Cookie: about=%s\r\n", x.Key)
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	return b.String()
+}
+
+// hand hands in one message. One that crossed the close of a resting connection goes out
+// once more on a new one.
+func (c *Client) hand(ctx context.Context) {
+	for range 2 {
+		fresh := c.conn == nil
+		if fresh && !c.dial(ctx) {
+			return
+		}
+		x := c.course()
+		reply := c.ask(x, fresh)
+		c.Platform.Record.Replied(x.ID, reply)
+		if !reply.Complete || reply.End != "" {
+			c.drop()
+		}
+		if fresh || reply.Complete || reply.Text != "" || reply.End == "timeout" {
+			return
+		}
+	}
+}
+
+func (c *Client) dial(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, clientWaits)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+// ask sends a request and reads its response.
+func (c *Client) ask(x *Course, fresh bool) Reply {
+	text := c.request(x)
+	x.Sent = time.Now()
+	x.Due = x.Sent.Add(c.Left)
+	c.Platform.Record.Sent(x)
+	rude := c.Rude != nil && c.Rude()
+	if rude {
+		text = text[:len(text)/2]
+	}
+	_, err := io.WriteString(c.conn, text)
+	if rude {
+		c.drop()
+		return Reply{At: time.Now(), End: "left", Fresh: fresh}
+	}
+	if err != nil {
+		return Reply{At: time.Now(), End: endOf(err), Fresh: fresh}
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(clientWaits))
+	reply := c.read()
+	reply.Fresh = fresh
+	return reply
+}
+
+// read reads one response, byte by byte as it comes.
+func (c *Client) read() Reply {
+	var got strings.Builder
+	tee := bufio.NewReaderSize(io.TeeReader(c.reader, &got), 16)
+	r, err := http.ReadResponse(tee, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+		_ = r.Body.Close()
+	}
+	reply := Reply{At: time.Now(), Text: got.String()}
+	if err != nil {
+		reply.End = endOf(err)
+		return reply
+	}
+	reply.Status, reply.Complete = r.StatusCode, true
+	if tee.Buffered() > 0 || c.reader.Buffered() > 0 {
+		reply.End = "more"
+	} else if r.Close {
+		reply.End = "close"
+	}
+	return reply
+}
+
+// endOf tells how a connection ended.
+func endOf(err error) string {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "timeout"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "eof"
+	}
+	return "error: " + strconv.Quote(err.Error())
+}
--- /dev/null
+++ b/internal/emulator/course.go
@@ -0,0 +1,264 @@
+// Package emulator is the users' platform on loopback: agents that push lists and take
+// notices, hosts with limits and failures, clients that keep their connections. It keeps the
+// course of each request over all of them, which an audit holds against the rules. Its
+// faults are those of peers and networks; those of system calls are package shim's.
+package emulator
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Effect is what a second effect of a message does, as the settings name it.
+type Effect string
+
+// The effects of the settings.
+const (
+	Idempotent   Effect = "idempotent"
+	Deduplicated Effect = "deduplicated"
+	AtMostOnce   Effect = "at_most_once"
+)
+
+// Lane is a class of messages.
+type Lane struct {
+	Name    string
+	Effect  Effect
+	Ordered bool
+	Window  time.Duration
+}
+
+// Reply is what a client read in answer to a request.
+type Reply struct {
+	At       time.Time
+	Status   int    // 0 for none
+	Complete bool   // to its last byte
+	Text     string // what was read, where it was not complete
+	End      string // how the connection ended before that: "", "eof", "reset", "timeout"
+	Fresh    bool   // the first request on its connection
+}
+
+// Call is one call of a message that a host read to its last byte.
+type Call struct {
+	At     time.Time
+	Host   string
+	Status int       // what the host answered; 0 for nothing
+	Ran    bool      // it took effect
+	Told   time.Time // when the answer had been written, zero for never
+	Over   time.Time // when it was answered or its connection had ended
+	Wait   time.Duration
+}
+
+// Notice is one notice of a message.
+type Notice struct {
+	At     time.Time
+	Result string
+}
+
+// Course is that of one request, over all processes.
+type Course struct {
+	ID      string
+	Node    int
+	Lane    Lane
+	Key     string
+	Number  int // of its key
+	Sent    time.Time
+	Due     time.Time
+	Reply   Reply
+	Calls   []Call
+	Notices []Notice
+}
+
+// String tells the course, with times since its sending.
+func (c *Course) String() string {
+	since := func(t time.Time) string { return t.Sub(c.Sent).Round(time.Millisecond).String() }
+	s := fmt.Sprintf("%s node %d lane %s key %q number %d, due %s; reply %d complete %v end %q at %s", c.ID, c.Node, c.Lane.Name, c.Key,
+		c.Number, since(c.Due), c.Reply.Status, c.Reply.Complete, c.Reply.End, since(c.Reply.At))
+	if !c.Reply.Complete && c.Reply.Text != "" {
+		s += fmt.Sprintf(" %q", c.Reply.Text)
+	}
+	for _, x := range c.Calls {
+		s += fmt.Sprintf("; call at %s of %s: %d ran %v", since(x.At), x.Host, x.Status, x.Ran)
+	}
+	for _, x := range c.Notices {
+		s += fmt.Sprintf("; notice %s at %s", x.Result, since(x.At))
+	}
+	return s
+}
+
+// Life is one run of a node's process.
+type Life struct {
+	Node    int
+	Started time.Time
+	Ready   time.Time // zero for never
+	Told    time.Time // it was told to end, or killed; zero for never
+	Ended   time.Time
+}
+
+// Record keeps what passed. It is safe for concurrent use.
+type Record struct {
+	mu      sync.Mutex
+	courses map[string]*Course
+	order   map[string][]string // ids by node, lane and key, in the order of their effects
+	lives   []*Life
+	strange []string // calls and notices of messages that nobody sent
+}
+
+// NewRecord makes an empty one.
+func NewRecord() *Record {
+	return &Record{courses: map[string]*Course{}, order: map[string][]string{}}
+}
+
+// Sent notes a request before its first byte.
+func (r *Record) Sent(c *Course) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.courses[c.ID] = c
+}
+
+// Replied notes what came of it.
+func (r *Record) Replied(id string, reply Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.courses[id].Reply = reply
+}
+
+// Called notes a call that was read to its last byte, and returns its number there.
+func (r *Record) Called(id string, c Call) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.courses[id]
+	if x == nil {
+		r.strange = append(r.strange, "call of "+id)
+		return -1
+	}
+	x.Calls = append(x.Calls, c)
+	return len(x.Calls) - 1
+}
+
+// Ran notes that a call took effect.
+func (r *Record) Ran(id string, number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.courses[id]
+	if x == nil || number < 0 {
+		return
+	}
+	x.Calls[number].Ran = true
+	if x.Lane.Ordered {
+		key := fmt.Sprintf("%d %s %s", x.Node, x.Lane.Name, x.Key)
+		r.order[key] = append(r.order[key], id)
+	}
+}
+
+// Answered notes what a host has written in answer to a call.
+func (r *Record) Answered(id string, number, status int, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x := r.courses[id]; x != nil && number >= 0 {
+		c := &x.Calls[number]
+		c.Status, c.Told, c.Wait = status, time.Now(), wait
+	}
+}
+
+// Over notes that a call is not out any more.
+func (r *Record) Over(id string, number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x := r.courses[id]; x != nil && number >= 0 {
+		x.Calls[number].Over = time.Now()
+	}
+}
+
+// Noticed notes a notice that was answered with 204.
+func (r *Record) Noticed(id string, result string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.courses[id]
+	if x == nil {
+		r.strange = append(r.strange, "notice of "+id)
+		return
+	}
+	x.Notices = append(x.Notices, Notice{time.Now(), result})
+}
+
+// Begun notes a new process of a node.
+func (r *Record) Begun(node int) *Life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &Life{Node: node, Started: time.Now()}
+	r.lives = append(r.lives, l)
+	return l
+}
+
+// Note changes a life under the record's lock.
+func (r *Record) Note(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// Open counts the messages that were taken and have neither been delivered nor ended.
+func (r *Record) Open() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.courses {
+		if c.taken() && !c.delivered() && len(c.Notices) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// taken tells whether a client heard that the message was taken on.
+func (c *Course) taken() bool {
+	return c.Reply.Complete && (c.Reply.Status == 202 || c.Reply.Status == 200)
+}
+
+// delivered tells whether a host answered 200 to a call.
+func (c *Course) delivered() bool {
+	for _, x := range c.Calls {
+		if x.Status == 200 && !x.Told.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Replies counts what clients read, by status or end.
+func (r *Record) Replies() (requests int, by map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	by = map[string]int{}
+	for _, c := range r.courses {
+		what := c.Reply.End
+		if c.Reply.Complete {
+			what = fmt.Sprint(c.Reply.Status)
+		}
+		by[what]++
+	}
+	return len(r.courses), by
+}
+
+// Plant puts one violation into the record, of the kind named, as a broken relay would
+// have left it. It reports whether there was a request to do it with.
+func (r *Record) Plant(what string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.courses {
+		switch {
+		case what == "answer-cut" && c.taken() && len(c.Calls) > 0:
+			c.Reply = Reply{At: c.Reply.At, Text: "HTTP/1.1 2", End: "eof"}
+		case what == "refused-and-forwarded" && c.Reply.Complete && c.Reply.Status == 429:
+			c.Calls = append(c.Calls, Call{At: c.Reply.At.Add(2 * time.Second), Host: "planted", Status: 200, Ran: true})
+		case what == "record-after-answer" && c.taken() && c.delivered():
+			c.Calls, c.Notices = nil, nil
+		case what == "second-effect" && c.Lane.Effect == AtMostOnce && c.delivered():
+			c.Calls = append(c.Calls, c.Calls[0])
+		default:
+			continue
+		}
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/emulator/platform.go
@@ -0,0 +1,439 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Target is a host as discovery lists it.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Dest     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Rate     float64 `json:"capacity_hint"`
+	BootMs   int64   `json:"boot_ms"`
+}
+
+// List is a list of hosts.
+type List struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Platform is agents, hosts and the record of what passes.
+type Platform struct {
+	Record *Record
+	Hosts  []*Host
+
+	mu      sync.Mutex
+	list    List
+	changed chan struct{}
+	agents  []*Agent
+	servers []*server
+}
+
+// New starts a platform with a host for each kind; destinations count from 0.
+func New(seed uint64, kinds ...string) (*Platform, error) {
+	p := &Platform{Record: NewRecord(), changed: make(chan struct{}), list: List{Rev: 1, All: true}}
+	for i, kind := range kinds {
+		h := &Host{platform: p, UID: fmt.Sprint("s-", i), r: rand.New(rand.NewPCG(seed, uint64(i)))}
+		s, err := p.serve(http.HandlerFunc(h.serve))
+		if err != nil {
+			return nil, err
+		}
+		p.Hosts = append(p.Hosts, h)
+		p.list.Targets = append(p.list.Targets, Target{UID: h.UID, Endpoint: s.addr(), Zone: "z", Kind: kind, Dest: i, State: "up", Rate: 1})
+	}
+	return p, nil
+}
+
+func (p *Platform) serve(h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("emulator: %w", err)
+	}
+	s := &server{http: &http.Server{Handler: h}, listener: l}
+	go func() { _ = s.http.Serve(l) }()
+	p.mu.Lock()
+	p.servers = append(p.servers, s)
+	p.mu.Unlock()
+	return s, nil
+}
+
+// server is one address that is served.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) addr() string { return s.listener.Addr().String() }
+
+// Close ends all servers.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		_ = s.http.Close()
+	}
+}
+
+// List is the list as it stands.
+func (p *Platform) List() List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.list
+	l.Targets = append([]Target(nil), l.Targets...)
+	return l
+}
+
+// Change changes the list, and tells all agents.
+func (p *Platform) Change(f func(l *List)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list.Targets = append([]Target(nil), p.list.Targets...)
+	f(&p.list)
+	p.list.Rev++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Agent is the platform's agent on one relay's machine.
+type Agent struct {
+	platform *Platform
+	mu       sync.Mutex
+	now      *server // the address that counts
+	silent   bool // lists do not come, open watches stand still
+	mute     bool // notices are not answered
+}
+
+// Agent opens one, at an address of its own.
+func (p *Platform) Agent() (*Agent, error) {
+	a := &Agent{platform: p}
+	if err := a.Move(); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.agents = append(p.agents, a)
+	p.mu.Unlock()
+	return a, nil
+}
+
+// oldAddress is how long an agent's old address keeps its connections (DAYS).
+const oldAddress = 1500 * time.Millisecond
+
+// Move opens a further address, which counts from now on; the old one takes no new
+// connection and ends those it has after a while.
+func (a *Agent) Move() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/discovery/hosts", a.watch)
+	mux.HandleFunc("/v1/notices", a.notices)
+	s, err := a.platform.serve(mux)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	old := a.now
+	a.now = s
+	a.mu.Unlock()
+	if old != nil {
+		_ = old.listener.Close()
+		time.AfterFunc(oldAddress, func() { _ = old.http.Close() })
+	}
+	return nil
+}
+
+// Addr is the address that counts.
+func (a *Agent) Addr() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now.addr()
+}
+
+// Silent has the watch bring nothing, Mute has notices stay without an answer.
+func (a *Agent) Silent(on bool) { a.set(&a.silent, on) }
+func (a *Agent) Mute(on bool)   { a.set(&a.mute, on) }
+
+func (a *Agent) set(what *bool, on bool) {
+	a.mu.Lock()
+	*what = on
+	a.mu.Unlock()
+}
+
+func (a *Agent) is(what *bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return *what
+}
+
+// alive is how often an unchanged watch brings an empty line.
+const alive = 2 * time.Second
+
+func (a *Agent) watch(w http.ResponseWriter, r *http.Request) {
+	last := int64(-1)
+	for r.Context().Err() == nil {
+		p := a.platform
+		p.mu.Lock()
+		list, changed := p.list, p.changed
+		p.mu.Unlock()
+		line := []byte("\n")
+		if list.Rev != last {
+			line, _ = json.Marshal(list)
+			line = append(line, '\n')
+		}
+		if !a.is(&a.silent) {
+			last = list.Rev
+			_, _ = w.Write(line)
+			_ = http.NewResponseController(w).Flush()
+		}
+		timer := time.NewTimer(alive / 8)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-r.Context().Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (a *Agent) notices(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var all []struct{ Ref, Result string }
+	for line := range bytes.Lines(body) {
+		var n struct{ Ref, Result string }
+		if json.Unmarshal(line, &n) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		all = append(all, n)
+	}
+	for _, n := range all {
+		a.platform.Record.Noticed(n.Ref, n.Result)
+	}
+	if a.is(&a.mute) {
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Mood is how a host behaves.
+type Mood int
+
+// The moods.
+const (
+	Well    Mood = iota // answers, fails and refuses a few by chance
+	Failing             // 500 to most
+	Full                // 429 with a wait to all
+	Hanging             // reads and does not answer
+	Cutting             // ends half of the connections under a request, with an answer begun or not
+	Forget              // closes every connection behind an answer, which does not say so
+)
+
+// Host is one host. Refused messages never run.
+type Host struct {
+	UID      string
+	platform *Platform
+
+	mu   sync.Mutex
+	mood Mood
+	r    *rand.Rand
+}
+
+// Set changes the mood.
+func (h *Host) Set(m Mood) {
+	h.mu.Lock()
+	h.mood = m
+	h.mu.Unlock()
+}
+
+// fate is what becomes of one call.
+type fate struct {
+	status int // 0: no answer
+	ran    bool
+	cut    bool // the connection ends: without an answer, or within it
+	pause  time.Duration
+	wait   time.Duration
+	forget bool
+}
+
+// hostTime is the longest that a host which is well takes.
+const hostTime = 20 * time.Millisecond
+
+func (h *Host) draw() fate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := fate{status: 200, ran: true, pause: time.Duration(h.r.Int64N(int64(hostTime)))}
+	x := h.r.Float64()
+	switch h.mood {
+	case Failing:
+		if x < 0.8 {
+			f.status, f.ran = 500, x < 0.3
+		}
+	case Full:
+		f.status, f.ran, f.wait = 429, false, 300*time.Millisecond
+	case Hanging:
+		f.status, f.ran = 0, x < 0.5
+	case Cutting:
+		if x < 0.5 {
+			f.cut, f.ran = true, x < 0.3
+			if f.status = 0; x < 0.15 {
+				f.status = 200
+			}
+		}
+	case Forget:
+		f.forget = true
+	}
+	if h.mood == Well && x < 0.05 {
+		f.status, f.ran = 503, false
+	} else if h.mood == Well && x < 0.08 {
+		f.status, f.ran = 500, x < 0.065
+	}
+	return f
+}
+
+// item is one message of a call.
+type item struct {
+	ID     string `json:"id"`
+	number int
+	fate   fate
+}
+
+func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // not read whole: no call
+	}
+	items := []*item{{ID: r.Header.Get("X-Txn")}}
+	several := r.URL.Path == "/hook/batch"
+	if several {
+		items = nil
+		if json.Unmarshal(body, &items) != nil || len(items) == 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	rec := h.platform.Record
+	for _, x := range items {
+		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID})
+		x.fate = h.draw()
+	}
+	defer func() {
+		for _, x := range items {
+			rec.Over(x.ID, x.number)
+		}
+	}()
+	first := items[0].fate
+	if !pauseFor(r.Context(), first.pause) && !first.ran {
+		return // called off before it ran
+	}
+	for _, x := range items {
+		if x.fate.ran {
+			rec.Ran(x.ID, x.number)
+		}
+	}
+	if first.status == 0 && !first.cut {
+		<-r.Context().Done()
+		return
+	}
+	if first.cut {
+		h.end(w, first.status)
+		return
+	}
+	if first.forget {
+		defer h.forget(w)
+	}
+	if several {
+		h.answerAll(w, r, items)
+		return
+	}
+	if r.Context().Err() != nil {
+		return
+	}
+	if first.wait > 0 {
+		w.Header().Set("X-RateLimit-Wait-Ms", strconv.FormatInt(first.wait.Milliseconds(), 10))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(first.status)
+	if http.NewResponseController(w).Flush() == nil && r.Context().Err() == nil {
+		rec.Answered(items[0].ID, items[0].number, first.status, first.wait)
+	}
+}
+
+// answerAll answers a call that carries several messages.
+func (h *Host) answerAll(w http.ResponseWriter, r *http.Request, items []*item) {
+	type end struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	}
+	var ends []end
+	for _, x := range items {
+		if x.fate.status == 0 {
+			x.fate.status = 500
+		}
+		state := map[int]string{200: "delivered", 500: "failed", 429: "refused", 503: "refused"}[x.fate.status]
+		ends = append(ends, end{x.ID, state})
+	}
+	text, _ := json.Marshal(ends)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, err := w.Write(text)
+	if err = errors.Join(err, http.NewResponseController(w).Flush(), r.Context().Err()); err != nil {
+		return
+	}
+	for _, x := range items {
+		h.platform.Record.Answered(x.ID, x.number, x.fate.status, x.fate.wait)
+	}
+}
+
+// end ends a connection under its request, within a begun answer if there is one to be.
+func (h *Host) end(w http.ResponseWriter, status int) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if status != 0 {
+		_, _ = buf.WriteString("HTTP/1.1 2")
+		_ = buf.Flush()
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a reset
+	}
+}
+
+// forget closes the connection behind its answer.
+func (h *Host) forget(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
+// pauseFor waits; false if ctx ended first.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/lifecycle/message.go
+++ b/internal/lifecycle/message.go
@@ -108,12 +108,13 @@
 }
 
 // MayTell decides whether the final answer may leave the relay. recorded tells whether its
-// record is on disk.
-func (m *Message) MayTell(g *Guard, recorded bool) bool {
+// record is on disk; past the message's time it need not be, for no later process sends the
+// message either.
+func (m *Message) MayTell(g *Guard, now time.Duration, recorded bool) bool {
 	switch {
 	case m.told:
 		return g.forbid(AnswerTwice, m.ID, "told")
-	case m.Kept && !recorded:
+	case m.Kept && !recorded && now < m.Due:
 		return g.forbid(AnswerBeforeRecord, m.ID, "its record waits")
 	}
 	m.told = true
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -140,6 +140,7 @@
 	r     *rand.Rand
 	known map[int]bool // threads
 	torn  map[int]bool // threads whose next write to the folder fails
+	polls bool         // the program's runtime has its poller
 }
 
 const (
@@ -201,6 +202,7 @@
 			t.call(pid)
 			signal = 0
 		case unix.PTRACE_EVENT_EXEC:
+			t.polls = false
 			hideVDSO(pid)
 			signal = 0
 		case unix.PTRACE_EVENT_CLONE:
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/emulator"
+	"basaltcross.example/basaltcross/internal/shim"
+)
+
+// node is one relay over all of its processes.
+type node struct {
+	run    *run
+	number int
+	dir    string
+	addr   string
+	agent  *emulator.Agent
+
+	mu      sync.Mutex
+	process *shim.Process
+	life    *emulator.Life
+	log     *tail
+	starts  int
+	busy    bool // within a restart
+	bad     []string
+	hits    map[shim.Kind]int
+	rude    bool
+	known   string // address of discovery in the configuration
+}
+
+// tail keeps what is of interest in a log, bounded.
+type tail struct {
+	mu    sync.Mutex
+	lines []string
+	rest  []byte
+}
+
+// mostLines of a log are kept.
+const mostLines = 200
+
+// Write takes in what a process says; it never fails.
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rest = append(t.rest, b...)
+	for {
+		line, rest, found := bytes.Cut(t.rest, []byte("\n"))
+		if !found {
+			return len(b), nil
+		}
+		if t.lines = append(t.lines, string(line)); len(t.lines) > mostLines {
+			t.lines = t.lines[1:]
+		}
+		t.rest = rest
+	}
+}
+
+// violations are the lines that say that a rule was broken, or that the program was.
+func (t *tail) violations() (bad []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, line := range t.lines {
+		if strings.Contains(line, `"cause":"violation"`) {
+			bad = append(bad, line)
+		}
+		if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			bad = append(bad, strings.Join(t.lines[i:min(i+12, len(t.lines))], " | "))
+		}
+	}
+	return bad
+}
+
+func (n *node) config() string { return filepath.Join(n.dir, "config.json") }
+func (n *node) state() string  { return filepath.Join(n.dir, "state") }
+
+// configure writes the configuration file.
+func (n *node) configure() error {
+	at := n.agent.Addr()
+	n.mu.Lock()
+	n.known = at
+	n.mu.Unlock()
+	text, err := json.Marshal(map[string]any{"name": fmt.Sprint("n", n.number), "listen": n.addr, "discovery": at,
+		"seed": fmt.Sprintf("%016x", n.run.opt.Seed*1000+uint64(n.number)), "known": n.run.platform.List(), "settings": settings(n.number, n.run.opt.Nodes),
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512, "disk_mb": 1}})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(n.config()+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(n.config()+".new", n.config())
+}
+
+// start begins a process and waits until it is ready.
+func (n *node) start() error {
+	if err := n.configure(); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.starts++
+	n.log = &tail{}
+	seed := n.run.opt.Seed*1_000_000 + uint64(n.number*1000+n.starts)
+	n.mu.Unlock()
+	life := n.run.platform.Record.Begun(n.number)
+	p, err := shim.Start(shim.Options{Path: n.run.opt.Program, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
+		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single"),
+		Stderr: n.log, Seed: seed})
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.process, n.life = p, life
+	n.mu.Unlock()
+	n.run.reapply(n)
+	return n.awaitReady(p, life)
+}
+
+// readyWithin is how long a start may take before the soak gives up.
+const readyWithin = 30 * time.Second
+
+func (n *node) awaitReady(p *shim.Process, life *emulator.Life) error {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-p.Done():
+			return fmt.Errorf("node %d ended at its start: %v: %s", n.number, p.Exit(), strings.Join(n.log.lines, " | "))
+		default:
+		}
+		r, err := client.Get("http://" + n.addr + "/up")
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			n.run.platform.Record.Note(func() { life.Ready = time.Now() })
+			return nil
+		}
+	}
+	return fmt.Errorf("node %d is not ready after %s: %s", n.number, readyWithin, strings.Join(n.log.lines, " | "))
+}
+
+const (
+	earliestKill = 3700 * time.Millisecond // after SIGTERM
+	downTime     = 600 * time.Millisecond  // after SIGKILL
+)
+
+// restart ends the process in one of the ways, and starts it again.
+func (n *node) restart(how Kind) error {
+	n.mu.Lock()
+	if n.busy || n.process == nil {
+		n.mu.Unlock()
+		return nil
+	}
+	n.busy = true
+	p, life := n.process, n.life
+	n.mu.Unlock()
+	n.run.hit(how)
+	n.run.platform.Record.Note(func() { life.Told = time.Now() })
+	if how != Kill {
+		p.Signal(syscall.SIGTERM)
+		if how == TermTwice {
+			time.Sleep(earliestKill / 4)
+			p.Signal(syscall.SIGTERM)
+			p.Signal(syscall.SIGHUP)
+			time.Sleep(earliestKill - earliestKill/4)
+		} else {
+			time.Sleep(earliestKill)
+		}
+	}
+	p.Signal(syscall.SIGKILL)
+	<-p.Done()
+	n.ended(p, life, how != Kill)
+	time.Sleep(downTime)
+	err := n.start()
+	time.Sleep(firstSecond)
+	n.mu.Lock()
+	moved := n.known != n.agent.Addr()
+	n.busy = false
+	n.mu.Unlock()
+	if err == nil && moved {
+		err = n.reload()
+	}
+	return err
+}
+
+// firstSecond of a process brings no SIGHUP (DAYS).
+const firstSecond = time.Second
+
+// reload has the process read the configuration again; one that restarts does so later.
+func (n *node) reload() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.busy || n.process == nil {
+		return nil
+	}
+	p := n.process
+	n.mu.Unlock()
+	err := n.configure()
+	n.mu.Lock()
+	p.Signal(syscall.SIGHUP)
+	return err
+}
+
+// ended books what a process left.
+func (n *node) ended(p *shim.Process, life *emulator.Life, told bool) {
+	n.run.platform.Record.Note(func() { life.Ended = time.Now() })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bad = append(n.bad, n.log.violations()...)
+	exit := p.Exit()
+	if exit.Signaled() && exit.Signal() != syscall.SIGKILL || exit.Exited() && (!told || exit.ExitStatus() != 0) {
+		n.bad = append(n.bad, fmt.Sprintf("node %d ended with %v: %s", n.number, exit, strings.Join(n.log.lines, " | ")))
+	}
+	for k, hits := range p.Hits() {
+		n.hits[k] += hits
+	}
+}
+
+// crowd opens idle connections for a while.
+func (n *node) crowd(length time.Duration) {
+	var conns []net.Conn
+	for range 300 {
+		if c, err := net.DialTimeout("tcp", n.addr, 100*time.Millisecond); err == nil {
+			conns = append(conns, c)
+		}
+	}
+	time.Sleep(length)
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+func (n *node) isRude() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rude
+}
+
+// settings are those of a small site with a class of each effect.
+func settings(index, fleet int) map[string]any {
+	class := func(name, effect string, ordered bool) map[string]any {
+		return map[string]any{"name": name, "aim": 1, "give-up": lifetime.Seconds(), "effect": effect, "group": "all", "keep-order": ordered,
+			"late-share": 0.5, "window": window.Seconds(), "worth": 1}
+	}
+	return map[string]any{
+		"bounds":  map[string]any{"cancel": true, "conn-idle": 5, "dial-timeout": 1.5, "max-attempts": 6, "most-held": 400, "retry-after": true, "max-retry-after": 2},
+		"classes": []any{class("notice", "idempotent", false), class("charge", "at_most_once", true), class("order", "deduplicated", false)},
+		"family-info": map[string]any{"late": "halving", "own-limits": []bool{false, false}, "per-call": []int{1, 4}, "workers": 16,
+			"zone-fee": []int{0}},
+		"fleet-size": fleet, "index": index, "load-report": map[string]any{"columns": []string{}, "how": "off"}, "registry-mode": "automatic",
+		"rules": map[string]any{"cold": 2, "cold-from": 0.5, "drain-grace": 0.5, "fall": 1, "grace-to-answer": 0.05, "order-settle": 0.1,
+			"overload-factor": 3},
+		"skus": []string{"small", "large"}, "tick": 0.005, "weights": "off", "zones": []string{"z"}}
+}
+
+const (
+	lifetime = 4 * time.Second // of a message
+	window   = time.Second     // in which a repeat is remembered
+)
+
+// lanes are the same classes for the clients.
+func lanes() []emulator.Lane {
+	return []emulator.Lane{{Name: "notice", Effect: emulator.Idempotent}, {Name: "charge", Effect: emulator.AtMostOnce, Ordered: true},
+		{Name: "order", Effect: emulator.Deduplicated, Window: window}}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,411 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/emulator"
+	"basaltcross.example/basaltcross/internal/shim"
+)
+
+// Options of a run.
+type Options struct {
+	Program  string // the relay's
+	Seed     uint64
+	Nodes    int
+	Hosts    int
+	Clients  int // of each node
+	Duration time.Duration
+	Faults   []Fault // nil: drawn from the seed
+	Kinds    []Kind  // of which they are drawn; nil for all
+	Plant    Plant   // a fault of the oracle's making, which it must catch; empty for none
+}
+
+// Plant is a violation that is put there for the audit to find.
+type Plant string
+
+// The plants.
+const (
+	PlantCut     Plant = "answer-cut"
+	PlantForward Plant = "refused-and-forwarded"
+	PlantForget  Plant = "record-after-answer"
+	PlantTwice   Plant = "second-effect"
+)
+
+// Plants are all of them.
+var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice}
+
+// Result of a run.
+type Result struct {
+	Seed       uint64              `json:"seed"`
+	Findings   []*emulator.Finding `json:"findings"`
+	Hits       map[Kind]int        `json:"faults"`
+	Violations []string            `json:"violations,omitempty"` // that processes told, and their unasked ends
+	Requests   int                 `json:"requests"`
+	Replies    map[string]int      `json:"replies"`
+	Lag        time.Duration       `json:"lag_ns"` // how late the emulator's own timers were at most
+	Faults     []Fault             `json:"-"`
+}
+
+// Broken counts the invariants that were, and what processes told.
+func (r *Result) Broken() int {
+	n := len(r.Violations)
+	for _, f := range r.Findings {
+		if f.Broken > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+type run struct {
+	opt      Options
+	platform *emulator.Platform
+	nodes    []*node
+
+	mu     sync.Mutex
+	hits   map[Kind]int
+	active map[Kind]map[int]int // how many faults of a kind lie over a place
+	errs   []string
+	lag    time.Duration
+}
+
+// kindsOfHosts alternate between one message a call and several.
+var kindsOfHosts = []string{"small", "small", "large"}
+
+// Run plays one seed.
+func Run(ctx context.Context, opt Options) (*Result, error) {
+	if opt.Faults == nil {
+		kinds := opt.Kinds
+		if len(kinds) == 0 {
+			kinds = Kinds()
+		}
+		opt.Faults = Draw(opt.Seed, opt.Nodes, opt.Hosts, opt.Duration, kinds)
+	}
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	var kinds []string
+	for i := range opt.Hosts {
+		kinds = append(kinds, kindsOfHosts[i%len(kindsOfHosts)])
+	}
+	platform, err := emulator.New(opt.Seed, kinds...)
+	if err != nil {
+		return nil, err
+	}
+	defer platform.Close()
+	r := &run{opt: opt, platform: platform, hits: map[Kind]int{}, active: map[Kind]map[int]int{}}
+	if err := r.startAll(dir); err != nil {
+		r.killAll()
+		return nil, err
+	}
+	defer r.killAll()
+	stopLag := r.measureLag()
+	load, stop := context.WithCancel(ctx)
+	var clients sync.WaitGroup
+	for _, n := range r.nodes {
+		for i := range opt.Clients {
+			c := &emulator.Client{Platform: platform, Node: n.number, Addr: n.addr, Name: fmt.Sprintf("c%d-%d", n.number, i), Lanes: lanes(),
+				Left: lifetime, Pause: 40 * time.Millisecond, Seed: opt.Seed*10_000 + uint64(n.number*100+i), Rude: n.isRude}
+			clients.Go(func() { c.Run(load) })
+		}
+	}
+	r.play(ctx)
+	stop()
+	clients.Wait()
+	r.settle(ctx)
+	stopLag()
+	r.plant()
+	return r.result(), ctx.Err()
+}
+
+// startAll brings all nodes up.
+func (r *run) startAll(dir string) error {
+	var all sync.WaitGroup
+	errs := make([]error, r.opt.Nodes)
+	for i := range r.opt.Nodes {
+		agent, err := r.platform.Agent()
+		if err != nil {
+			return err
+		}
+		addr, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		n := &node{run: r, number: i, dir: filepath.Join(dir, fmt.Sprint("n", i)), addr: addr, agent: agent, hits: map[shim.Kind]int{}}
+		if err := os.MkdirAll(n.state(), 0o700); err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+		all.Go(func() { errs[i] = n.start() })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// freeAddr is an address that is free now.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// lagEvery is how often the emulator's own lateness is measured.
+const lagEvery = 10 * time.Millisecond
+
+// measureLag looks how late timers are in this process.
+func (r *run) measureLag() (stop func()) {
+	done := make(chan struct{})
+	var over sync.WaitGroup
+	over.Go(func() {
+		for last := time.Now(); ; {
+			select {
+			case <-done:
+				return
+			case <-time.After(lagEvery):
+			}
+			now := time.Now()
+			r.lag = max(r.lag, now.Sub(last)-lagEvery)
+			last = now
+		}
+	})
+	return func() {
+		close(done)
+		over.Wait()
+	}
+}
+
+// play has each fault begin and end at its time.
+func (r *run) play(ctx context.Context) {
+	began := time.Now()
+	var all sync.WaitGroup
+	for _, f := range r.opt.Faults {
+		if !wait(ctx, time.Until(began.Add(f.At))) {
+			break
+		}
+		all.Go(func() { r.fault(ctx, f) })
+	}
+	wait(ctx, time.Until(began.Add(r.opt.Duration)))
+	all.Wait()
+}
+
+// wait is false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (r *run) hit(k Kind) {
+	r.mu.Lock()
+	r.hits[k]++
+	r.mu.Unlock()
+}
+
+func (r *run) failed(err error) {
+	if err != nil {
+		r.mu.Lock()
+		r.errs = append(r.errs, err.Error())
+		r.mu.Unlock()
+	}
+}
+
+// fault plays one, from its begin to its end.
+func (r *run) fault(ctx context.Context, f Fault) {
+	switch f.Kind {
+	case Kill, Term, TermTwice:
+		r.failed(r.nodes[f.Where].restart(f.Kind))
+		return
+	case Reload:
+		r.reload(r.nodes[f.Where])
+		return
+	case Crowd:
+		r.hit(f.Kind)
+		r.nodes[f.Where].crowd(f.For)
+		return
+	}
+	if r.cover(f, 1) == 1 {
+		r.set(f.Kind, f.Where, true)
+	}
+	wait(ctx, f.For)
+	if r.cover(f, -1) == 0 {
+		r.set(f.Kind, f.Where, false)
+	}
+}
+
+// cover counts the faults of one kind that lie over one place.
+func (r *run) cover(f Fault, by int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.active[f.Kind] == nil {
+		r.active[f.Kind] = map[int]int{}
+	}
+	r.active[f.Kind][f.Where] += by
+	return r.active[f.Kind][f.Where]
+}
+
+// set has a kind begin or end at one place.
+func (r *run) set(k Kind, where int, on bool) {
+	if !isShim(k) && on {
+		r.hit(k)
+	}
+	moods := map[Kind]emulator.Mood{HostFails: emulator.Failing, HostFull: emulator.Full, HostHangs: emulator.Hanging, HostCuts: emulator.Cutting,
+		HostForgets: emulator.Forget}
+	if mood, is := moods[k]; is {
+		if !on {
+			mood = emulator.Well
+		}
+		r.platform.Hosts[where].Set(mood)
+		return
+	}
+	if k == HostDrains {
+		r.platform.Change(func(l *emulator.List) { l.Targets[where].State = map[bool]string{true: "draining", false: "up"}[on] })
+		return
+	}
+	n := r.nodes[where]
+	switch k {
+	case AgentSilent:
+		n.agent.Silent(on)
+	case NoticesMute:
+		n.agent.Mute(on)
+	case ClientsLeave:
+		n.mu.Lock()
+		n.rude = on
+		n.mu.Unlock()
+	default:
+		n.mu.Lock()
+		p := n.process
+		n.mu.Unlock()
+		apply(p, shim.Kind(k), on)
+	}
+}
+
+// apply sets a fault of system calls.
+func apply(p *shim.Process, k shim.Kind, on bool) {
+	switch {
+	case p == nil:
+	case k != shim.WallClock:
+		p.Set(k, on)
+	case on:
+		p.SetWall(wallStep)
+	default:
+		p.SetWall(-wallStep)
+	}
+}
+
+// reapply has a new process see the faults that lie over it.
+func (r *run) reapply(n *node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, places := range r.active {
+		if isShim(k) && places[n.number] > 0 {
+			apply(n.process, shim.Kind(k), true)
+		}
+	}
+}
+
+func isShim(k Kind) bool {
+	for _, s := range shim.Kinds {
+		if Kind(s) == k {
+			return true
+		}
+	}
+	return false
+}
+
+// reload moves a node's discovery.
+func (r *run) reload(n *node) {
+	r.hit(Reload)
+	if err := n.agent.Move(); err != nil {
+		r.failed(err)
+		return
+	}
+	r.failed(n.reload())
+}
+
+// settle waits until what was taken has ended, at most as long as that is owed.
+func (r *run) settle(ctx context.Context) {
+	r.mu.Lock()
+	for k, places := range r.active {
+		for where := range places {
+			places[where] = 0
+			if isShim(k) {
+				apply(r.nodes[where].process, shim.Kind(k), false)
+			}
+		}
+	}
+	r.mu.Unlock()
+	for end := time.Now().Add(lifetime + 3*time.Second); r.platform.Record.Open() > 0 && time.Now().Before(end); {
+		if !wait(ctx, 20*time.Millisecond) {
+			return
+		}
+	}
+	wait(ctx, 200*time.Millisecond) // for what is still on its way
+}
+
+// plant puts a violation there.
+func (r *run) plant() {
+	if r.opt.Plant != "" {
+		r.platform.Record.Plant(string(r.opt.Plant))
+	}
+}
+
+// killAll ends all processes.
+func (r *run) killAll() {
+	for _, n := range r.nodes {
+		n.mu.Lock()
+		p := n.process
+		n.mu.Unlock()
+		if p != nil {
+			p.Signal(9)
+			<-p.Done()
+		}
+	}
+}
+
+// result ends all processes and audits the record.
+func (r *run) result() *Result {
+	now := time.Now()
+	res := &Result{Seed: r.opt.Seed, Hits: r.hits, Lag: r.lag, Faults: r.opt.Faults, Violations: r.errs}
+	for _, n := range r.nodes {
+		n.mu.Lock()
+		p, life := n.process, n.life
+		n.mu.Unlock()
+		if p == nil {
+			continue
+		}
+		select {
+		case <-p.Done(): // by itself
+		default:
+			p.Signal(9)
+			<-p.Done()
+		}
+		n.ended(p, life, false)
+		for k, hits := range n.hits {
+			res.Hits[Kind(k)] += hits
+		}
+		for _, line := range n.bad {
+			res.Violations = append(res.Violations, strings.TrimSpace(line))
+		}
+	}
+	res.Findings = r.platform.Record.Audit(r.lag, now)
+	res.Requests, res.Replies = r.platform.Record.Replies()
+	return res
+}
--- /dev/null
+++ b/internal/soak/scenario.go
@@ -0,0 +1,147 @@
+// Package soak runs a fleet of real node processes under faults that overlap in time, all
+// drawn from one seed, and holds what crossed the sockets against the rules. A seed that
+// fails is shrunk to the fewest faults that still fail.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/shim"
+)
+
+// Kind of a fault: one of package shim's, or one of those below.
+type Kind string
+
+// Kinds of faults beside those of system calls.
+const (
+	Kill         Kind = "kill"          // SIGKILL, then a start
+	Term         Kind = "term"          // SIGTERM, SIGKILL at the page's earliest, then a start
+	TermTwice    Kind = "term_twice"    // a second SIGTERM and a SIGHUP within the drain
+	Reload       Kind = "reload"        // discovery moves, SIGHUP
+	AgentSilent  Kind = "agent_silent"  // lists do not come
+	NoticesMute  Kind = "notices_mute"  // notices are not answered
+	HostFails    Kind = "host_fails"    // 500
+	HostFull     Kind = "host_full"     // 429 with a wait
+	HostHangs    Kind = "host_hangs"    // no answer
+	HostCuts     Kind = "host_cuts"     // connections end under requests
+	HostForgets  Kind = "host_forgets"  // connections end behind answers
+	HostDrains   Kind = "host_drains"   // the list says so
+	ClientsLeave Kind = "clients_leave" // within a request
+	Crowd        Kind = "crowd"         // idle connections
+)
+
+// Kinds are all of them.
+func Kinds() []Kind {
+	all := []Kind{Kill, Term, TermTwice, Reload, AgentSilent, NoticesMute, HostFails, HostFull, HostHangs, HostCuts, HostForgets, HostDrains,
+		ClientsLeave, Crowd}
+	for _, k := range shim.Kinds {
+		all = append(all, Kind(k))
+	}
+	return all
+}
+
+// Fault is one fault of a run.
+type Fault struct {
+	Kind  Kind          `json:"kind"`
+	Where int           `json:"where"` // node, or host
+	At    time.Duration `json:"at"`    // since the load began
+	For   time.Duration `json:"for"`
+}
+
+func (f Fault) String() string { return fmt.Sprintf("%s@%d+%s~%s", f.Kind, f.Where, f.At, f.For) }
+
+// ParseFaults reads what Fault.String wrote, separated by commas.
+func ParseFaults(text string) ([]Fault, error) {
+	var all []Fault
+	for part := range strings.SplitSeq(text, ",") {
+		f, err := parseFault(part)
+		if err != nil {
+			return nil, fmt.Errorf("soak: %q is no fault: %w", part, err)
+		}
+		all = append(all, f)
+	}
+	return all, nil
+}
+
+func parseFault(text string) (f Fault, err error) {
+	kind, rest, _ := strings.Cut(text, "@")
+	where, rest, _ := strings.Cut(rest, "+")
+	at, length, _ := strings.Cut(rest, "~")
+	if f.Kind = Kind(kind); !slices.Contains(Kinds(), f.Kind) {
+		return f, fmt.Errorf("unknown kind %q", kind)
+	}
+	if f.Where, err = strconv.Atoi(where); err != nil {
+		return f, err
+	}
+	if f.At, err = time.ParseDuration(at); err != nil {
+		return f, err
+	}
+	f.For, err = time.ParseDuration(length)
+	return f, err
+}
+
+const (
+	restart = 6 * time.Second // a planned one takes no longer
+	// wallStep is how far the wall clock is set.
+	wallStep = time.Hour
+)
+
+// Draw makes the faults of a run: two to four signals for each node, and moments of all
+// kinds that lie over them.
+func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0xfa))
+	var all []Fault
+	restarts, moments := split(kinds)
+	for node := range nodes {
+		for at := between(r, time.Second, restart); len(restarts) > 0 && at < length-restart/2; at += between(r, restart, 2*restart) {
+			all = append(all, Fault{restarts[r.IntN(len(restarts))], node, at, 0})
+		}
+		for at := between(r, 0, time.Second); len(moments) > 0 && at < length; at += between(r, 50*time.Millisecond, 350*time.Millisecond) {
+			k := moments[r.IntN(len(moments))]
+			f := Fault{k, node, at, between(r, 30*time.Millisecond, 280*time.Millisecond)}
+			if strings.HasPrefix(string(k), "host_") {
+				f.Where = r.IntN(hosts)
+			}
+			if longer(k) {
+				f.For = between(r, 300*time.Millisecond, 1500*time.Millisecond)
+			}
+			all = append(all, f)
+			if k == Kind(shim.WriteTorn) && slices.Contains(moments, Kind(shim.TruncFails)) && r.IntN(2) == 0 {
+				f.Kind = Kind(shim.TruncFails) // what is left of the record stays there
+				all = append(all, f)
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
+	return all
+}
+
+// split tells faults that end a process from the others.
+func split(kinds []Kind) (restarts, moments []Kind) {
+	for _, k := range kinds {
+		if k == Kill || k == Term || k == TermTwice {
+			restarts = append(restarts, k)
+		} else {
+			moments = append(moments, k)
+		}
+	}
+	return restarts, moments
+}
+
+// longer tells kinds that last for longer than a moment.
+func longer(k Kind) bool {
+	switch k {
+	case AgentSilent, NoticesMute, HostHangs, HostFull, HostDrains, Crowd, Kind(shim.WallClock):
+		return true
+	}
+	return false
+}
+
+func between(r *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(r.Int64N(int64(most-least))).Round(time.Millisecond)
+}
