Notices do not wait behind others that stay unanswered

Cause: a request carried the oldest 64 notices, and while the agent did not answer, the same 64 were sent again and again.

Change: a request carries all that are owed, up to 60 KiB. TestNoticesDoNotWaitBehindUnansweredOnes failed before ('the last notice was never sent'). TestNotices looked that a request had at most 64 lines; it now holds the protocol's 64 KiB and needs at least three requests for its notices, as before. The shim's stall strikes once a moment: one tracer holds up all of a process, and at every eighth write nothing went on.

--- a/internal/agent/notices.go
+++ b/internal/agent/notices.go
@@ -33,7 +33,9 @@
 }
 
 const (
-	mostBatch = 64 // notices in one request
+	// mostBatch bytes of notices go in one request: all that are owed, as a rule, so that
+	// none waits behind others whose answer does not come. A body holds 64 KiB (PROTOCOL).
+	mostBatch = 60 << 10
 	// answerTime is how long the answer to one may take: it comes at once, and a notice
 	// counts until 300 ms after its message's time (PROTOCOL), so that a connection that
 	// fell silent leaves room for another try.
@@ -88,9 +90,7 @@
 		}
 	}()
 	for fails := 0; ; {
-		n.mu.Lock()
-		batch := append([]notice(nil), n.list[:min(len(n.list), mostBatch)]...)
-		n.mu.Unlock()
+		batch, body := n.batch()
 		if len(batch) == 0 {
 			select {
 			case <-ctx.Done():
@@ -101,7 +101,7 @@
 		}
 		addr, moved := n.client.at()
 		var err error
-		if l, err = n.post(ctx, l, addr, moved, batch); err == nil {
+		if l, err = n.post(ctx, l, addr, moved, batch, body); err == nil {
 			fails = 0
 			n.mu.Lock()
 			n.list = n.list[len(batch):]
@@ -135,17 +135,27 @@
 	}
 }
 
+// batch is what goes in the next request: the oldest notices, and their lines.
+func (n *Notices) batch() (batch []notice, body []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, one := range n.list {
+		line, _ := json.Marshal(one) // of checked strings: it cannot fail
+		if len(body)+len(line) >= mostBatch {
+			break
+		}
+		body = append(append(body, line...), '\n')
+		batch = append(batch, one)
+	}
+	return batch, body
+}
+
 // post sends one batch, on the connection kept if there is one.
-func (n *Notices) post(ctx context.Context, l *link, addr string, moved <-chan struct{}, batch []notice) (*link, error) {
+func (n *Notices) post(ctx context.Context, l *link, addr string, moved <-chan struct{}, batch []notice, body []byte) (*link, error) {
 	if l != nil && l.to != addr {
 		l.close()
 		l = nil
 	}
-	var body []byte
-	for _, one := range batch {
-		line, _ := json.Marshal(one) // of checked strings: it cannot fail
-		body = append(append(body, line...), '\n')
-	}
 	var err error
 	if l == nil {
 		if l, err = n.client.dial(ctx, addr, answerTime, moved); err != nil {
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -116,8 +116,8 @@
 	platform *Platform
 	mu       sync.Mutex
 	now      *server // the address that counts
-	silent   bool // lists do not come, open watches stand still
-	mute     bool // notices are not answered
+	silent   bool    // lists do not come, open watches stand still
+	mute     bool    // notices are not answered
 }
 
 // Agent opens one, at an address of its own.
--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -100,7 +100,8 @@
 		t.writeFile(pid, regs)
 		return
 	}
-	if t.p.is(Stall) && t.r.IntN(8) == 0 {
+	if t.p.is(Stall) { // once, for while it lasts nothing else of the program goes on
+		t.p.Set(Stall, false)
 		t.p.hit(Stall)
 		time.Sleep(time.Duration(t.r.Int64N(int64(longestStall))))
 	}
