--- a/internal/agent/notices.go
+++ b/internal/agent/notices.go
@@ -120,8 +120,13 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		if n.failed(err); (errors.Is(err, errEnded) || errors.Is(err, errSilent)) && fails == 0 {
-			fails++ // a kept connection that had ended or fallen silent: at once on a new one
+		n.failed(err)
+		if errors.Is(err, errSilent) { // that took its time; what came meanwhile waits no longer
+			fails++
+			continue
+		}
+		if errors.Is(err, errEnded) && fails == 0 {
+			fails++ // a kept connection that had ended: at once on a new one
 			continue
 		}
 		timer := time.NewTimer(min(backOff(fails), mostRest))
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -151,13 +151,22 @@
 	}
 }
 
-// Answered notes what a host has written in answer to a call.
-func (r *Record) Answered(id string, number, status int, wait time.Duration) {
+// Answers notes what a host is about to write in answer to a call: from then on the relay
+// may know it, whatever becomes of the connection.
+func (r *Record) Answers(id string, number, status int, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if x := r.courses[id]; x != nil && number >= 0 {
-		c := &x.Calls[number]
-		c.Status, c.Told, c.Wait = status, time.Now(), wait
+		x.Calls[number].Status, x.Calls[number].Wait = status, wait
+	}
+}
+
+// Answered notes that the answer was written.
+func (r *Record) Answered(id string, number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x := r.courses[id]; x != nil && number >= 0 {
+		x.Calls[number].Told = time.Now()
 	}
 }
 
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -360,7 +360,7 @@
 		defer h.forget(w)
 	}
 	if several {
-		h.answerAll(w, r, items)
+		h.answerAll(w, items)
 		return
 	}
 	if r.Context().Err() != nil {
@@ -370,14 +370,15 @@
 		w.Header().Set("X-RateLimit-Wait-Ms", strconv.FormatInt(first.wait.Milliseconds(), 10))
 	}
 	w.Header().Set("Content-Length", "0")
+	rec.Answers(items[0].ID, items[0].number, first.status, first.wait)
 	w.WriteHeader(first.status)
-	if http.NewResponseController(w).Flush() == nil && r.Context().Err() == nil {
-		rec.Answered(items[0].ID, items[0].number, first.status, first.wait)
+	if http.NewResponseController(w).Flush() == nil {
+		rec.Answered(items[0].ID, items[0].number)
 	}
 }
 
 // answerAll answers a call that carries several messages.
-func (h *Host) answerAll(w http.ResponseWriter, r *http.Request, items []*item) {
+func (h *Host) answerAll(w http.ResponseWriter, items []*item) {
 	type end struct {
 		ID    string `json:"id"`
 		State string `json:"state"`
@@ -389,15 +390,15 @@
 		}
 		state := map[int]string{200: "delivered", 500: "failed", 429: "refused", 503: "refused"}[x.fate.status]
 		ends = append(ends, end{x.ID, state})
+		h.platform.Record.Answers(x.ID, x.number, x.fate.status, x.fate.wait)
 	}
 	text, _ := json.Marshal(ends)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	_, err := w.Write(text)
-	if err = errors.Join(err, http.NewResponseController(w).Flush(), r.Context().Err()); err != nil {
+	if _, err := w.Write(text); errors.Join(err, http.NewResponseController(w).Flush()) != nil {
 		return
 	}
 	for _, x := range items {
-		h.platform.Record.Answered(x.ID, x.number, x.fate.status, x.fate.wait)
+		h.platform.Record.Answered(x.ID, x.number)
 	}
 }
 
