--- a/internal/agent/notices.go
+++ b/internal/agent/notices.go
@@ -41,7 +41,7 @@
 	// fell silent leaves room for another try.
 	answerTime = 150 * time.Millisecond
 	// mostRest is the longest rest between two tries, for the same reason.
-	mostRest = 100 * time.Millisecond
+	mostRest = 25 * time.Millisecond
 )
 
 // NewNotices makes a queue for most notices; over is told, from Run, of each that
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -67,13 +67,15 @@
 	Reply   Reply
 	Calls   []Call
 	Notices []Notice
+
+	began time.Time // of the record
 }
 
 // String tells the course, with times since its sending.
 func (c *Course) String() string {
 	since := func(t time.Time) string { return t.Sub(c.Sent).Round(time.Millisecond).String() }
-	s := fmt.Sprintf("%s node %d lane %s key %q number %d, due %s; reply %d complete %v end %q at %s", c.ID, c.Node, c.Lane.Name, c.Key,
-		c.Number, since(c.Due), c.Reply.Status, c.Reply.Complete, c.Reply.End, since(c.Reply.At))
+	s := fmt.Sprintf("%s node %d lane %s key %q number %d, sent %s after the load began, due %s; reply %d complete %v end %q at %s", c.ID,
+		c.Node, c.Lane.Name, c.Key, c.Number, c.Sent.Sub(c.began).Round(time.Millisecond), since(c.Due), c.Reply.Status, c.Reply.Complete, c.Reply.End, since(c.Reply.At))
 	if !c.Reply.Complete && c.Reply.Text != "" {
 		s += fmt.Sprintf(" %q", c.Reply.Text)
 	}
@@ -98,6 +100,7 @@
 // Record keeps what passed. It is safe for concurrent use.
 type Record struct {
 	mu      sync.Mutex
+	began   time.Time // the first request
 	courses map[string]*Course
 	order   map[string][]string // ids by node, lane and key, in the order of their effects
 	lives   []*Life
@@ -113,6 +116,10 @@
 func (r *Record) Sent(c *Course) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.began.IsZero() {
+		r.began = c.Sent
+	}
+	c.began = r.began
 	r.courses[c.ID] = c
 }
 
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/emulator"
+)
+
+// Faults are drawn the same from the same seed, lie within the run, and are read back from
+// what a failing seed prints.
+func TestFaultsAreDrawnFromTheSeed(t *testing.T) {
+	first := Draw(7, 10, 6, 20*time.Second, Kinds())
+	if !reflect.DeepEqual(first, Draw(7, 10, 6, 20*time.Second, Kinds())) {
+		t.Error("two draws of one seed differ")
+	}
+	var text []string
+	overlap := false
+	for i, f := range first {
+		text = append(text, f.String())
+		overlap = overlap || i > 0 && f.At < first[i-1].At+first[i-1].For
+	}
+	if !overlap {
+		t.Error("no faults overlap")
+	}
+	again, err := ParseFaults(strings.Join(text, ","))
+	if err != nil || !reflect.DeepEqual(first, again) {
+		t.Errorf("not read back: %v", err)
+	}
+	for _, bad := range []string{"", "nothing@1+1s~1s", "kill@x+1s~1s", "kill@1+1~1s", "kill@1"} {
+		if _, err := ParseFaults(bad); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
+
+// plants are the invariants that planted violations break.
+var plants = map[Plant]string{
+	PlantCut:     "a response is complete",
+	PlantForward: "a refused request is not forwarded",
+	PlantForget:  "what was taken is delivered or ends in time",
+	PlantTwice:   "a message that may not be repeated is not sent again",
+}
+
+// An oracle that cannot fail is none: each violation that is put into a record is found.
+func TestPlantedViolationsAreFound(t *testing.T) {
+	program := build(t)
+	for _, plant := range Plants {
+		t.Run(string(plant), func(t *testing.T) {
+			t.Parallel()
+			res, err := Run(t.Context(), Options{Program: program, Seed: 3, Nodes: 1, Hosts: 3, Clients: 12, Duration: 8 * time.Second,
+				Kinds: []Kind{HostFull, Kill}, Plant: plant})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			res.print(&out)
+			found := slices.ContainsFunc(res.Findings, func(f *emulator.Finding) bool { return f.Invariant == plants[plant] && f.Broken == 1 })
+			if !found || len(res.Violations) > 0 {
+				t.Errorf("%q is not found\n%s", plants[plant], out.String())
+			}
+		})
+	}
+}
+
+// build makes the program.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "basaltcross")
+	cmd := exec.Command("go", "build", "-o", program, "basaltcross.example/basaltcross/cmd/basaltcross")
+	cmd.Stderr = os.Stderr
+	if err := cmd.Run(); err != nil {
+		t.Fatal(err)
+	}
+	return program
+}
+
+// What a program writes beside its log of lines is found: a violation, a panic.
+func TestTail(t *testing.T) {
+	var tail tail
+	for _, text := range []string{"{\"cause\":\"count\"}\n{\"cause\":", "\"violation\",\"id\":\"m\"}\npanic: x\n", "goroutine 1\n"} {
+		_, _ = tail.Write([]byte(text))
+	}
+	if bad := tail.violations(); len(bad) != 2 || !strings.Contains(bad[0], `"id":"m"`) || !strings.Contains(bad[1], "goroutine 1") {
+		t.Errorf("%q", bad)
+	}
+}
