A part of a record that a failed write left is cut off; os.File never told of one

What stayed behind counted as damage in a segment that was not the last one.

Every failed write now counts as one that may have left something; it is cut off at once, else before the segment ends.

--- a/internal/journal/fault_test.go
+++ b/internal/journal/fault_test.go
@@ -144,3 +144,36 @@
 		repair()
 	}
 }
+
+// Guards against a segment that counts as damaged, with what stands behind the damage lost:
+// a write that failed left a part of its record, of which os.File does not tell.
+func TestPartOfARecordIsCutOff(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := openLog(t, dir, 1<<20)
+	l.Taken(Message{Seq: 1, Identity: "before", At: l.Stamp()})
+	repair := brokenDisk(t, l)
+	l.mu.Lock()
+	s := l.files[len(l.files)-1]
+	name, size := s.f.Name(), s.size
+	l.mu.Unlock()
+	l.Taken(Message{Seq: 2, Identity: "torn", At: l.Stamp()})
+	part, err := os.OpenFile(name, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer part.Close()
+	if _, err := part.WriteAt(make([]byte, 4000), size); err != nil { // more than the record that follows covers
+		t.Fatal(err)
+	}
+	repair()
+	l.mu.Lock()
+	err = l.roll()
+	l.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Taken(Message{Seq: 3, Identity: "after", At: l.Stamp()})
+	if _, k := openLog(t, dir, 1<<20); len(k.Messages) != 3 {
+		t.Errorf("%d messages, want 3", len(k.Messages))
+	}
+}
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -599,12 +599,9 @@
 		}
 		s = l.files[len(l.files)-1]
 	}
-	if n, err := s.f.WriteAt(r.frame, s.size); err != nil {
-		if n > 0 {
-			s.torn = true
-			err = errors.Join(err, s.cut())
-		}
-		return err
+	if _, err := s.f.WriteAt(r.frame, s.size); err != nil {
+		s.torn = true // os.File tells of no byte where a part was written
+		return errors.Join(err, s.cut())
 	}
 	l.book(s, r)
 	s.size += int64(len(r.frame))
