--- a/internal/relay/push_test.go
+++ b/internal/relay/push_test.go
@@ -645,7 +645,7 @@
 	ok("beside stalled handshakes")
 	var all sync.WaitGroup
 	var mu sync.Mutex
-	bad := 0
+	var bad []error
 	for range 20 {
 		all.Go(func() {
 			for range 15 {
@@ -655,7 +655,7 @@
 				cancel()
 				if err != nil {
 					mu.Lock()
-					bad++
+					bad = append(bad, err)
 					mu.Unlock()
 					continue
 				}
@@ -665,8 +665,8 @@
 	}
 	ok("beside many handshakes")
 	all.Wait()
-	if bad > 0 {
-		t.Errorf("%d of 300 handshakes failed", bad)
+	if len(bad) > 0 {
+		t.Errorf("%d of 300 handshakes failed: %v", len(bad), bad)
 	}
 	for _, c := range stalled {
 		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -62,7 +62,11 @@
 		if have >= n && named {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			return b.got
+			got := map[string][]client.Answer{} // more may come meanwhile
+			for id, answers := range b.got {
+				got[id] = slices.Clone(answers)
+			}
+			return got
 		}
 		select {
 		case <-b.new:
