--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -19,11 +19,12 @@
 
 	mu       sync.Mutex
 	nb       *nbio.Conn
-	adopted  bool // a poller has it
-	lost     bool // it ended before that was known
-	open     bool // its descriptor is its own
-	ending   bool // nothing is written behind what waits, and then the sending side ends
-	discard  bool // what comes is dropped
+	adopted  bool          // a poller has it
+	held     time.Duration // until then
+	lost     bool          // it ended before that was known
+	open     bool          // its descriptor is its own
+	ending   bool          // nothing is written behind what waits, and then the sending side ends
+	discard  bool          // what comes is dropped
 	dropped  int
 	pending  []byte // to be written
 	by       time.Time
@@ -310,6 +311,14 @@
 	return nb.Close()
 }
 
+// Held is how long the poller had refused the connection: what its peer sent meanwhile was
+// read so much later.
+func (c *Conn) Held() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
+
 // Unsent is how many bytes wait to be written.
 func (c *Conn) Unsent() int {
 	c.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -89,6 +89,7 @@
 	c := &Conn{engine: e, open: true, local: raw.LocalAddr(), remote: raw.RemoteAddr()}
 	c.handler = bind(c)
 	e.fence.Add(1)
+	began := time.Now()
 	for try := 1; ; try++ {
 		spare, kept := duplicate(raw)
 		err := c.adopt(raw)
@@ -101,6 +102,9 @@
 		if kept && try < adoptTries {
 			time.Sleep(adoptPause)
 			raw, err = revive(spare)
+			c.mu.Lock()
+			c.held = time.Since(began)
+			c.mu.Unlock()
 		} else if kept {
 			_ = syscall.Close(spare)
 		}
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -20,8 +20,9 @@
 	Pollers     int
 	ReadBuffer  int
 	WriteBuffer int // bytes that wait for one connection; over it, it is closed
-	// Open makes the front's side of a connection, nil to close it at once.
-	Open func(nb *engine.Conn) Conn
+	// Open makes the front's side of a connection, nil to close it at once. waited is how long
+	// it may have stood in the listener's queue because accepting failed.
+	Open func(nb *engine.Conn, waited time.Duration) Conn
 	// Failed is told that an accept failed, out of descriptors mostly.
 	Failed func(err error)
 }
@@ -66,25 +67,62 @@
 
 // accept serves one listener until it is closed.
 func (l *Listeners) accept(from net.Listener) {
+	var q queue
 	for {
+		asked := time.Now()
 		raw, err := from.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
+			q.held(asked)
 			l.sockets.Failed(err)
 			time.Sleep(acceptPause)
 		default:
-			l.serve(raw)
+			q.got(asked, time.Now())
+			asked = time.Now()
+			l.serve(raw, q.waited(asked))
+			if time.Since(asked) > prompt {
+				q.held(asked)
+			}
 		}
 	}
 }
 
+// prompt is what accepting takes that holds nothing up.
+const prompt = 5 * time.Millisecond
+
+// queue tells how long connections may have stood in a listener's queue: since accepting
+// failed or was held up, until one had to be waited for.
+type queue struct{ since time.Time }
+
+// held says that nothing was accepted from a moment on.
+func (q *queue) held(from time.Time) {
+	if q.since.IsZero() {
+		q.since = from
+	}
+}
+
+// got takes in that a connection was asked for and came.
+func (q *queue) got(asked, came time.Time) {
+	if came.Sub(asked) > prompt {
+		q.since = time.Time{}
+	}
+}
+
+// waited is the longest that a connection which has just come may have stood there.
+func (q *queue) waited(now time.Time) time.Duration {
+	if q.since.IsZero() {
+		return 0
+	}
+	return now.Sub(q.since)
+}
+
 // serve hands one connection to the engine, and to the front.
-func (l *Listeners) serve(raw net.Conn) {
+func (l *Listeners) serve(raw net.Conn, waited time.Duration) {
 	refused := false
 	nb, err := l.engine.Adopt(raw, func(nb *engine.Conn) engine.Handler {
-		c := l.sockets.Open(nb)
+		c := l.sockets.Open(nb, waited)
 		if refused = c == nil; refused {
 			return refusal{}
 		}
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -251,8 +251,9 @@
 	since   atomic.Int64 // by front.Now: of the state, or of the last byte while reading
 	begun   atomic.Int64 // by front.Now: of the request, or of the connection before the first
 	life    lifecycle.Exchange
-	asked   atomic.Bool // a request was answered
-	leaving atomic.Bool // about to be closed to make room
+	asked   atomic.Bool   // a request was answered
+	waited  time.Duration // the connection may have stood in the listener's queue so long
+	leaving atomic.Bool   // about to be closed to make room
 
 	mu      sync.Mutex
 	req     http1.Request
@@ -264,8 +265,8 @@
 // open makes room for a connection: at the bound one without an open request goes, and
 // where too many are between two requests the longest silent of those. Clients have a
 // bound of their own, and hold what they asked on until the relay closes it.
-func (f *Front) open(nb *engine.Conn) front.Conn {
-	c := &conn{front: f, nb: nb, name: strconv.FormatUint(f.numbers.Add(1), 36)}
+func (f *Front) open(nb *engine.Conn, waited time.Duration) front.Conn {
+	c := &conn{front: f, nb: nb, waited: waited, name: strconv.FormatUint(f.numbers.Add(1), 36)}
 	c.since.Store(front.Now())
 	c.begun.Store(c.since.Load())
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
@@ -488,7 +489,7 @@
 		return nil, err
 	}
 	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, Once: true,
-		Left: time.Duration(left) * time.Millisecond, Front: Name, Body: r.Body}
+		Left: c.left(time.Duration(left) * time.Millisecond), Front: Name, Body: r.Body}
 	key, n := r.Only(fieldIdempotency)
 	if n > 1 || len(key) > 256 || strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c >= 0x7f }) {
 		return nil, fmt.Errorf("%s: %d fields, %.40q; one of at most 256 visible characters may be there", fieldIdempotency, n, key)
@@ -505,6 +506,16 @@
 	return m, nil
 }
 
+// left is what may be left of a request's time, which its client counts from its sending:
+// the first one of a connection may have been read late because accepting it failed.
+func (c *conn) left(told time.Duration) time.Duration {
+	if c.asked.Load() {
+		return told
+	}
+	late := min(c.waited+c.nb.Held(), c.front.opt.Request/2) // a client waits no longer
+	return max(told-late, time.Millisecond)
+}
+
 // fieldIdempotency names the field by which hosts of some classes tell a repeat; it goes on
 // to them as it came, with every attempt.
 const fieldIdempotency = "Idempotency-Key"
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		l, err := front.Listen(front.Sockets{Name: "mqtt", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 64 << 10,
-			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn) front.Conn { return f.open(nb, i == 1) },
+			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn, _ time.Duration) front.Conn { return f.open(nb, i == 1) },
 			Failed: func(err error) {
 				if !f.draining.Load() {
 					opt.Observer.Logf("mqtt: accept: %v", err)
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		l, err := front.Listen(front.Sockets{Name: "webpush", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 32 << 10,
-			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn) front.Conn { return f.open(nb, i == 1) },
+			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn, _ time.Duration) front.Conn { return f.open(nb, i == 1) },
 			Failed: func(err error) { opt.Observer.Logf("webpush: accept: %v", err) }})
 		if err != nil {
 			f.closeAll()
