--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -94,7 +94,8 @@
 	Started time.Time
 	Ready   time.Time // zero for never
 	Told    time.Time // it was told to end, or killed; zero for never
-	Ended   time.Time
+	Killed  time.Time // zero for never
+	Ended   time.Time // seen to have ended
 }
 
 // Record keeps what passed. It is safe for concurrent use.
--- /dev/null
+++ b/internal/emulator/network.go
@@ -0,0 +1,91 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// LongestHold is how long a network holds bytes up at most.
+const LongestHold = 200 * time.Millisecond
+
+// Network is the way to one server, with faults of its own. It sees bytes, not messages.
+type Network struct {
+	mu     sync.Mutex
+	hold   bool // bytes come up to LongestHold later
+	resets bool // connections are reset: under a request, an answer, or at rest
+	r      *rand.Rand
+}
+
+// Hold has bytes come late, Reset has connections reset.
+func (n *Network) Hold(on bool)  { n.set(&n.hold, on) }
+func (n *Network) Reset(on bool) { n.set(&n.resets, on) }
+
+func (n *Network) set(what *bool, on bool) {
+	n.mu.Lock()
+	*what = on
+	n.mu.Unlock()
+}
+
+// draw is what becomes of some bytes.
+func (n *Network) draw() (hold time.Duration, reset bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hold {
+		hold = time.Duration(n.r.Int64N(int64(LongestHold)))
+	}
+	return hold, n.resets && n.r.IntN(3) == 0
+}
+
+// listener serves connections over a network.
+type listener struct {
+	net.Listener
+	network *Network
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &faulty{Conn: c, network: l.network}, nil
+}
+
+// faulty is one connection.
+type faulty struct {
+	net.Conn
+	network *Network
+}
+
+func (f *faulty) Read(b []byte) (int, error) {
+	n, err := f.Conn.Read(b)
+	if err == nil {
+		err = f.pass()
+	}
+	if err != nil {
+		n = 0
+	}
+	return n, err
+}
+
+func (f *faulty) Write(b []byte) (int, error) {
+	if err := f.pass(); err != nil {
+		return 0, err
+	}
+	return f.Conn.Write(b)
+}
+
+// pass holds bytes up, or resets the connection.
+func (f *faulty) pass() error {
+	hold, reset := f.network.draw()
+	time.Sleep(hold)
+	if !reset {
+		return nil
+	}
+	if tcp, ok := f.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = f.Conn.Close()
+	return net.ErrClosed
+}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -38,6 +38,7 @@
 type Platform struct {
 	Record *Record
 	Hosts  []*Host
+	seed   uint64
 
 	mu      sync.Mutex
 	list    List
@@ -48,10 +49,11 @@
 
 // New starts a platform with a host for each kind; destinations count from 0.
 func New(seed uint64, kinds ...string) (*Platform, error) {
-	p := &Platform{Record: NewRecord(), changed: make(chan struct{}), list: List{Rev: 1, All: true}}
+	p := &Platform{seed: seed, Record: NewRecord(), changed: make(chan struct{}), list: List{Rev: 1, All: true}}
 	for i, kind := range kinds {
-		h := &Host{platform: p, UID: fmt.Sprint("s-", i), r: rand.New(rand.NewPCG(seed, uint64(i)))}
-		s, err := p.serve(http.HandlerFunc(h.serve))
+		h := &Host{platform: p, UID: fmt.Sprint("s-", i), r: rand.New(rand.NewPCG(seed, uint64(i))),
+			Network: &Network{r: rand.New(rand.NewPCG(seed, uint64(i+1000)))}}
+		s, err := p.serve(http.HandlerFunc(h.serve), h.Network)
 		if err != nil {
 			return nil, err
 		}
@@ -61,13 +63,13 @@
 	return p, nil
 }
 
-func (p *Platform) serve(h http.Handler) (*server, error) {
+func (p *Platform) serve(h http.Handler, network *Network) (*server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("emulator: %w", err)
 	}
 	s := &server{http: &http.Server{Handler: h}, listener: l}
-	go func() { _ = s.http.Serve(l) }()
+	go func() { _ = s.http.Serve(listener{l, network}) }()
 	p.mu.Lock()
 	p.servers = append(p.servers, s)
 	p.mu.Unlock()
@@ -113,6 +115,7 @@
 
 // Agent is the platform's agent on one relay's machine.
 type Agent struct {
+	Network  *Network
 	platform *Platform
 	mu       sync.Mutex
 	now      *server // the address that counts
@@ -122,7 +125,7 @@
 
 // Agent opens one, at an address of its own.
 func (p *Platform) Agent() (*Agent, error) {
-	a := &Agent{platform: p}
+	a := &Agent{platform: p, Network: &Network{r: rand.New(rand.NewPCG(p.seed, uint64(2000+len(p.agents))))}}
 	if err := a.Move(); err != nil {
 		return nil, err
 	}
@@ -141,7 +144,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/discovery/hosts", a.watch)
 	mux.HandleFunc("/v1/notices", a.notices)
-	s, err := a.platform.serve(mux)
+	s, err := a.platform.serve(mux, a.Network)
 	if err != nil {
 		return err
 	}
@@ -249,6 +252,7 @@
 // Host is one host. Refused messages never run.
 type Host struct {
 	UID      string
+	Network  *Network
 	platform *Platform
 
 	mu   sync.Mutex
@@ -414,8 +418,10 @@
 		_ = buf.Flush()
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // a reset
+	if f, ok := conn.(*faulty); ok {
+		if tcp, ok := f.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a reset
+		}
 	}
 }
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -90,7 +90,7 @@
 	n.mu.Unlock()
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprint("n", n.number), "listen": n.addr, "discovery": at,
 		"seed": fmt.Sprintf("%016x", n.run.opt.Seed*1000+uint64(n.number)), "known": n.run.platform.List(), "settings": settings(n.number, n.run.opt.Nodes),
-		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512, "disk_mb": 1}})
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512, "disk_mb": 0.5}})
 	if err != nil {
 		return err
 	}
@@ -176,6 +176,7 @@
 			time.Sleep(earliestKill)
 		}
 	}
+	n.run.platform.Record.Note(func() { life.Killed = time.Now() })
 	p.Signal(syscall.SIGKILL)
 	<-p.Done()
 	n.ended(p, life, how != Kill)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -279,8 +279,20 @@
 		r.platform.Change(func(l *emulator.List) { l.Targets[where].State = map[bool]string{true: "draining", false: "up"}[on] })
 		return
 	}
+	switch k {
+	case HostNetHold:
+		r.platform.Hosts[where].Network.Hold(on)
+		return
+	case HostNetReset:
+		r.platform.Hosts[where].Network.Reset(on)
+		return
+	}
 	n := r.nodes[where]
 	switch k {
+	case AgentNetHold:
+		n.agent.Network.Hold(on)
+	case AgentNetReset:
+		n.agent.Network.Reset(on)
 	case AgentSilent:
 		n.agent.Silent(on)
 	case NoticesMute:
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -19,25 +19,30 @@
 
 // Kinds of faults beside those of system calls.
 const (
-	Kill         Kind = "kill"          // SIGKILL, then a start
-	Term         Kind = "term"          // SIGTERM, SIGKILL at the page's earliest, then a start
-	TermTwice    Kind = "term_twice"    // a second SIGTERM and a SIGHUP within the drain
-	Reload       Kind = "reload"        // discovery moves, SIGHUP
-	AgentSilent  Kind = "agent_silent"  // lists do not come
-	NoticesMute  Kind = "notices_mute"  // notices are not answered
-	HostFails    Kind = "host_fails"    // 500
-	HostFull     Kind = "host_full"     // 429 with a wait
-	HostHangs    Kind = "host_hangs"    // no answer
-	HostCuts     Kind = "host_cuts"     // connections end under requests
-	HostForgets  Kind = "host_forgets"  // connections end behind answers
-	HostDrains   Kind = "host_drains"   // the list says so
-	ClientsLeave Kind = "clients_leave" // within a request
-	Crowd        Kind = "crowd"         // idle connections
+	Kill          Kind = "kill"           // SIGKILL, then a start
+	Term          Kind = "term"           // SIGTERM, SIGKILL at the page's earliest, then a start
+	TermTwice     Kind = "term_twice"     // a second SIGTERM and a SIGHUP within the drain
+	Reload        Kind = "reload"         // discovery moves, SIGHUP
+	AgentSilent   Kind = "agent_silent"   // lists do not come
+	NoticesMute   Kind = "notices_mute"   // notices are not answered
+	HostFails     Kind = "host_fails"     // 500
+	HostFull      Kind = "host_full"      // 429 with a wait
+	HostHangs     Kind = "host_hangs"     // no answer
+	HostCuts      Kind = "host_cuts"      // connections end under requests
+	HostForgets   Kind = "host_forgets"   // connections end behind answers
+	HostDrains    Kind = "host_drains"    // the list says so
+	HostNetHold   Kind = "host_net_hold"  // bytes come late
+	HostNetReset  Kind = "host_net_reset" // connections are reset under whatever they carry
+	AgentNetHold  Kind = "agent_net_hold"
+	AgentNetReset Kind = "agent_net_reset"
+	ClientsLeave  Kind = "clients_leave" // within a request
+	Crowd         Kind = "crowd"         // idle connections
 )
 
 // Kinds are all of them.
 func Kinds() []Kind {
 	all := []Kind{Kill, Term, TermTwice, Reload, AgentSilent, NoticesMute, HostFails, HostFull, HostHangs, HostCuts, HostForgets, HostDrains,
+		HostNetHold, HostNetReset, AgentNetHold, AgentNetReset,
 		ClientsLeave, Crowd}
 	for _, k := range shim.Kinds {
 		all = append(all, Kind(k))
