--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -188,7 +188,7 @@
 // forgotten tells whether a message was answered 200 in time with its one call, and refused
 // by a later process. Within one process a call may be given up while its answer is on its way.
 func (a *audit) forgotten(c *Course) bool {
-	if len(c.Calls) != 1 || c.Calls[0].Status != 200 {
+	if len(c.Calls) != 1 || c.Calls[0].Status != 200 || c.Calls[0].Told.IsZero() {
 		return false
 	}
 	call := c.Calls[0]
