The state of one call stands in lifecycle as well

partner's flags wrote and ended, asked in four places, are lifecycle.Call: what may be written, and which outcome counts. No behaviour changed; partner's tests pass under the race detector.

--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // call is one attempt. Its state goes from waiting for a connection to written
@@ -19,8 +20,7 @@
 	dial   *dialing // begun for it, nil for none; under pool.mu
 	mu     sync.Mutex
 	conn   *conn
-	wrote  bool // bytes were handed to the kernel
-	ended  bool
+	life   lifecycle.Call
 }
 
 // Send begins an attempt: on a kept connection, else on the first one that comes
@@ -40,13 +40,12 @@
 func (k *call) write(cn *conn) bool {
 	request := k.request() // one write: the engine's Writev loses buffers after a partial one
 	k.mu.Lock()
-	if k.ended || k.wrote {
+	may, late := k.life.MayWrite(time.Since(k.began), k.Within)
+	if !may {
 		k.mu.Unlock()
-		return false
-	}
-	if k.Within > 0 && time.Since(k.began) >= k.Within { // a repeat might take effect again by now
-		k.mu.Unlock()
-		k.end(unready, nil)
+		if late { // a repeat might take effect again by now
+			k.end(unready, nil)
+		}
 		return false
 	}
 	cn.mu.Lock()
@@ -65,7 +64,6 @@
 	}
 	cn.mu.Unlock()
 	k.conn = cn
-	k.wrote = true
 	cn.bill.Store(&bill{k.Class, k.Partner, k.Zone, k.Passed})
 	if t := k.caller.opt.Traffic; t != nil {
 		t.Call(k.Class, k.Partner, k.Zone)
@@ -142,12 +140,11 @@
 // end reports an attempt's outcome, if nothing else ended it before.
 func (k *call) end(s seen, r *response) {
 	k.mu.Lock()
-	if k.ended {
-		k.mu.Unlock()
+	first := k.life.MayEnd()
+	k.mu.Unlock()
+	if !first {
 		return
 	}
-	k.ended = true
-	k.mu.Unlock()
 	k.pool.ended(k, s)
 	now := time.Now()
 	if h := k.caller.opt.Hook; h != nil {
@@ -171,19 +168,18 @@
 // Abort ends an attempt; its connection is closed.
 func (k *call) Abort() (started, ok bool) {
 	k.mu.Lock()
-	if cn := k.conn; cn != nil && !k.ended && cn.told(k) {
+	if cn := k.conn; cn != nil && !k.life.Ended() && cn.told(k) {
 		k.mu.Unlock()
 		k.end(nonsense, &response{says: 200})
 		cn.drop(k)
 		return true, false
 	}
-	if k.ended {
-		k.mu.Unlock()
-		return k.wrote, false
-	}
-	k.ended = true
-	cn, wrote := k.conn, k.wrote
+	first := k.life.MayEnd()
+	cn, wrote := k.conn, k.life.Written()
 	k.mu.Unlock()
+	if !first {
+		return wrote, false
+	}
 	if cn != nil {
 		k.pool.ended(k, lost)
 		cn.drop(k)
@@ -197,12 +193,11 @@
 // Recall ends an attempt that has not reached the kernel.
 func (k *call) Recall() bool {
 	k.mu.Lock()
-	if k.ended || k.wrote {
-		k.mu.Unlock()
+	recalled := !k.life.Written() && k.life.MayEnd()
+	k.mu.Unlock()
+	if !recalled {
 		return false
 	}
-	k.ended = true
-	k.mu.Unlock()
 	k.pool.ended(k, unready)
 	return true
 }
