--- a/choice/api.go
+++ b/choice/api.go
@@ -130,6 +130,17 @@
 	Failing bool          // its last calls failed
 }
 
+var outcomeNames = [...]string{Served: "served", Error: "error", Refused: "refused", Timeout: "timeout", NoConnection: "no_connection",
+	Reset: "reset", Cancelled: "cancelled", NotSent: "not_sent"}
+
+// String is the outcome's name in logs and metrics.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
 // Result ends one attempt.
 type Result struct {
 	ID      string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -205,6 +205,7 @@
 	// Together bounds the content of a call that carries several messages, in bytes; 0 for
 	// no bound. Those that do not fit travel in a call of their own.
 	Together int
+	Trace    lifecycle.Trace
 	// Guard decides whether a message may be sent and ended; nil for one that keeps no count.
 	Guard *lifecycle.Guard
 	// Forgetful: waits and failures that endpoints told end with the process.
@@ -666,6 +667,7 @@
 			Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way})
 	}
 	c.durable(m.kept, func() { in.Reply.Taken(nil) })
+	c.opt.Trace.Step(m.Identity, "taken", m.id)
 	c.opt.Observer.Taken(in.Class)
 	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
 		Left: m.due - c.now, Key: in.Key})
@@ -715,9 +717,11 @@
 		m.told = true
 		delete(c.untold, m)
 		if m.life.MayTell(c.opt.Guard, c.now, c.recorded(m)) {
+			c.opt.Trace.Step(m.Identity, "told", a.Verdict.String())
 			m.Reply.Answer(a)
 		}
 	}
+	c.opt.Trace.Step(m.Identity, "ended", a.Verdict.String())
 	if c.opt.Settings.Acknowledged {
 		c.untold[m] = tell
 	}
@@ -992,6 +996,7 @@
 	}
 	sure := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent
 	m.life.Back(sure)
+	c.opt.Trace.Step(m.Identity, "result", e.Outcome.String())
 	if sure && c.harmful(m) && !m.answered {
 		c.tried(a, true)
 	}
@@ -1180,6 +1185,7 @@
 	}
 	m.tries++
 	m.out = a
+	c.opt.Trace.Step(m.Identity, "send", s.Host)
 	c.outs[a] = struct{}{}
 	if c.opt.Toll != nil {
 		a.settle = c.opt.Toll.Sent(c.now, m.Class, m.Partner, a.zone)
--- a/internal/hookfront/ending_test.go
+++ b/internal/hookfront/ending_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(got)
 	}
 	<-d.came
-	if !only(t, f).end() {
+	if !only(t, f).end(lifecycle.CloseIdle) {
 		t.Fatal("not shut")
 	}
 	for i := range 3 { // the second write into a closed socket would fail, and the read with it
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -63,6 +63,7 @@
 	Door        Door
 	Keeper      Keeper
 	Notices     Notices
+	Trace       lifecycle.Trace
 	Guard       *lifecycle.Guard // decides what may be answered and closed; nil for one that keeps no count
 	Logf        func(format string, args ...any)
 }
@@ -87,6 +88,7 @@
 // Counts of a run.
 type Counts struct {
 	Taken, Refused, Failed, Rejected, Closed, Evicted atomic.Int64
+	Closes                                            lifecycle.Closes
 }
 
 // New opens the listener and serves.
@@ -126,14 +128,14 @@
 	f.Drain()
 	f.sockets.Refuse()
 	f.left.Store(true)
-	f.shutIdle(func(c *conn) bool { return c.overdue(time.Now()) })
+	f.shutIdle(lifecycle.CloseDrain, func(c *conn) bool { return c.overdue(time.Now()) })
 }
 
 // Finish takes nothing further: a request that is not whole yet is answered with 503.
 // Those that were handed in still get their answers.
 func (f *Front) Finish() {
 	f.finished.Store(true)
-	f.shutIdle(func(c *conn) bool { return c.life.Phase() != lifecycle.Closing })
+	f.shutIdle(lifecycle.CloseDrain, func(c *conn) bool { return c.life.Phase() != lifecycle.Closing })
 }
 
 // Quiet tells whether nothing is owed to a client: no response, and no byte of one.
@@ -160,7 +162,7 @@
 	f.sockets.Close()
 }
 
-func (f *Front) shutIdle(pick func(*conn) bool) {
+func (f *Front) shutIdle(why lifecycle.Reason, pick func(*conn) bool) {
 	var out []*conn
 	f.mu.Lock()
 	for c := range f.conns {
@@ -170,14 +172,14 @@
 	}
 	f.mu.Unlock()
 	for _, c := range out {
-		c.end()
+		c.end(why)
 	}
 }
 
 // end shuts a connection unless a request has come on it since it was picked: that is
 // owed its answer. What comes later is dropped, so that its client may send it again
 // elsewhere. One that was shut before is closed.
-func (c *conn) end() bool {
+func (c *conn) end(why lifecycle.Reason) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	phase := c.life.Phase()
@@ -185,13 +187,13 @@
 	case phase == lifecycle.Answering:
 		return false
 	case c.shut:
-		c.close()
+		c.close(lifecycle.CloseLinger)
 	case phase == lifecycle.Reading && c.front.finished.Load():
 		c.reject(http.StatusServiceUnavailable, "the relay ends")
 	case phase == lifecycle.Reading:
 		c.reject(http.StatusRequestTimeout, "the request did not end")
 	default:
-		c.finish()
+		c.finish(why)
 	}
 	return true
 }
@@ -199,22 +201,30 @@
 // finish ends the sending side: the client reads what was written and then the end. What
 // it has sent meanwhile is read and dropped until it closes as well, within a bound: a
 // close over unread bytes would reset the connection and take the answer with it; under mu.
-func (c *conn) finish() {
+func (c *conn) finish(why lifecycle.Reason) {
 	if c.shut || !c.life.MayClose(c.front.opt.Guard) {
 		return
 	}
 	c.shut = true
 	c.since.Store(front.Now())
+	c.ended(why)
 	c.nb.CloseWrite()
 }
 
 // close closes the connection whatever the client does; under mu.
-func (c *conn) close() {
+func (c *conn) close(why lifecycle.Reason) {
 	c.shut = true
+	c.ended(why)
 	c.front.gone(c)
 	_ = c.nb.Close()
 }
 
+// ended notes why a connection ends.
+func (c *conn) ended(why lifecycle.Reason) {
+	c.front.counts.Closes.Add(why)
+	c.front.opt.Trace.Step(c.name, "close", string(why))
+}
+
 // gone takes a connection off the table.
 func (f *Front) gone(c *conn) {
 	f.mu.Lock()
@@ -238,7 +248,7 @@
 		case <-f.stop:
 			return
 		case now := <-tick.C:
-			f.shutIdle(func(c *conn) bool { return c.overdue(now) })
+			f.shutIdle(lifecycle.CloseIdle, func(c *conn) bool { return c.overdue(now) })
 		}
 	}
 }
@@ -259,7 +269,8 @@
 	req     http1.Request
 	open    *exchange
 	shut    bool
-	dropped int // bytes after that
+	bad     bool // what came was no request, or not in time
+	dropped int  // bytes after that
 }
 
 // open makes room for a connection: at the bound one without an open request goes, and
@@ -309,11 +320,11 @@
 	}
 	f.mu.Unlock()
 	if lingers != nil {
-		lingers.end()
+		lingers.end(lifecycle.CloseEvicted)
 	}
 	if out != nil {
 		f.counts.Evicted.Add(1)
-		if !out.end() {
+		if !out.end(lifecycle.CloseEvicted) {
 			out.leaving.Store(false)
 		}
 	}
@@ -364,6 +375,9 @@
 	c.front.gone(c)
 	go func() { // the engine calls this from within a Write or Close of ours, under mu
 		c.mu.Lock()
+		if !c.shut {
+			c.ended(lifecycle.CloseClient)
+		}
 		c.shut = true
 		c.life.Gone()
 		c.withdraw()
@@ -385,7 +399,7 @@
 	defer c.mu.Unlock()
 	if c.shut {
 		if c.dropped += len(b); c.dropped > mostDropped {
-			c.close()
+			c.close(lifecycle.CloseFlood)
 		}
 		return
 	}
@@ -451,6 +465,7 @@
 			return
 		}
 		c.life.Name(m.Identity)
+		f.opt.Trace.Step(m.Identity, "read", c.name)
 		x := &exchange{conn: c, id: m.Identity}
 		m.Reply = x
 		c.open = x
@@ -551,7 +566,7 @@
 // reject answers what is no request, and closes; under mu. A request that is open
 // on the connection is not answered any more.
 func (c *conn) reject(status int, format string, args ...any) {
-	c.req.Keep = false
+	c.req.Keep, c.bad = false, true
 	c.say(status, format, args...)
 }
 
@@ -571,12 +586,20 @@
 	}
 	b = append(append(b, "\r\n\r\n"...), body...)
 	_, err := c.nb.Write(b)
+	c.front.opt.Trace.Step(c.life.ID(), "response", strconv.Itoa(status))
 	switch {
 	case err != nil: // closed by the engine
 		c.shut = true
+		c.ended(lifecycle.CloseError)
 		return
 	case !keep:
-		c.finish()
+		why := lifecycle.CloseAnswer
+		if c.bad {
+			why = lifecycle.CloseBadData
+		} else if c.front.draining.Load() {
+			why = lifecycle.CloseDrain
+		}
+		c.finish(why)
 		return
 	}
 	c.req.Reset(http1.Limits{Header: c.front.opt.Header, Body: c.front.opt.Body})
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -318,7 +318,7 @@
 		t.Fatal(err)
 	}
 	<-d.came
-	if picked.end() {
+	if picked.end(lifecycle.CloseIdle) {
 		t.Error("closed while a request is open")
 	}
 	d.mu.Lock()
@@ -329,7 +329,7 @@
 	if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != 202 || len(d.abandoned) != 0 {
 		t.Errorf("%v %v, withdrawn %v", r, err, d.abandoned)
 	}
-	if !picked.end() {
+	if !picked.end(lifecycle.CloseIdle) {
 		t.Error("not closed once it rests again")
 	}
 }
--- a/internal/lifecycle/exchange.go
+++ b/internal/lifecycle/exchange.go
@@ -42,6 +42,9 @@
 // Name gives the request that is being answered the id by which it is told.
 func (e *Exchange) Name(id string) { e.id = id }
 
+// ID is that of the request, or of the connection.
+func (e *Exchange) ID() string { return e.id }
+
 // MayAnswer decides whether a response may be written now: to a request that was read, or to
 // what is no request and will not become one. The connection rests after it.
 func (e *Exchange) MayAnswer(g *Guard) bool {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -44,6 +44,19 @@
 // package lifecycle end the process, for tests.
 const strictVariable = "BASALTCROSS_STRICT"
 
+// traceVariable names the one that has each step of each request logged.
+const traceVariable = "BASALTCROSS_TRACE"
+
+// trace logs the steps of requests, if that is asked for.
+func trace(log zerolog.Logger) lifecycle.Trace {
+	if os.Getenv(traceVariable) == "" {
+		return nil
+	}
+	return func(id, step, with string) {
+		log.Info().Str("cause", "trace").Str("id", id).Str("step", step).Msg(with)
+	}
+}
+
 // Node is a running relay of the platform.
 type Node struct {
 	cfg    *Config
@@ -151,7 +164,7 @@
 	}
 	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, Arrivals: b.Clients, Identities: b.Identities, Keep: longest,
 		Caller: n.caller, Observer: n.watch, Journal: n.keep, Every: true, Together: bodyBytes, Forgetful: true, Late: clientWaits,
-		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard})
+		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard, Trace: trace(log)})
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +189,7 @@
 		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
 	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
 		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Lingering: b.Lingering, Kept: b.Kept, Request: 2 * clientWaits, Whole: whole, Idle: silent, Linger: linger,
-		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said, Guard: n.guard,
+		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said, Guard: n.guard, Trace: trace(log),
 		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
 	if err != nil {
 		return nil, err
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -72,8 +72,6 @@
 	}
 }
 
-var outcomeNames = [...]string{"served", "error", "refused", "timeout", "no_connection", "reset", "cancelled", "not_sent"}
-
 func (w *watcher) say() {
 	n := w.node
 	f := n.front.Counts()
@@ -87,13 +85,13 @@
 	}
 	for o, k := range w.attempts {
 		if k > 0 {
-			tries = append(tries, fmt.Sprintf("%s %d", outcomeNames[o], k))
+			tries = append(tries, fmt.Sprintf("%s %d", choice.Outcome(o), k))
 		}
 	}
 	n.log.Info().Str("cause", "count").Int("taken", w.taken).Str("ended", strings.Join(ends, ", ")).
 		Str("attempts", strings.Join(tries, ", ")).Int("held", w.held).Int("held_most", w.mostHeld).Int("out", w.out).
 		Int("out_most", w.mostOut).Int("clients", n.front.Connections()).Int64("at_once", f.Refused.Load()+f.Failed.Load()).
 		Int64("rejected", f.Rejected.Load()).Int64("turned_away", f.Closed.Load()).Int64("evicted", f.Evicted.Load()).
-		Interface("violations", n.guard.Counts()).Int("notices", n.said.Len()).Uint64("disk", n.keep.Stats().Disk).Msg("since the last such line")
+		Interface("closes", f.Closes.Counts()).Interface("violations", n.guard.Counts()).Int("notices", n.said.Len()).Uint64("disk", n.keep.Stats().Disk).Msg("since the last such line")
 	w.taken, w.answered, w.attempts, w.mostHeld, w.mostOut = 0, [5]int{}, [8]int{}, w.held, w.out
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -111,9 +112,18 @@
 	seed := n.run.opt.Seed*1_000_000 + uint64(n.number*1000+n.starts)
 	n.mu.Unlock()
 	life := n.run.platform.Record.Begun(n.number)
+	log := io.Writer(n.log)
+	if n.run.opt.Trace != "" {
+		file, err := os.OpenFile(filepath.Join(n.run.opt.Trace, fmt.Sprintf("n%d.log", n.number)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+		if err != nil {
+			return err
+		}
+		// It stays open until the last byte of the process was copied, and then for the collector.
+		log = io.MultiWriter(n.log, file)
+	}
 	p, err := shim.Start(shim.Options{Path: n.run.opt.Program, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
-		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single"),
-		Stderr: n.log, Seed: seed})
+		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE="+n.run.opt.Trace),
+		Stderr: log, Seed: seed})
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -25,6 +25,7 @@
 	Duration time.Duration
 	Faults   []Fault // nil: drawn from the seed
 	Kinds    []Kind  // of which they are drawn; nil for all
+	Trace    string  // folder for the nodes' logs with each step of each request; empty for none
 	Plant    Plant   // a fault of the oracle's making, which it must catch; empty for none
 }
 
