--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// LongestHold is how long a network holds bytes up at most.
-const LongestHold = 200 * time.Millisecond
+// LongestHold is how long a network holds bytes up at most: what is sent on an open connection
+// is read at full speed (DAYS), and time limits on sockets are 50 ms longer (PROTOCOL).
+const LongestHold = 40 * time.Millisecond
 
 // Network is the way to one server, with faults of its own. It sees bytes, not messages.
 type Network struct {
