--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -17,6 +17,12 @@
 	onTheWay     = 2 * LongestHold         // bytes may be so long, in both directions or in two pieces
 )
 
+// soon after an answer a process has not given its call up by itself.
+const soon = 300 * time.Millisecond
+
+// DrainGrace is that of the settings that the audit holds.
+const DrainGrace = 500 * time.Millisecond
+
 // Finding is one invariant and what was found of it.
 type Finding struct {
 	Invariant string   `json:"invariant"`
@@ -58,6 +64,8 @@
 		a.ended(c)
 	}
 	a.orders()
+	a.waits()
+	a.drained()
 	a.strangers()
 	return a.findings
 }
@@ -192,8 +200,8 @@
 		return false
 	}
 	call := c.Calls[0]
-	return call.Told.Add(socketGrace+onTheWay+a.lag).Before(c.Due) && slices.ContainsFunc(a.record.lives, func(l *Life) bool {
-		return l.Node == c.Node && l.Ended.After(call.Told) && l.Ended.Before(c.Notices[0].At)
+	return call.Told.Add(soon).Before(c.Due) && slices.ContainsFunc(a.record.lives, func(l *Life) bool {
+		return l.Node == c.Node && l.Ended.After(call.Told) && l.Ended.Before(c.Notices[0].At) && l.Killed.Before(call.Told.Add(soon))
 	})
 }
 
@@ -210,6 +218,55 @@
 	}
 }
 
+// waits: a relay that was told to wait sends nothing to that host until then; a restart ends
+// the wait.
+func (a *audit) waits() {
+	f := a.of("a told wait is kept")
+	type told struct{ from, until time.Time }
+	all := map[string][]told{} // by node and host
+	where := func(c *Course, x Call) string { return fmt.Sprint(c.Node, " ", x.Host) }
+	for _, c := range a.record.courses {
+		for _, x := range c.Calls {
+			if x.Wait > 0 && !x.Told.IsZero() {
+				all[where(c, x)] = append(all[where(c, x)], told{x.Told.Add(waitGrace + LongestHold + a.lag), x.Told.Add(x.Wait)})
+			}
+		}
+	}
+	for _, c := range a.record.courses {
+		for _, x := range c.Calls {
+			for _, w := range all[where(c, x)] {
+				early := x.At.After(w.from) && x.At.Before(w.until)
+				f.check(!early || a.killed(c.Node, w.from.Add(-time.Second), x.At), c.String)
+			}
+		}
+	}
+}
+
+// drained: no new work reaches a host later than the grace after the relay was told that it
+// wants none.
+func (a *audit) drained() {
+	f := a.of("no work for a host that drains")
+	slices.SortStableFunc(a.record.drains, func(x, y drain) int { return x.at.Compare(y.at) })
+	grace := DrainGrace + socketGrace + latestPause + LongestHold + a.lag
+	for _, c := range a.record.courses {
+		for _, x := range c.Calls {
+			wants, since := true, time.Time{}
+			for _, d := range a.record.drains {
+				if d.node != c.Node || d.host != x.Host || d.at.After(x.At) {
+					continue
+				}
+				if wants && !d.wants {
+					since = d.at
+				}
+				wants = d.wants
+			}
+			f.check(wants || !x.At.After(since.Add(grace)), func() string {
+				return fmt.Sprintf("%s told %s before %s", x.Host, x.At.Sub(since).Round(time.Millisecond), c)
+			})
+		}
+	}
+}
+
 func (a *audit) strangers() {
 	f := a.of("nothing is sent that nobody handed in")
 	f.check(len(a.record.strange) == 0, func() string { return strings.Join(a.record.strange, ", ") })
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -105,9 +105,29 @@
 	courses map[string]*Course
 	order   map[string][]string // ids by node, lane and key, in the order of their effects
 	lives   []*Life
+	drains  []drain
 	strange []string // calls and notices of messages that nobody sent
 }
 
+// drain is what one relay was told of one host.
+type drain struct {
+	node  int
+	host  string
+	at    time.Time // written to the relay
+	wants bool      // the host wants new work
+}
+
+// Listed notes which hosts want new work, or want none, by a list that was written to a relay.
+func (r *Record) Listed(node int, at time.Time, targets []Target, wants bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range targets {
+		if (t.State == "up") == wants {
+			r.drains = append(r.drains, drain{node, t.UID, at, wants})
+		}
+	}
+}
+
 // NewRecord makes an empty one.
 func NewRecord() *Record {
 	return &Record{courses: map[string]*Course{}, order: map[string][]string{}}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -116,6 +116,7 @@
 // Agent is the platform's agent on one relay's machine.
 type Agent struct {
 	Network  *Network
+	node     int
 	platform *Platform
 	mu       sync.Mutex
 	now      *server // the address that counts
@@ -125,7 +126,7 @@
 
 // Agent opens one, at an address of its own.
 func (p *Platform) Agent() (*Agent, error) {
-	a := &Agent{platform: p, Network: &Network{r: rand.New(rand.NewPCG(p.seed, uint64(2000+len(p.agents))))}}
+	a := &Agent{platform: p, node: len(p.agents), Network: &Network{r: rand.New(rand.NewPCG(p.seed, uint64(2000+len(p.agents))))}}
 	if err := a.Move(); err != nil {
 		return nil, err
 	}
@@ -199,8 +200,10 @@
 		}
 		if !a.is(&a.silent) {
 			last = list.Rev
-			_, _ = w.Write(line)
-			_ = http.NewResponseController(w).Flush()
+			_, err := w.Write(line)
+			if errors.Join(err, http.NewResponseController(w).Flush()) == nil {
+				a.told(r.Context(), list.Targets)
+			}
 		}
 		timer := time.NewTimer(alive / 8)
 		select {
@@ -212,6 +215,22 @@
 	}
 }
 
+// stands is how long a watch has to stand after a list was written for the relay to have it
+// for sure: a write to a connection that the relay has left succeeds as well.
+const stands = 100 * time.Millisecond
+
+// told notes that a list was written to the relay: hosts that want work at once, those that
+// want none once it is sure that the relay knows.
+func (a *Agent) told(watch context.Context, targets []Target) {
+	at := time.Now()
+	a.platform.Record.Listed(a.node, at, targets, true)
+	time.AfterFunc(stands, func() {
+		if watch.Err() == nil {
+			a.platform.Record.Listed(a.node, at, targets, false)
+		}
+	})
+}
+
 func (a *Agent) notices(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -388,6 +407,13 @@
 		State string `json:"state"`
 	}
 	var ends []end
+	wait := time.Duration(0)
+	for _, x := range items {
+		wait = max(wait, x.fate.wait)
+	}
+	if wait > 0 {
+		w.Header().Set("X-RateLimit-Wait-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	}
 	for _, x := range items {
 		if x.fate.status == 0 {
 			x.fate.status = 500
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -89,8 +89,10 @@
 	n.mu.Lock()
 	n.known = at
 	n.mu.Unlock()
+	known := n.run.platform.List()
+	n.run.platform.Record.Listed(n.number, time.Now(), known.Targets, true)
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprint("n", n.number), "listen": n.addr, "discovery": at,
-		"seed": fmt.Sprintf("%016x", n.run.opt.Seed*1000+uint64(n.number)), "known": n.run.platform.List(), "settings": settings(n.number, n.run.opt.Nodes),
+		"seed": fmt.Sprintf("%016x", n.run.opt.Seed*1000+uint64(n.number)), "known": known, "settings": settings(n.number, n.run.opt.Nodes),
 		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512, "disk_mb": 0.5}})
 	if err != nil {
 		return err
@@ -268,7 +270,7 @@
 		"family-info": map[string]any{"late": "halving", "own-limits": []bool{false, false}, "per-call": []int{1, 4}, "workers": 16,
 			"zone-fee": []int{0}},
 		"fleet-size": fleet, "index": index, "load-report": map[string]any{"columns": []string{}, "how": "off"}, "registry-mode": "automatic",
-		"rules": map[string]any{"cold": 2, "cold-from": 0.5, "drain-grace": 0.5, "fall": 1, "grace-to-answer": 0.05, "order-settle": 0.1,
+		"rules": map[string]any{"cold": 2, "cold-from": 0.5, "drain-grace": emulator.DrainGrace.Seconds(), "fall": 1, "grace-to-answer": 0.05, "order-settle": 0.1,
 			"overload-factor": 3},
 		"skus": []string{"small", "large"}, "tick": 0.005, "weights": "off", "zones": []string{"z"}}
 }
