A connection is closed by its poller alone: an old event ended another one

Found by reading (same class: a descriptor booked as free while events for it were still in hand). The poller fetches events for many descriptors at once and looks up the connection by number when their turn comes. One that another goroutine had closed meanwhile, its number given to a new connection, had that one ended: a request that was read there was closed unanswered, a call became 'may have run'.

Close now shuts the descriptor down, and the poller, which sees that at once, closes it; a second later it is closed in any case. TestEventsOfAClosedConnectionStrikeNoOther forces the order of events and failed before ('an event of the connection that was closed ended this one').

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -48,6 +48,8 @@
 	// mostDropped bytes are read of a peer after Finish: what was on its way by then,
 	// and not all of a body without end.
 	mostDropped = 1 << 20
+	// closeTime is long for a poller that has been told to close a connection.
+	closeTime = time.Second
 )
 
 // adopt hands a socket to a poller.
@@ -73,7 +75,9 @@
 	case lost:
 		go c.handler.Closed()
 	case !open: // closed meanwhile
-		_ = nb.Close()
+		c.mu.Lock()
+		c.dismiss()
+		c.mu.Unlock()
 	}
 	return nil
 }
@@ -112,6 +116,10 @@
 	buf := c.engine.buffers.Get().(*[]byte)
 	defer c.engine.buffers.Put(buf)
 	for {
+		if c.IsClosed() {
+			_ = nb.Close()
+			return
+		}
 		n, err := nb.Read(*buf)
 		switch {
 		case n > 0:
@@ -159,7 +167,7 @@
 		return 0, net.ErrClosed
 	}
 	if most := c.engine.opt.WriteBuffer; most > 0 && len(c.pending)+len(b) > most {
-		c.abort(ErrFull)
+		c.abort()
 		return 0, ErrFull
 	}
 	if c.by = by; len(c.pending) > 0 {
@@ -168,7 +176,7 @@
 	}
 	n, err = c.send(b)
 	if err != nil {
-		c.abort(err)
+		c.abort()
 		return n, err
 	}
 	if n < len(b) {
@@ -226,7 +234,7 @@
 	}
 	n, err := c.send(c.pending)
 	if err != nil {
-		c.abort(err)
+		c.abort()
 		return
 	}
 	if n > 0 {
@@ -243,22 +251,42 @@
 	}
 }
 
-// abort closes the connection because of an error; under mu.
-func (c *Conn) abort(err error) {
+// abort ends the connection with what waits to be written; under mu.
+func (c *Conn) abort() {
 	c.end()
-	_ = c.nb.CloseWithError(err)
+	c.dismiss()
+}
+
+// dismiss has the poller close the descriptor; under mu, of a connection that has ended. Were
+// it closed here, another connection could have its number before the poller comes to an
+// event that it has fetched for this one, and would be struck by that.
+func (c *Conn) dismiss() {
+	if !c.adopted {
+		return // adopt does so
+	}
+	nb := c.nb
+	if err := c.shutdown(syscall.SHUT_RDWR); err != nil && err != syscall.ENOTCONN {
+		_ = nb.Close()
+		return
+	}
+	c.closedBy = time.AfterFunc(closeTime, func() { _ = nb.Close() })
 }
 
 // shut ends the sending side; under mu, with nothing left to be written.
 func (c *Conn) shut() {
+	if err := c.shutdown(syscall.SHUT_WR); err != nil {
+		c.abort()
+	}
+}
+
+// shutdown is shutdown(2) while the descriptor is the connection's; under mu.
+func (c *Conn) shutdown(how int) error {
 	c.engine.life.RLock()
 	defer c.engine.life.RUnlock()
 	if c.engine.stopped {
-		return
-	}
-	if err := syscall.Shutdown(c.nb.Hash(), syscall.SHUT_WR); err != nil {
-		c.abort(err)
+		return nil
 	}
+	return syscall.Shutdown(c.nb.Hash(), how)
 }
 
 // CloseWrite ends the sending side behind all that was written, and leaves the reading
@@ -302,13 +330,11 @@
 // Close ends the connection at once, with what waits to be written.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	nb, adopted := c.nb, c.adopted
-	c.end()
-	c.mu.Unlock()
-	if !adopted {
-		return nil // adopt closes it
+	defer c.mu.Unlock()
+	if c.open {
+		c.abort()
 	}
-	return nb.Close()
+	return nil
 }
 
 // Held is how long the poller had refused the connection: what its peer sent meanwhile was
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"syscall"
@@ -198,3 +199,112 @@
 		t.Errorf("the other connection's peer reads %q, %v", b, err)
 	}
 }
+
+// gate is a handler that holds the poller up at its first data.
+type gate struct {
+	recorder
+	entered chan struct{}
+	release chan struct{}
+	once    sync.Once
+}
+
+func (g *gate) Data(b []byte) {
+	g.recorder.Data(b)
+	g.once.Do(func() {
+		close(g.entered)
+		<-g.release
+	})
+}
+
+// Guards against a connection that ends over a request because an earlier one had its
+// descriptor's number: events that the poller had fetched for that one struck it.
+func TestEventsOfAClosedConnectionStrikeNoOther(t *testing.T) {
+	for range 10 { // the numbers do not always fall alike
+		eventsOfAClosedConnection(t)
+	}
+}
+
+func eventsOfAClosedConnection(t *testing.T) {
+	t.Helper()
+	e, err := Start(Options{Name: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	null := func() *os.File {
+		t.Helper()
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = f.Close() })
+		return f
+	}
+	lower := null() // its number is for the duplicate that is made of a socket
+	dial := func() (raw, peer net.Conn) {
+		t.Helper()
+		peer, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = peer.Close() })
+		if raw, err = l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		return raw, peer
+	}
+	adopt := func(raw net.Conn, h Handler) *Conn {
+		t.Helper()
+		c, err := e.Adopt(raw, func(*Conn) Handler { return h })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	connect := func(h Handler) (*Conn, net.Conn) {
+		t.Helper()
+		raw, peer := dial()
+		return adopt(raw, h), peer
+	}
+	newGate := func() *gate {
+		return &gate{recorder: recorder{closed: make(chan struct{})}, entered: make(chan struct{}), release: make(chan struct{})}
+	}
+	say := func(c net.Conn) {
+		t.Helper()
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, second := newGate(), newGate()
+	_, firstPeer := connect(first)
+	_, secondPeer := connect(second)
+	old := &recorder{closed: make(chan struct{})}
+	closed, oldPeer := connect(old)
+	raw, nextPeer := dial()
+	say(firstPeer) // while the poller is held here, two events come that it fetches together
+	<-first.entered
+	say(secondPeer)
+	_ = oldPeer.Close()
+	close(first.release)
+	<-second.entered // and here the second of them waits for its turn
+	for null().Fd() < uintptr(closed.Descriptor()) { // no other number below is free
+	}
+	_ = lower.Close()
+	_ = closed.Close()
+	next := newGate()
+	close(next.release)
+	adopt(raw, next)
+	close(second.release)
+	<-old.closed
+	say(nextPeer)
+	select {
+	case <-next.entered:
+	case <-next.closed:
+		t.Error("an event of the connection that was closed ended this one")
+	}
+}
