--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -44,7 +44,8 @@
 	Host   string
 	Status int       // what the host answered; 0 for nothing
 	Ran    bool      // it took effect
-	Told   time.Time // when the answer had been written, zero for never
+	Begun  time.Time // when the answer was begun, zero for never
+	Told   time.Time // when it had been written, zero for never
 	Over   time.Time // when it was answered or its connection had ended
 	Wait   time.Duration
 }
@@ -185,7 +186,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if x := r.courses[id]; x != nil && number >= 0 {
-		x.Calls[number].Status, x.Calls[number].Wait = status, wait
+		x.Calls[number].Status, x.Calls[number].Wait, x.Calls[number].Begun = status, wait, time.Now()
 	}
 }
 
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -200,9 +200,10 @@
 		}
 		if !a.is(&a.silent) {
 			last = list.Rev
+			at := time.Now() // the relay may act on it before the write returns
 			_, err := w.Write(line)
 			if errors.Join(err, http.NewResponseController(w).Flush()) == nil {
-				a.told(r.Context(), list.Targets)
+				a.told(r.Context(), at, list.Targets)
 			}
 		}
 		timer := time.NewTimer(alive / 8)
@@ -221,8 +222,7 @@
 
 // told notes that a list was written to the relay: hosts that want work at once, those that
 // want none once it is sure that the relay knows.
-func (a *Agent) told(watch context.Context, targets []Target) {
-	at := time.Now()
+func (a *Agent) told(watch context.Context, at time.Time, targets []Target) {
 	a.platform.Record.Listed(a.node, at, targets, true)
 	time.AfterFunc(stands, func() {
 		if watch.Err() == nil {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -291,7 +291,7 @@
 	say(secondPeer)
 	_ = oldPeer.Close()
 	close(first.release)
-	<-second.entered // and here the second of them waits for its turn
+	<-second.entered                                 // and here the second of them waits for its turn
 	for null().Fd() < uintptr(closed.Descriptor()) { // no other number below is free
 	}
 	_ = lower.Close()
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -5,12 +5,16 @@
 package shim
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"os/exec"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -108,6 +112,25 @@
 	return all
 }
 
+// CPU is the processor time that the process has used, 0 once it has ended.
+func (p *Process) CPU() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
+	if err != nil {
+		return 0
+	}
+	// Behind the name, which stands in parentheses: state and ten numbers, then user and system time.
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * clockTick
+}
+
+// clockTick is the unit of times in /proc on Linux.
+const clockTick = 10 * time.Millisecond
+
 // Signal sends a signal; one to a process that has ended does nothing.
 func (p *Process) Signal(sig syscall.Signal) {
 	select {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -188,6 +188,7 @@
 			time.Sleep(earliestKill)
 		}
 	}
+	n.used(p, life)
 	n.run.platform.Record.Note(func() { life.Killed = time.Now() })
 	p.Signal(syscall.SIGKILL)
 	<-p.Done()
@@ -223,6 +224,28 @@
 	return err
 }
 
+const (
+	// spinning is the share of a core above which a process has spun: it carries a hundred
+	// messages a second.
+	spinning = 0.6
+	// judged is how long a process must have lived for that.
+	judged = 2 * time.Second
+)
+
+// used looks at the processor time of a process.
+func (n *node) used(p *shim.Process, life *emulator.Life) {
+	lived := time.Since(life.Started)
+	share := p.CPU().Seconds() / lived.Seconds()
+	n.run.mu.Lock()
+	n.run.busiest = max(n.run.busiest, share)
+	n.run.mu.Unlock()
+	if lived > judged && share > spinning {
+		n.mu.Lock()
+		n.bad = append(n.bad, fmt.Sprintf("node %d used %.0f%% of a core over %s", n.number, 100*share, lived.Round(time.Millisecond)))
+		n.mu.Unlock()
+	}
+}
+
 // ended books what a process left.
 func (n *node) ended(p *shim.Process, life *emulator.Life, told bool) {
 	n.run.platform.Record.Note(func() { life.Ended = time.Now() })
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -51,7 +52,8 @@
 	Violations []string            `json:"violations,omitempty"` // that processes told, and their unasked ends
 	Requests   int                 `json:"requests"`
 	Replies    map[string]int      `json:"replies"`
-	Lag        time.Duration       `json:"lag_ns"` // how late the emulator's own timers were at most
+	Lag        time.Duration       `json:"lag_ns"`  // how late the emulator's own timers were at most
+	Busiest    float64             `json:"busiest"` // largest share of a core that a process used over its life
 	Faults     []Fault             `json:"-"`
 }
 
@@ -71,11 +73,12 @@
 	platform *emulator.Platform
 	nodes    []*node
 
-	mu     sync.Mutex
-	hits   map[Kind]int
-	active map[Kind]map[int]int // how many faults of a kind lie over a place
-	errs   []string
-	lag    time.Duration
+	mu      sync.Mutex
+	hits    map[Kind]int
+	active  map[Kind]map[int]int // how many faults of a kind lie over a place
+	errs    []string
+	lag     time.Duration
+	busiest float64 // share of a core that a process used
 }
 
 // kindsOfHosts alternate between one message a call and several.
@@ -153,14 +156,20 @@
 	return errors.Join(errs...)
 }
 
+// Ports of nodes lie below those that the system gives to connections: a node that is down
+// for a moment must find its own free again.
+const firstPort, lastPort = 12_000, 32_000
+
 // freeAddr is an address that is free now.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("soak: no port is free")
 }
 
 // lagEvery is how often the emulator's own lateness is measured.
@@ -407,6 +416,7 @@
 		select {
 		case <-p.Done(): // by itself
 		default:
+			n.used(p, life)
 			p.Signal(9)
 			<-p.Done()
 		}
@@ -419,6 +429,7 @@
 		}
 	}
 	res.Findings = r.platform.Record.Audit(r.lag, now)
+	res.Busiest = r.busiest
 	res.Requests, res.Replies = r.platform.Record.Replies()
 	return res
 }
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -40,8 +40,8 @@
 			return nil, fmt.Errorf("soak: seed %d: %w", opt.Seed, err)
 		}
 		rep.add(res)
-		fmt.Fprintf(w, "seed %d: %d requests, %v, %d invariants broken, timers %s late\n", res.Seed, res.Requests, res.Replies, res.Broken(),
-			res.Lag.Round(time.Millisecond))
+		fmt.Fprintf(w, "seed %d: %d requests, %v, %d invariants broken, timers %s late, a node used %.0f%% of a core at most\n", res.Seed, res.Requests,
+			res.Replies, res.Broken(), res.Lag.Round(time.Millisecond), 100*res.Busiest)
 		if res.Broken() > 0 {
 			res.print(w)
 			faults := shrink(ctx, opt, res.Faults, shrinks)
