--- a/cmd/basaltcross/soak.go
+++ b/cmd/basaltcross/soak.go
@@ -20,9 +20,12 @@
 	var faults, kinds, plant, out string
 	c := &cobra.Command{Use: "soak", Short: "Run nodes under overlapping faults and hold them against the rules", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) (err error) {
-			if opt.Program, err = os.Executable(); err != nil {
+			if opt.Shim, err = os.Executable(); err != nil {
 				return err
 			}
+			if opt.Program == "" {
+				opt.Program = opt.Shim
+			}
 			if faults != "" {
 				if opt.Faults, err = soak.ParseFaults(faults); err != nil {
 					return err
@@ -60,6 +63,7 @@
 	f.IntVar(&opt.Hosts, "hosts", 6, "hosts, each a destination of its own")
 	f.IntVar(&opt.Clients, "clients", 4, "clients of each node")
 	f.DurationVar(&opt.Duration, "duration", 20*time.Second, "length of a seed's load")
+	f.StringVar(&opt.Program, "program", "", "the build whose nodes are played; this one if empty")
 	f.StringVar(&faults, "faults", "", "play exactly these faults, as a failing seed prints them")
 	f.StringVar(&kinds, "kinds", "", "draw only these kinds of faults, separated by commas")
 	f.StringVar(&plant, "plant", "", "put a violation there that the audit must find: "+fmt.Sprint(soak.Plants))
--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -66,6 +66,7 @@
 	a.orders()
 	a.waits()
 	a.drained()
+	a.untried()
 	a.strangers()
 	return a.findings
 }
@@ -267,6 +268,46 @@
 	}
 }
 
+// fewUntried messages tell nothing of a restart.
+const fewUntried = 10
+
+// untried: of what a restart finds taken on, with no call and half of its time left, not over
+// half is given up with no call.
+func (a *audit) untried() {
+	f := a.of("a restart tries what it finds untried")
+	for _, l := range a.record.lives {
+		next := a.next(l)
+		if l.Ended.IsZero() || next == nil {
+			continue
+		}
+		found, given := 0, 0
+		for _, c := range a.record.courses {
+			if c.Node != l.Node || !c.taken() || c.Reply.At.After(l.Ended) || c.Sent.Before(l.Started) ||
+				c.Due.Sub(next.Ready) < c.Due.Sub(c.Sent)/2 || c.over(l.Ended) {
+				continue
+			}
+			if found++; len(c.Calls) == 0 && len(c.Notices) > 0 {
+				given++
+			}
+		}
+		if found >= fewUntried {
+			f.check(2*given <= found, func() string {
+				return fmt.Sprintf("node %d, restart at %s: %d of %d given up with no call", l.Node, next.Ready.Sub(a.record.began), given, found)
+			})
+		}
+	}
+}
+
+// next is the process that followed one, nil if none was ready.
+func (a *audit) next(l *Life) *Life {
+	for _, n := range a.record.lives {
+		if n.Node == l.Node && n.Started.After(l.Started) && !n.Ready.IsZero() {
+			return n
+		}
+	}
+	return nil
+}
+
 func (a *audit) strangers() {
 	f := a.of("nothing is sent that nobody handed in")
 	f.check(len(a.record.strange) == 0, func() string { return strings.Join(a.record.strange, ", ") })
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -248,6 +248,11 @@
 	return n
 }
 
+// over tells whether a message had been called, or had ended, by a moment.
+func (c *Course) over(by time.Time) bool {
+	return len(c.Calls) > 0 && c.Calls[0].At.Before(by) || len(c.Notices) > 0 && c.Notices[0].At.Before(by)
+}
+
 // taken tells whether a client heard that the message was taken on.
 func (c *Course) taken() bool {
 	return c.Reply.Complete && (c.Reply.Status == 202 || c.Reply.Status == 200)
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -192,7 +192,7 @@
 	started <- nil
 	t := &tracer{p: p, r: rand.New(rand.NewPCG(p.opt.Seed, 0x5)), known: map[int]bool{p.Pid: true}, torn: map[int]bool{}}
 	p.exit = t.loop()
-	_ = cmd.Process.Release()
+	_ = cmd.Wait() // for what it wrote; it has been waited for
 	close(p.done)
 }
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -123,7 +123,7 @@
 		// It stays open until the last byte of the process was copied, and then for the collector.
 		log = io.MultiWriter(n.log, file)
 	}
-	p, err := shim.Start(shim.Options{Path: n.run.opt.Program, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
+	p, err := shim.Start(shim.Options{Path: n.run.opt.Shim, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
 		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE="+n.run.opt.Trace),
 		Stderr: log, Seed: seed})
 	if err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -18,7 +18,8 @@
 
 // Options of a run.
 type Options struct {
-	Program  string // the relay's
+	Shim     string // this program, which becomes the relay under the shim
+	Program  string // the relay's; another build may be tried
 	Seed     uint64
 	Nodes    int
 	Hosts    int
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -91,17 +91,23 @@
 }
 
 const (
+	// few kinds of moments are drawn for every other seed.
+	few     = 5
 	restart = 6 * time.Second // a planned one takes no longer
 	// wallStep is how far the wall clock is set.
 	wallStep = time.Hour
 )
 
 // Draw makes the faults of a run: two to four signals for each node, and moments of all
-// kinds that lie over them.
+// kinds that lie over them; of every other seed, of a few kinds.
 func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
 	r := rand.New(rand.NewPCG(seed, 0xfa))
 	var all []Fault
 	restarts, moments := split(kinds)
+	if seed%2 == 0 && len(moments) > few { // a few kinds, which meet each other often
+		r.Shuffle(len(moments), func(i, j int) { moments[i], moments[j] = moments[j], moments[i] })
+		moments = moments[:few]
+	}
 	for node := range nodes {
 		for at := between(r, time.Second, restart); len(restarts) > 0 && at < length-restart/2; at += between(r, restart, 2*restart) {
 			all = append(all, Fault{restarts[r.IntN(len(restarts))], node, at, 0})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,7 @@
 	for _, plant := range Plants {
 		t.Run(string(plant), func(t *testing.T) {
 			t.Parallel()
-			res, err := Run(t.Context(), Options{Program: program, Seed: 3, Nodes: 1, Hosts: 3, Clients: 12, Duration: 8 * time.Second,
+			res, err := Run(t.Context(), Options{Shim: program, Program: program, Seed: 3, Nodes: 1, Hosts: 3, Clients: 12, Duration: 8 * time.Second,
 				Kinds: []Kind{HostFull, Kill}, Plant: plant})
 			if err != nil {
 				t.Fatal(err)
