--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -38,6 +38,7 @@
 type Platform struct {
 	Record *Record
 	Hosts  []*Host
+	IP     string // on which all of it listens, apart from other platforms on this machine
 	seed   uint64
 
 	mu      sync.Mutex
@@ -49,7 +50,8 @@
 
 // New starts a platform with a host for each kind; destinations count from 0.
 func New(seed uint64, kinds ...string) (*Platform, error) {
-	p := &Platform{seed: seed, Record: NewRecord(), changed: make(chan struct{}), list: List{Rev: 1, All: true}}
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	p := &Platform{IP: ip, seed: seed, Record: NewRecord(), changed: make(chan struct{}), list: List{Rev: 1, All: true}}
 	for i, kind := range kinds {
 		h := &Host{platform: p, UID: fmt.Sprint("s-", i), r: rand.New(rand.NewPCG(seed, uint64(i))),
 			Network: &Network{r: rand.New(rand.NewPCG(seed, uint64(i+1000)))}}
@@ -64,7 +66,7 @@
 }
 
 func (p *Platform) serve(h http.Handler, network *Network) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", p.IP+":0")
 	if err != nil {
 		return nil, fmt.Errorf("emulator: %w", err)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -142,7 +142,7 @@
 		if err != nil {
 			return err
 		}
-		addr, err := freeAddr()
+		addr, err := freeAddr(r.platform.IP)
 		if err != nil {
 			return err
 		}
@@ -162,9 +162,9 @@
 const firstPort, lastPort = 12_000, 32_000
 
 // freeAddr is an address that is free now.
-func freeAddr() (string, error) {
+func freeAddr(ip string) (string, error) {
 	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(lastPort-firstPort)))
 		if err == nil {
 			defer l.Close()
 			return l.Addr().String(), nil
