The test client's Cut waits for its session: TestQoS2Resumed raced with the client library

Trace by reading: the error is paho's session state's. Cut closed the socket and said at once that the connection was lost, while paho tells the session of the loss later, in a goroutine of its own; with one session for both, that could come after the next client's CONNACK and take its connection away. Cut now waits until paho has ended. The check is the same.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -149,11 +149,13 @@
 func (c *Client) Close() {
 	_ = c.paho.Disconnect(&paho.Disconnect{})
 	_ = c.conn.Close()
+	<-c.paho.Done() // it still tells its session that the connection is lost: a next client's must come later
 	c.gone()
 }
 
 // Cut closes the connection without a word.
 func (c *Client) Cut() {
 	_ = c.conn.Close()
+	<-c.paho.Done() // it still tells its session that the connection is lost: a next client's must come later
 	c.gone()
 }
