--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -149,7 +149,6 @@
 func (c *Client) Close() {
 	_ = c.paho.Disconnect(&paho.Disconnect{})
 	_ = c.conn.Close()
-	<-c.paho.Done() // it still tells its session that the connection is lost: a next client's must come later
 	c.gone()
 }
 
