--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -48,8 +48,6 @@
 	// mostDropped bytes are read of a peer after Finish: what was on its way by then,
 	// and not all of a body without end.
 	mostDropped = 1 << 20
-	// closeTime is long for a poller that has been told to close a connection.
-	closeTime = time.Second
 )
 
 // adopt hands a socket to a poller.
@@ -257,19 +255,11 @@
 	c.dismiss()
 }
 
-// dismiss has the poller close the descriptor; under mu, of a connection that has ended. Were
-// it closed here, another connection could have its number before the poller comes to an
-// event that it has fetched for this one, and would be struck by that.
+// dismiss closes the descriptor; under mu, of a connection that has ended.
 func (c *Conn) dismiss() {
-	if !c.adopted {
-		return // adopt does so
+	if c.adopted { // else adopt does so
+		_ = c.nb.Close()
 	}
-	nb := c.nb
-	if err := c.shutdown(syscall.SHUT_RDWR); err != nil && err != syscall.ENOTCONN {
-		_ = nb.Close()
-		return
-	}
-	c.closedBy = time.AfterFunc(closeTime, func() { _ = nb.Close() })
 }
 
 // shut ends the sending side; under mu, with nothing left to be written.
