--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -339,13 +339,20 @@
 			t.Fatal("the new agent's news never came")
 		}
 	}
+	noticed := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.notices) > 0
+	}
+	for end := time.Now().Add(20 * time.Second); !noticed(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no notice came to the new address")
+		}
+	}
 	cancel()
 	all.Wait()
 	s.say(0, func(string) (int, bool) { return 200, true })
 	s.settled()
-	if len(s.notices) == 0 {
-		t.Error("no notice came to the new address")
-	}
 }
 
 // A new uid at an old address is another host: what the old one told binds it no
