Read over: one pause, the agent's own types, one reload at a time, a swallowed error

Need: the change read once more. The emulator had agent's Target and List and a pause of its own, and soak a second one; a SIGHUP started a goroutine each, without a bound while the file could not be read; the last error of hosts.json was dropped at the end, with its timer left; readable looked twice whether its connection was closed.

Now: agent.Target, agent.List and pause.For; the node's loop reads again itself, one signal waits; hosts.close tells its error and stops its timer.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 // clientWaits is how long a client waits for its answer (PROTOCOL).
@@ -43,7 +45,7 @@
 	c.r = rand.New(rand.NewPCG(c.Seed, 0xc))
 	for ctx.Err() == nil {
 		c.hand(ctx)
-		pauseFor(ctx, time.Duration(c.r.Int64N(int64(c.Pause)+1)))
+		pause.For(ctx, time.Duration(c.r.Int64N(int64(c.Pause)+1)))
 	}
 	c.drop()
 }
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"basaltcross.example/basaltcross/internal/agent"
 )
 
 // Effect is what a second effect of a message does, as the settings name it.
@@ -119,7 +121,7 @@
 }
 
 // Listed notes which hosts want new work, or want none, by a list that was written to a relay.
-func (r *Record) Listed(node int, at time.Time, targets []Target, wants bool) {
+func (r *Record) Listed(node int, at time.Time, targets []agent.Target, wants bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range targets {
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -13,26 +13,10 @@
 	"strconv"
 	"sync"
 	"time"
-)
-
-// Target is a host as discovery lists it.
-type Target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Kind     string  `json:"model"`
-	Dest     int     `json:"pod_group"`
-	State    string  `json:"state"`
-	Rate     float64 `json:"capacity_hint"`
-	BootMs   int64   `json:"boot_ms"`
-}
 
-// List is a list of hosts.
-type List struct {
-	Rev     int64    `json:"rev"`
-	All     bool     `json:"all"`
-	Targets []Target `json:"targets"`
-}
+	"basaltcross.example/basaltcross/internal/agent"
+	"basaltcross.example/basaltcross/internal/pause"
+)
 
 // Platform is agents, hosts and the record of what passes.
 type Platform struct {
@@ -42,7 +26,7 @@
 	seed   uint64
 
 	mu      sync.Mutex
-	list    List
+	list    agent.List
 	changed chan struct{}
 	agents  []*Agent
 	servers []*server
@@ -51,7 +35,7 @@
 // New starts a platform with a host for each kind; destinations count from 0.
 func New(seed uint64, kinds ...string) (*Platform, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	p := &Platform{IP: ip, seed: seed, Record: NewRecord(), changed: make(chan struct{}), list: List{Rev: 1, All: true}}
+	p := &Platform{IP: ip, seed: seed, Record: NewRecord(), changed: make(chan struct{}), list: agent.List{Rev: 1, All: true}}
 	for i, kind := range kinds {
 		h := &Host{platform: p, UID: fmt.Sprint("s-", i), r: rand.New(rand.NewPCG(seed, uint64(i))),
 			Network: &Network{r: rand.New(rand.NewPCG(seed, uint64(i+1000)))}}
@@ -60,7 +44,7 @@
 			return nil, err
 		}
 		p.Hosts = append(p.Hosts, h)
-		p.list.Targets = append(p.list.Targets, Target{UID: h.UID, Endpoint: s.addr(), Zone: "z", Kind: kind, Dest: i, State: "up", Rate: 1})
+		p.list.Targets = append(p.list.Targets, agent.Target{UID: h.UID, Endpoint: s.addr(), Zone: "z", Kind: kind, Dest: i, State: "up", Rate: 1})
 	}
 	return p, nil
 }
@@ -96,19 +80,19 @@
 }
 
 // List is the list as it stands.
-func (p *Platform) List() List {
+func (p *Platform) List() agent.List {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.list
-	l.Targets = append([]Target(nil), l.Targets...)
+	l.Targets = append([]agent.Target(nil), l.Targets...)
 	return l
 }
 
 // Change changes the list, and tells all agents.
-func (p *Platform) Change(f func(l *List)) {
+func (p *Platform) Change(f func(l *agent.List)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list.Targets = append([]Target(nil), p.list.Targets...)
+	p.list.Targets = append([]agent.Target(nil), p.list.Targets...)
 	f(&p.list)
 	p.list.Rev++
 	close(p.changed)
@@ -224,7 +208,7 @@
 
 // told notes that a list was written to the relay: hosts that want work at once, those that
 // want none once it is sure that the relay knows.
-func (a *Agent) told(watch context.Context, at time.Time, targets []Target) {
+func (a *Agent) told(watch context.Context, at time.Time, targets []agent.Target) {
 	a.platform.Record.Listed(a.node, at, targets, true)
 	time.AfterFunc(stands, func() {
 		if watch.Err() == nil {
@@ -365,7 +349,7 @@
 		}
 	}()
 	first := items[0].fate
-	if !pauseFor(r.Context(), first.pause) && !first.ran {
+	if !pause.For(r.Context(), first.pause) && !first.ran {
 		return // called off before it ran
 	}
 	for _, x := range items {
@@ -460,15 +444,3 @@
 		_ = conn.Close()
 	}
 }
-
-// pauseFor waits; false if ctx ended first.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -114,10 +114,6 @@
 	buf := c.engine.buffers.Get().(*[]byte)
 	defer c.engine.buffers.Put(buf)
 	for {
-		if c.IsClosed() {
-			_ = nb.Close()
-			return
-		}
 		n, err := nb.Read(*buf)
 		switch {
 		case n > 0:
--- a/internal/platform/hosts.go
+++ b/internal/platform/hosts.go
@@ -71,8 +71,13 @@
 func (h *hosts) close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_ = h.write()
+	if err := h.write(); err != nil {
+		h.failed(err)
+	}
 	h.closed = true
+	if h.retry != nil {
+		h.retry.Stop()
+	}
 }
 
 // errLong says that a list is over the bound of what is kept.
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -74,7 +74,6 @@
 	guard  *lifecycle.Guard
 
 	ready  atomic.Bool
-	reload sync.Mutex
 	ctx    context.Context
 	stop   context.CancelFunc
 	done   sync.WaitGroup
@@ -314,8 +313,6 @@
 // on, all else from the next start. A broken file changes nothing.
 // One that cannot be read for a moment is waited for.
 func (n *Node) ReadAgain(getenv func(string) string) {
-	n.reload.Lock() // the later of two reads counts
-	defer n.reload.Unlock()
 	cfg, err := whenPossible(n.ctx, n.log, func() (*Config, error) { return Load(getenv) })
 	if err != nil {
 		n.log.Error().Err(err).Msg("the configuration in force stays")
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"basaltcross.example/basaltcross/internal/pause"
 )
 
 const (
@@ -40,7 +42,7 @@
 	for {
 		select {
 		case <-reload:
-			go n.ReadAgain(getenv)
+			n.ReadAgain(getenv)
 		case <-drained:
 			log.Info().Msg("stopped")
 			return nil
@@ -75,12 +77,8 @@
 			said = text
 			log.Warn().Str("cause", "start").Err(err).Msg("the start waits until this is possible")
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, wait) {
 			return done, errors.Join(err, ctx.Err())
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,7 +13,9 @@
 	"sync"
 	"time"
 
+	"basaltcross.example/basaltcross/internal/agent"
 	"basaltcross.example/basaltcross/internal/emulator"
+	"basaltcross.example/basaltcross/internal/pause"
 	"basaltcross.example/basaltcross/internal/shim"
 )
 
@@ -206,27 +208,15 @@
 	began := time.Now()
 	var all sync.WaitGroup
 	for _, f := range r.opt.Faults {
-		if !wait(ctx, time.Until(began.Add(f.At))) {
+		if !pause.For(ctx, time.Until(began.Add(f.At))) {
 			break
 		}
 		all.Go(func() { r.fault(ctx, f) })
 	}
-	wait(ctx, time.Until(began.Add(r.opt.Duration)))
+	pause.For(ctx, time.Until(began.Add(r.opt.Duration)))
 	all.Wait()
 }
 
-// wait is false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (r *run) hit(k Kind) {
 	r.mu.Lock()
 	r.hits[k]++
@@ -258,7 +248,7 @@
 	if r.cover(f, 1) == 1 {
 		r.set(f.Kind, f.Where, true)
 	}
-	wait(ctx, f.For)
+	pause.For(ctx, f.For)
 	if r.cover(f, -1) == 0 {
 		r.set(f.Kind, f.Where, false)
 	}
@@ -290,7 +280,7 @@
 		return
 	}
 	if k == HostDrains {
-		r.platform.Change(func(l *emulator.List) { l.Targets[where].State = map[bool]string{true: "draining", false: "up"}[on] })
+		r.platform.Change(func(l *agent.List) { l.Targets[where].State = map[bool]string{true: "draining", false: "up"}[on] })
 		return
 	}
 	switch k {
@@ -379,11 +369,11 @@
 	}
 	r.mu.Unlock()
 	for end := time.Now().Add(lifetime + 3*time.Second); r.platform.Record.Open() > 0 && time.Now().Before(end); {
-		if !wait(ctx, 20*time.Millisecond) {
+		if !pause.For(ctx, 20*time.Millisecond) {
 			return
 		}
 	}
-	wait(ctx, 200*time.Millisecond) // for what is still on its way
+	pause.For(ctx, 200*time.Millisecond) // for what is still on its way
 }
 
 // plant puts a violation there.
