--- a/internal/badday/audit.go
+++ b/internal/badday/audit.go
@@ -111,6 +111,21 @@
 	return r
 }
 
+// dueOf is until when the answer to a hand-in is owed. Where the one before it was lost on
+// the way, the relay may have that, and the later one has joined it: with its time, which
+// the client rounds down to whole seconds when it asks again.
+func dueOf(h *handIn, hands []*handIn) time.Time {
+	due := h.at.Add(h.left)
+	for _, before := range hands {
+		if before.unknown && before.id == h.id && before.relay == h.relay && before.at.Before(h.at) {
+			if joined := before.at.Add(before.left); joined.After(due) {
+				due = joined
+			}
+		}
+	}
+	return due
+}
+
 // auditAnswers: exactly one final answer in time for each message taken by a
 // relay that ran on, and nothing goes out after it.
 func (d *day) auditAnswers(hands []*handIn, byID map[string][]*call, r *Report) *Rule {
@@ -139,7 +154,7 @@
 				x.fail("%s: %s, then %s", name, first.Answer, a.Answer)
 			}
 		}
-		due := h.at.Add(h.left)
+		due := dueOf(h, hands)
 		for _, s := range d.relays[h.relay].stalls {
 			if h.at.After(s[0].Add(-answerSlack)) && h.at.Before(s[1]) { // it lay in the kernel: taken only then
 				due = s[1].Add(h.left)
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -155,6 +155,9 @@
 // Cut closes the connection without a word.
 func (c *Client) Cut() {
 	_ = c.conn.Close()
-	<-c.paho.Done() // it still tells its session that the connection is lost: a next client's must come later
 	c.gone()
 }
+
+// Done is closed when nothing of the client runs any more. A session that a next client
+// shares is free only then.
+func (c *Client) Done() <-chan struct{} { return c.paho.Done() }
