--- a/cmd/basaltcross/soak.go
+++ b/cmd/basaltcross/soak.go
@@ -64,7 +64,7 @@
 	f.IntVar(&opt.Clients, "clients", 4, "clients of each node")
 	f.DurationVar(&opt.Duration, "duration", 20*time.Second, "length of a seed's load")
 	f.StringVar(&opt.Program, "program", "", "the build whose nodes are played; this one if empty")
-	f.StringVar(&faults, "faults", "", "play exactly these faults, as a failing seed prints them")
+	f.StringVar(&faults, "faults", "", "play exactly these faults, as a failing seed prints them; none for none")
 	f.StringVar(&kinds, "kinds", "", "draw only these kinds of faults, separated by commas")
 	f.StringVar(&plant, "plant", "", "put a violation there that the audit must find: "+fmt.Sprint(soak.Plants))
 	f.StringArrayVar(&opt.Known, "known", nil, "an invariant that is known to be broken: printed and passed over")
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -285,6 +285,31 @@
 	return len(r.courses), by
 }
 
+// Service counts what became of the messages that clients handed in.
+type Service struct {
+	Taken     int `json:"taken"`
+	Delivered int `json:"delivered"` // of those taken
+	Untried   int `json:"untried"`   // of those taken, ended by a notice with no call
+}
+
+// Service counts until now.
+func (r *Record) Service() (s Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.courses {
+		if !c.taken() {
+			continue
+		}
+		s.Taken++
+		if c.delivered() {
+			s.Delivered++
+		} else if len(c.Calls) == 0 && len(c.Notices) > 0 {
+			s.Untried++
+		}
+	}
+	return s
+}
+
 // Plant puts one violation into the record, of the kind named, as a broken relay would
 // have left it. It reports whether there was a request to do it with.
 func (r *Record) Plant(what string) bool {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -57,6 +57,7 @@
 	Violations []string            `json:"violations,omitempty"` // that processes told, and their unasked ends
 	Requests   int                 `json:"requests"`
 	Replies    map[string]int      `json:"replies"`
+	Service    emulator.Service    `json:"service"`
 	Lag        time.Duration       `json:"lag_ns"`          // how late the emulator's own timers were at most
 	Busiest    float64             `json:"busiest"`         // largest share of a core that a process used over its life
 	Known      []string            `json:"known,omitempty"` // of the broken invariants, those passed over
@@ -425,5 +426,6 @@
 	res.Findings = r.platform.Record.Audit(r.lag, now)
 	res.Busiest = r.busiest
 	res.Requests, res.Replies = r.platform.Record.Replies()
+	res.Service = r.platform.Record.Service()
 	return res
 }
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -60,8 +60,14 @@
 
 func (f Fault) String() string { return fmt.Sprintf("%s@%d+%s~%s", f.Kind, f.Where, f.At, f.For) }
 
-// ParseFaults reads what Fault.String wrote, separated by commas.
+// NoFaults stands for a run without any.
+const NoFaults = "none"
+
+// ParseFaults reads what Fault.String wrote, separated by commas, or NoFaults.
 func ParseFaults(text string) ([]Fault, error) {
+	if text == NoFaults {
+		return []Fault{}, nil
+	}
 	var all []Fault
 	for part := range strings.SplitSeq(text, ",") {
 		f, err := parseFault(part)
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -40,8 +40,9 @@
 			return nil, fmt.Errorf("soak: seed %d: %w", opt.Seed, err)
 		}
 		rep.add(res)
-		fmt.Fprintf(w, "seed %d: %d requests, %v, %d invariants broken, timers %s late, a node used %.0f%% of a core at most\n", res.Seed, res.Requests,
-			res.Replies, res.Broken(), res.Lag.Round(time.Millisecond), 100*res.Busiest)
+		fmt.Fprintf(w, "seed %d: %d requests, %v, of %d taken %d delivered and %d given up untried, %d invariants broken, timers %s late, a node used %.0f%% of a core at most\n",
+			res.Seed, res.Requests, res.Replies, res.Service.Taken, res.Service.Delivered, res.Service.Untried, res.Broken(),
+			res.Lag.Round(time.Millisecond), 100*res.Busiest)
 		res.printKnown(w)
 		if res.Broken() > 0 {
 			res.print(w)
