Half packets over their bound end a connection each, also when two come at once

Callers: none seen in production. Cause: two connections that pass the bound at once both pick the one that holds most; the second end does nothing, and one connection too many stays. The one that was ended also went on to count until its close was seen, and was picked again. Change: connections that have ended are not picked, and what the picked one holds is released at once.

--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -96,12 +96,13 @@
 	return text
 }
 
-// end says why, where the version has a way to, and closes.
-func (c *conn) end(code byte, reason string) {
+// end says why, where the version has a way to, and closes. It reports false for a
+// connection that has ended before.
+func (c *conn) end(code byte, reason string) bool {
 	c.wmu.Lock()
 	if c.ended.Swap(true) {
 		c.wmu.Unlock()
-		return
+		return false
 	}
 	if c.greeted.Load() {
 		_, _ = c.out.Write(mqtt.AppendDisconnect(nil, code, reason))
@@ -110,9 +111,10 @@
 	c.front.opt.Observer.Closed(code)
 	if code == mqtt.QuotaExceeded { // its memory is wanted now
 		_ = c.nb.Close()
-		return
+		return true
 	}
 	c.nb.Finish(front.Farewell)
+	return true
 }
 
 // Data takes in what the socket gave.
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -273,17 +273,28 @@
 	if f.partial.Add(int64(n)) <= f.opt.Partial || n <= 0 {
 		return
 	}
-	var most *conn
+	for {
+		most := f.holdsMost()
+		if most == nil {
+			return
+		}
+		if most.end(mqtt.QuotaExceeded, "half packets hold too much memory") {
+			f.partial.Add(-most.held.Swap(0)) // not again for the next one
+			return
+		}
+	}
+}
+
+// holdsMost is the connection that holds most of half packets, among those that have not ended.
+func (f *Front) holdsMost() (most *conn) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for o := range f.conns {
-		if most == nil || o.held.Load() > most.held.Load() {
+		if !o.ended.Load() && (most == nil || o.held.Load() > most.held.Load()) {
 			most = o
 		}
 	}
-	f.mu.Unlock()
-	if most != nil {
-		most.end(mqtt.QuotaExceeded, "half packets hold too much memory")
-	}
+	return most
 }
 
 // write tells clients what the core said, each connection in one write.
