Connections are served on the runtime's poller: no event strikes the next descriptor

Callers: a connection was ended, over a request too, because an earlier one had its descriptor's number. Cause: the polling library finds a connection by number; close(2) frees the number while events fetched for it wait in the same batch. Two facts were one: that a connection counts no more, and that its number is free. Change: internal/engine is a goroutine a connection on the runtime's poller, whose events carry a generation and which closes a descriptor once nothing uses it. While it waits it holds no buffer. nbio goes, with the duplicates of new sockets, the retries of a refused epoll_ctl and the fence for the race detector. Tests: the field Pollers went.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,7 +24,7 @@
 	moved chan struct{} // closed when the address changes
 }
 
-// New starts the poller for an agent at host:port.
+// New serves connections to an agent at host:port.
 func New(addr string) (*Client, error) {
 	c := &Client{addr: addr, moved: make(chan struct{})}
 	var err error
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -2,29 +2,29 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/lesismal/nbio"
 )
 
 // Conn is one connection of an Engine. Its methods are safe for concurrent use and never
-// block. Writes are taken whole; what the kernel does not take at once follows in order.
+// wait for the peer. Writes are taken whole; what the kernel does not take at once follows in order.
 type Conn struct {
 	engine        *Engine
 	handler       Handler
+	raw           net.Conn
+	socket        syscall.RawConn
+	descriptor    int
 	local, remote net.Addr
 
 	mu       sync.Mutex
-	nb       *nbio.Conn
-	adopted  bool          // a poller has it
-	held     time.Duration // until then
-	lost     bool          // it ended before that was known
-	open     bool          // its descriptor is its own
-	ending   bool          // nothing is written behind what waits, and then the sending side ends
-	discard  bool          // what comes is dropped
+	open     bool
+	why      error // it is not open any more
+	ending   bool  // nothing is written behind what waits, and then the sending side ends
+	discard  bool  // what comes is dropped
 	dropped  int
 	pending  []byte // to be written
 	by       time.Time
@@ -50,83 +50,69 @@
 	mostDropped = 1 << 20
 )
 
-// adopt hands a socket to a poller.
-func (c *Conn) adopt(raw net.Conn) error {
-	nb, err := nbio.NBConn(raw) // duplicates the descriptor and closes the first
-	if err != nil {
-		_ = raw.Close()
-		return err
+// takeSocket takes what the connection's operations need from its socket.
+func (c *Conn) takeSocket() error {
+	socket, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return fmt.Errorf("%T is no socket", c.raw)
 	}
-	c.mu.Lock()
-	c.nb, c.lost = nb, false
-	c.mu.Unlock()
-	nb.SetSession(c)
-	c.engine.fence.Add(1)
-	if _, err := c.engine.nbio.AddConn(nb); err != nil {
-		return err // the library has closed it
-	}
-	c.mu.Lock()
-	c.adopted = true
-	lost, open := c.lost, c.open
-	c.mu.Unlock()
-	switch {
-	case lost:
-		go c.handler.Closed()
-	case !open: // closed meanwhile
-		c.mu.Lock()
-		c.dismiss()
-		c.mu.Unlock()
+	var err error
+	if c.socket, err = socket.SyscallConn(); err != nil {
+		return err
 	}
-	return nil
+	return c.socket.Control(func(fd uintptr) { c.descriptor = int(fd) })
 }
 
-// gone takes in that the library has closed a descriptor.
-func (c *Conn) gone(nb *nbio.Conn) {
-	c.mu.Lock()
-	if c.nb != nb {
-		c.mu.Unlock()
-		return
-	}
-	tell := c.adopted
-	c.lost = true
-	if tell {
-		c.end()
-	}
-	c.mu.Unlock()
-	if tell {
-		c.handler.Closed()
+// serve hands over what is read until the connection ends.
+func (c *Conn) serve() {
+	for {
+		err := c.receive()
+		if err != nil {
+			c.mu.Lock()
+			c.abort(err)
+			c.mu.Unlock()
+			c.handler.Closed()
+			return
+		}
 	}
 }
 
-// end forgets the descriptor; under mu.
-func (c *Conn) end() {
-	c.open, c.pending = false, nil
-	for _, t := range []*time.Timer{c.retry, c.closedBy} {
-		if t != nil {
-			t.Stop()
+// receive waits for data and hands it over. io.EOF is the peer's end.
+func (c *Conn) receive() error {
+	var buf *[]byte
+	var n int
+	var failed error
+	err := c.socket.Read(func(fd uintptr) (done bool) {
+		buf = c.engine.buffers.Get().(*[]byte)
+		n, failed = read(int(fd), *buf)
+		if failed == syscall.EAGAIN { // no buffer is held while nothing comes
+			c.engine.buffers.Put(buf)
+			buf = nil
+			return false
 		}
+		return true
+	})
+	if buf != nil {
+		defer c.engine.buffers.Put(buf)
 	}
+	switch {
+	case err != nil: // closed here
+		return err
+	case failed != nil:
+		return failed
+	case n == 0:
+		return io.EOF
+	}
+	c.data((*buf)[:n])
+	return nil
 }
 
-// readable reads until nothing is left: the library closes a connection whose peer has
-// ended it right after this, and a short read is no sign that all was read.
-func (c *Conn) readable(nb *nbio.Conn) {
-	buf := c.engine.buffers.Get().(*[]byte)
-	defer c.engine.buffers.Put(buf)
+// read is read(2) that goes on after a signal.
+func read(fd int, b []byte) (n int, err error) {
 	for {
-		n, err := nb.Read(*buf)
-		switch {
-		case n > 0:
-			c.data((*buf)[:n])
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN), errors.Is(err, net.ErrClosed):
-			return
-		default: // the peer's end, or an error
-			c.mu.Lock()
-			c.end()
-			c.mu.Unlock()
-			_ = nb.CloseWithError(err)
-			return
+		n, err = syscall.Read(fd, b)
+		if err != syscall.EINTR {
+			return n, err
 		}
 	}
 }
@@ -134,8 +120,8 @@
 // data hands over what was read.
 func (c *Conn) data(b []byte) {
 	c.mu.Lock()
-	discard := c.discard
-	if discard {
+	wanted := c.open && !c.discard
+	if c.discard {
 		c.dropped += len(b)
 	}
 	over := c.dropped > mostDropped
@@ -143,7 +129,7 @@
 	switch {
 	case over:
 		_ = c.Close()
-	case !discard:
+	case wanted:
 		c.handler.Data(b)
 	}
 }
@@ -157,11 +143,14 @@
 func (c *Conn) WriteBy(b []byte, by time.Time) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.open || c.ending {
+	if !c.open {
+		return 0, fmt.Errorf("%w: %w", net.ErrClosed, c.why)
+	}
+	if c.ending {
 		return 0, net.ErrClosed
 	}
 	if most := c.engine.opt.WriteBuffer; most > 0 && len(c.pending)+len(b) > most {
-		c.abort()
+		c.abort(ErrFull)
 		return 0, ErrFull
 	}
 	if c.by = by; len(c.pending) > 0 {
@@ -170,7 +159,7 @@
 	}
 	n, err = c.send(b)
 	if err != nil {
-		c.abort()
+		c.abort(err)
 		return n, err
 	}
 	if n < len(b) {
@@ -183,34 +172,35 @@
 
 // send writes as much as the kernel takes; under mu, of an open connection.
 func (c *Conn) send(b []byte) (n int, err error) {
-	c.engine.life.RLock()
-	defer c.engine.life.RUnlock()
-	switch {
-	case c.engine.stopped:
-		return 0, errStopped
-	case !c.adopted:
-		return 0, nil
-	}
-	for n < len(b) {
-		if !c.by.IsZero() && !time.Now().Before(c.by) {
-			return n, ErrLate
-		}
-		k, err := syscall.Write(c.nb.Hash(), b[n:])
-		if k > 0 {
+	closed := c.socket.Control(func(fd uintptr) {
+		for n < len(b) && err == nil {
+			var k int
+			k, err = c.sendOnce(int(fd), b[n:])
 			n += k
-			if c.engine.opt.Sent != nil {
-				c.engine.opt.Sent(c.handler, k)
-			}
-		}
-		switch err {
-		case nil, syscall.EINTR:
-		case syscall.EAGAIN, syscall.ENOBUFS, syscall.ENOMEM:
-			return n, nil
-		default:
-			return n, err
 		}
+	})
+	switch {
+	case closed != nil:
+		return n, closed
+	case err == syscall.EAGAIN, err == syscall.ENOBUFS, err == syscall.ENOMEM:
+		return n, nil // the rest is tried later
 	}
-	return n, nil
+	return n, err
+}
+
+// sendOnce is one write(2); under mu.
+func (c *Conn) sendOnce(fd int, b []byte) (n int, err error) {
+	if !c.by.IsZero() && !time.Now().Before(c.by) {
+		return 0, ErrLate
+	}
+	n, err = syscall.Write(fd, b)
+	if n = max(n, 0); n > 0 && c.engine.opt.Sent != nil {
+		c.engine.opt.Sent(c.handler, n)
+	}
+	if err == syscall.EINTR {
+		err = nil
+	}
+	return n, err
 }
 
 // later tries what waits again after a pause; under mu.
@@ -228,13 +218,13 @@
 	}
 	n, err := c.send(c.pending)
 	if err != nil {
-		c.abort()
+		c.abort(err)
 		return
 	}
 	if n > 0 {
 		c.pause = firstPause
 	}
-	if c.pending = c.pending[n:]; len(c.pending) > 0 || !c.adopted {
+	if c.pending = c.pending[n:]; len(c.pending) > 0 {
 		c.later()
 		return
 	}
@@ -246,35 +236,28 @@
 }
 
 // abort ends the connection with what waits to be written; under mu.
-func (c *Conn) abort() {
-	c.end()
-	c.dismiss()
-}
-
-// dismiss closes the descriptor; under mu, of a connection that has ended.
-func (c *Conn) dismiss() {
-	if c.adopted { // else adopt does so
-		_ = c.nb.Close()
+func (c *Conn) abort(why error) {
+	if !c.open {
+		return
 	}
+	c.open, c.why, c.pending = false, why, nil
+	for _, t := range []*time.Timer{c.retry, c.closedBy} {
+		if t != nil {
+			t.Stop()
+		}
+	}
+	_ = c.raw.Close()
 }
 
 // shut ends the sending side; under mu, with nothing left to be written.
 func (c *Conn) shut() {
-	if err := c.shutdown(syscall.SHUT_WR); err != nil {
-		c.abort()
+	var err error
+	closed := c.socket.Control(func(fd uintptr) { err = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	if err = errors.Join(closed, err); err != nil {
+		c.abort(err)
 	}
 }
 
-// shutdown is shutdown(2) while the descriptor is the connection's; under mu.
-func (c *Conn) shutdown(how int) error {
-	c.engine.life.RLock()
-	defer c.engine.life.RUnlock()
-	if c.engine.stopped {
-		return nil
-	}
-	return syscall.Shutdown(c.nb.Hash(), how)
-}
-
 // CloseWrite ends the sending side behind all that was written, and leaves the reading
 // side open: the peer reads everything and then the end.
 func (c *Conn) CloseWrite() {
@@ -288,11 +271,8 @@
 
 // endWriting ends the sending side once nothing waits; under mu.
 func (c *Conn) endWriting() {
-	if c.ending = true; len(c.pending) == 0 && c.adopted {
+	if c.ending = true; len(c.pending) == 0 {
 		c.shut()
-	} else if c.retry == nil {
-		c.pause = firstPause
-		c.later()
 	}
 }
 
@@ -313,24 +293,15 @@
 	}
 }
 
-// Close ends the connection at once, with what waits to be written.
+// Close ends the connection at once, with what waits to be written. The handler is told by
+// its own goroutine.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open {
-		c.abort()
-	}
+	c.abort(net.ErrClosed)
 	return nil
 }
 
-// Held is how long the poller had refused the connection: what its peer sent meanwhile was
-// read so much later.
-func (c *Conn) Held() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.held
-}
-
 // Unsent is how many bytes wait to be written.
 func (c *Conn) Unsent() int {
 	c.mu.Lock()
@@ -355,19 +326,23 @@
 	End // the peer's end, or an error
 )
 
-// Peek looks what stands to be read, without reading it: of the end of a connection the
-// poller may not have told yet.
+// Peek looks what stands to be read, without reading it: the end of a connection may not
+// have been read yet.
 func (c *Conn) Peek() Peeked {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.engine.life.RLock()
-	defer c.engine.life.RUnlock()
-	if !c.open || !c.adopted || c.engine.stopped {
+	if !c.open {
 		return End
 	}
 	var b [1]byte
-	n, _, err := syscall.Recvfrom(c.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	var n int
+	var err error
+	closed := c.socket.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
 	switch {
+	case closed != nil:
+		return End
 	case err == syscall.EAGAIN || err == syscall.EINTR:
 		return Nothing
 	case err == nil && n > 0:
@@ -384,4 +359,4 @@
 
 // Descriptor is the number of the socket, for options of it; of a closed connection it
 // may be another one's.
-func (c *Conn) Descriptor() int { return c.nb.Hash() }
+func (c *Conn) Descriptor() int { return c.descriptor }
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -17,7 +17,6 @@
 type Sockets struct {
 	Name        string
 	Addrs       []string
-	Pollers     int
 	ReadBuffer  int
 	WriteBuffer int // bytes that wait for one connection; over it, it is closed
 	// Open makes the front's side of a connection, nil to close it at once. waited is how long
@@ -54,7 +53,7 @@
 		l.Addrs, l.all = append(l.Addrs, one.Addr().String()), append(l.all, one)
 	}
 	var err error
-	l.engine, err = engine.Start(engine.Options{Name: s.Name, Pollers: s.Pollers, ReadBuffer: s.ReadBuffer, WriteBuffer: s.WriteBuffer})
+	l.engine, err = engine.Start(engine.Options{Name: s.Name, ReadBuffer: s.ReadBuffer, WriteBuffer: s.WriteBuffer})
 	if err != nil {
 		l.Refuse()
 		return nil, err
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -95,7 +95,7 @@
 func New(opt Options) (*Front, error) {
 	f := &Front{opt: opt, stop: make(chan struct{}), conns: map[*conn]struct{}{}}
 	var err error
-	f.sockets, err = front.Listen(front.Sockets{Name: Name, Addrs: []string{opt.Listen}, Pollers: 1, ReadBuffer: 16 << 10,
+	f.sockets, err = front.Listen(front.Sockets{Name: Name, Addrs: []string{opt.Listen}, ReadBuffer: 16 << 10,
 		WriteBuffer: opt.WriteBuffer, Open: f.open,
 		Failed: func(err error) { opt.Logf("accept: %v", err) }})
 	if err != nil {
@@ -373,16 +373,14 @@
 // hears no answer any more, so that none is owed.
 func (c *conn) Closed() {
 	c.front.gone(c)
-	go func() { // the engine calls this from within a Write or Close of ours, under mu
-		c.mu.Lock()
-		if !c.shut {
-			c.ended(lifecycle.CloseClient)
-		}
-		c.shut = true
-		c.life.Gone()
-		c.withdraw()
-		c.mu.Unlock()
-	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.shut {
+		c.ended(lifecycle.CloseClient)
+	}
+	c.shut = true
+	c.life.Gone()
+	c.withdraw()
 }
 
 // withdraw says that nobody waits for the answer to the open request any more; under mu.
@@ -527,7 +525,7 @@
 	if c.asked.Load() {
 		return told
 	}
-	late := min(c.waited+c.nb.Held(), c.front.opt.Request/2) // a client waits no longer
+	late := min(c.waited, c.front.opt.Request/2) // a client waits no longer
 	return max(told-late, time.Millisecond)
 }
 
@@ -591,6 +589,7 @@
 	case err != nil: // closed by the engine
 		c.shut = true
 		c.ended(lifecycle.CloseError)
+		c.front.opt.Trace.Step(c.name, "error", err.Error())
 		return
 	case !keep:
 		why := lifecycle.CloseAnswer
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -353,7 +353,7 @@
 	return min(time.Duration(seconds)*time.Second, f.opt.SessionExpiry)
 }
 
-// connect handles CONNECT: checks, then the password off the poller, then the session.
+// connect handles CONNECT: checks, then the password on another goroutine, then the session.
 func (c *conn) connect(first byte, body []byte) *mqtt.Error {
 	in, err := mqtt.ParseConnect(first, body)
 	if in != nil {
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -58,7 +58,6 @@
 	Handshake      time.Duration // for a CONNECT, and for the rest of a begun packet
 	WriteBuffer    int           // bytes that wait for one connection; over it, it is closed
 	Users          map[string]string
-	Pollers        int
 	Door           front.Door
 	Observer       Observer
 	Keeper         front.Keeper // nil: sessions end with the process
@@ -112,7 +111,7 @@
 		if len(addrs) == 0 {
 			continue
 		}
-		l, err := front.Listen(front.Sockets{Name: "mqtt", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 64 << 10,
+		l, err := front.Listen(front.Sockets{Name: "mqtt", Addrs: addrs, ReadBuffer: 64 << 10,
 			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn, _ time.Duration) front.Conn { return f.open(nb, i == 1) },
 			Failed: func(err error) {
 				if !f.draining.Load() {
@@ -324,7 +323,7 @@
 	})
 }
 
-// authenticator checks passwords off the pollers, two at a time; a password
+// authenticator checks passwords on goroutines of its own, two at a time; a password
 // that was right is remembered by a salted hash, so that reconnects are cheap.
 type authenticator struct {
 	users   map[string]string // bcrypt by name; none: anyone
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -69,7 +69,7 @@
 		t.Call(k.Class, k.Partner, k.Zone)
 	}
 	k.mu.Unlock()
-	// From here on the answer may come at any moment, on the poller.
+	// From here on the answer may come at any moment, on the connection's goroutine.
 	if n, err := k.send(cn, request); err != nil {
 		cn.drop(k)
 		if n <= 0 { // nothing went out before the error
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -35,8 +35,7 @@
 	Limits   http1.Limits
 	Keep     addr.KeepSettings // connections of each endpoint
 	Sessions int               // TLS sessions kept to resume, over all addresses
-	Pollers  int
-	Dial     time.Duration // a connection that is not up by then is none; 0 for no such time
+	Dial     time.Duration     // a connection that is not up by then is none; 0 for no such time
 	// Descriptors bounds the connections kept to all endpoints together, with those in
 	// use: past it one is closed when its call ends; 0 for no bound.
 	Descriptors int
@@ -112,13 +111,13 @@
 	return n, err
 }
 
-// New starts the pollers.
+// New starts the engine of the connections.
 func New(opt Options) (*Caller, error) {
 	c := &Caller{opt: opt, pools: map[string]*pool{}, books: map[string]*addr.Book{}, news: make(chan struct{}),
 		barred: map[string]bool{}, epoch: time.Now(), stop: make(chan struct{}), tls: newSessions(opt.Sessions)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	var err error
-	c.engine, err = engine.Start(engine.Options{Name: "partner", Pollers: opt.Pollers, ReadBuffer: 16 << 10,
+	c.engine, err = engine.Start(engine.Options{Name: "partner", ReadBuffer: 16 << 10,
 		Sent: func(h engine.Handler, n int) {
 			cn := h.(*conn)
 			cn.sent.Add(int64(n))
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -95,7 +95,7 @@
 	cn.closed()
 }
 
-// data takes in what the socket gave; it runs on the connection's poller.
+// data takes in what the socket gave; it runs on the connection's goroutine.
 func (cn *conn) data(c *Caller, b []byte) {
 	cn.mu.Lock()
 	k := cn.call
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -44,7 +44,7 @@
 	Keep        addr.KeepSettings
 }
 
-// reserved descriptors: standard streams, pollers with their event descriptors, the
+// reserved descriptors: standard streams, the runtime's poller with its event descriptor, the
 // journal's segments, the agent's connections, the runtime.
 const reserved = 40
 
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 
 	"basaltcross.example/basaltcross/choice"
@@ -88,27 +86,13 @@
 // mostDests remembers so many destinations; more than a relay's lists ever name.
 const mostDests = 1 << 16
 
-// quiet drops the engine's words but for errors.
-type quiet struct{ log zerolog.Logger }
+var tuneOnce sync.Once
 
-func (quiet) SetLevel(int)         {}
-func (quiet) Debug(string, ...any) {}
-func (quiet) Info(string, ...any)  {}
-func (quiet) Warn(string, ...any)  {}
-func (q quiet) Error(f string, v ...any) {
-	q.log.Debug().Str("cause", "engine").Msgf(f, v...)
-}
-
-var engineOnce sync.Once
-
-// Tune sets the process to its limits; the runtime and the engine library keep them
-// for the process.
-func Tune(b Bounds, log zerolog.Logger) {
-	engineOnce.Do(func() {
+// Tune sets the process to its limits, once.
+func Tune(b Bounds) {
+	tuneOnce.Do(func() {
 		runtime.GOMAXPROCS(b.Procs)
 		debug.SetMemoryLimit(b.Memory)
-		logging.SetLogger(quiet{log})
-		nbio.MaxOpenFiles = b.Files + 64 // descriptors are indices there
 	})
 }
 
@@ -146,7 +130,7 @@
 	}
 	s := &cfg.Settings
 	n.caller, err = partner.New(partner.Options{Name: cfg.Name, Hook: &partner.Hook{Host: cfg.Name, Columns: s.Columns},
-		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Pollers: 1, Dial: s.DialTimeout, Descriptors: b.Hosts,
+		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Dial: s.DialTimeout, Descriptors: b.Hosts,
 		Unsolicited: func(host string) { n.warn("host").Str("host", host).Msg("bytes that nobody asked for") }})
 	if err != nil {
 		return nil, err
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return stopped(err)
 	}
-	Tune(BoundsOf(cfg), log)
+	Tune(BoundsOf(cfg))
 	n, err := StartWhenPossible(ctx, cfg, log)
 	if err != nil {
 		return stopped(err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 
 	"basaltcross.example/basaltcross/internal/addr"
@@ -70,19 +68,6 @@
 	done sync.WaitGroup
 }
 
-// quietLog passes the engine's errors on and nothing else.
-type quietLog struct{ log zerolog.Logger }
-
-func (quietLog) SetLevel(int)         {}
-func (quietLog) Debug(string, ...any) {}
-func (quietLog) Info(string, ...any)  {}
-func (quietLog) Warn(string, ...any)  {}
-func (l quietLog) Error(f string, v ...any) {
-	l.log.Debug().Str("cause", "engine").Msgf(f, v...)
-}
-
-var engineOnce sync.Once
-
 func index[T any](list []T, name func(T) string) map[string]int {
 	m := make(map[string]int, len(list))
 	for i, e := range list {
@@ -115,10 +100,6 @@
 
 // Start brings a relay up. It runs until Stop.
 func Start(cfg *config.Config, log zerolog.Logger, hooks Hooks) (_ *Relay, err error) {
-	engineOnce.Do(func() { // the engine library keeps these for the process
-		logging.SetLogger(quietLog{log})
-		nbio.MaxOpenFiles = 1 << 18
-	})
 	r := &Relay{cfg: cfg}
 	var classes []string
 	var lives []time.Duration
@@ -174,13 +155,12 @@
 		}
 		toll = zone.NewToll(book, own)
 	}
-	pollers := max(1, runtime.GOMAXPROCS(0)/2)
 	r.caller, err = partner.New(partner.Options{Name: cfg.Relay.Name, Targets: targets, Classes: classes,
 		Limits: http1.Limits{Header: cfg.PartnerCalls.HeaderBytes, Body: cfg.PartnerCalls.BodyBytes},
 		Keep: addr.KeepSettings{Idle: cfg.Relay.ConnIdle.D(), Age: cfg.PartnerCalls.ConnAge.D(),
 			Most: cfg.PartnerCalls.IdlePerHost, Spare: cfg.PartnerCalls.Spares, Connecting: cfg.PartnerCalls.Connecting},
-		Sessions: cfg.PartnerCalls.Sessions, Pollers: pollers,
-		Traffic: counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut,
+		Sessions: cfg.PartnerCalls.Sessions,
+		Traffic:  counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut,
 		Dialed: r.obs.Dialed})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
@@ -304,7 +284,7 @@
 			Audience: w.Audience, Anyone: len(w.Keys) == 0, Body: cfg.Limits.Body, Header: w.HeaderBytes,
 			Connections: w.Connections, Streams: w.Streams, Messages: w.Messages, Boxes: w.Receipts, Pending: w.Pending,
 			Polls: w.Polls, Keep: cfg.Limits.Identities.Keep.D(), Poll: w.Poll.D(), Handshake: w.Handshake.D(),
-			Idle: w.Idle.D(), WriteBuffer: w.WriteBuffer, Pollers: pollers, Door: door, Observer: r.obs, Keeper: keeper}
+			Idle: w.Idle.D(), WriteBuffer: w.WriteBuffer, Door: door, Observer: r.obs, Keeper: keeper}
 		for _, k := range cfg.Classes {
 			o.Unsafe = append(o.Unsafe, k.Effect == "unsafe")
 		}
@@ -325,7 +305,7 @@
 		TLSListen: m.TLSListen, TLS: mqttTLS, Slots: slots, Names: doors, Body: cfg.Limits.Body, Connections: m.Connections, Sessions: m.Sessions,
 		ReceiveMaximum: m.ReceiveMaximum, TopicAliases: m.TopicAliases, Pending: m.Pending,
 		Partial: int64(m.PartialBytes), SessionExpiry: m.SessionExpiry.D(), KeepAlive: m.KeepAlive.D(),
-		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users, Pollers: pollers,
+		Handshake: m.Handshake.D(), WriteBuffer: m.WriteBuffer, Users: users,
 		Door: door, Observer: r.obs})
 	if err != nil {
 		return fail(err)
--- a/internal/secure/secure.go
+++ b/internal/secure/secure.go
@@ -1,6 +1,6 @@
 // Package secure puts crypto/tls over non-blocking connections of an
 // engine. A handshake has a goroutine for as long as it lasts; after it, records
-// are opened on the engine's poller and an idle connection holds none.
+// are opened on the connection's goroutine of the engine.
 //
 // What makes it work: where the connection beneath has nothing to read,
 // tls.Conn.Read passes a temporary net.Error on, keeps the part of a record that
@@ -41,7 +41,7 @@
 // holds none, so that clients that stall hold no others up.
 type Slots chan struct{}
 
-// feed is the net.Conn beneath a tls.Conn: reads come from what the poller
+// feed is the net.Conn beneath a tls.Conn: reads come from what the engine
 // hands over, writes go to the engine, which never blocks.
 type feed struct {
 	nb    *engine.Conn
@@ -166,7 +166,7 @@
 // Server begins TLS on an accepted connection. Raw bytes are to be handed to
 // Data, its end to End. After the handshake, within the time given, ready is
 // called on a goroutine of its own; it returns what takes in the plaintext, on
-// the poller from then on, or nil: then it has used the connection as a
+// the connection's goroutine from then on, or nil: then it has used the connection as a
 // blocking one, and is done with it.
 func Server(nb *engine.Conn, cfg *tls.Config, slots Slots, within time.Duration,
 	ready func(c *Conn, err error) func([]byte)) *Conn {
@@ -195,7 +195,7 @@
 	return c
 }
 
-// calm goes over from the handshake's goroutine to the poller.
+// calm goes over from the handshake's goroutine to the connection's.
 func (c *Conn) calm(got func([]byte)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -206,7 +206,7 @@
 	c.drain()
 }
 
-// Data takes in raw bytes, on the connection's poller.
+// Data takes in raw bytes, on the connection's goroutine.
 func (c *Conn) Data(b []byte) {
 	c.feed.put(b)
 	c.mu.Lock()
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -58,7 +58,6 @@
 	Handshake   time.Duration // for a TLS handshake, and for the rest of a begun request
 	Idle        time.Duration // connections without a request close after it
 	WriteBuffer int
-	Pollers     int
 	Door        front.Door
 	Observer    Observer
 	Keeper      front.Keeper // nil: nothing outlives the process
@@ -108,7 +107,7 @@
 		if len(addrs) == 0 {
 			continue
 		}
-		l, err := front.Listen(front.Sockets{Name: "webpush", Addrs: addrs, Pollers: opt.Pollers, ReadBuffer: 32 << 10,
+		l, err := front.Listen(front.Sockets{Name: "webpush", Addrs: addrs, ReadBuffer: 32 << 10,
 			WriteBuffer: opt.WriteBuffer, Open: func(nb *engine.Conn, _ time.Duration) front.Conn { return f.open(nb, i == 1) },
 			Failed: func(err error) { opt.Observer.Logf("webpush: accept: %v", err) }})
 		if err != nil {
