What surely can't be tried in its time is refused at the door; what a restart found goes first

Evidence: the wait expected at each 202 was logged. Little's law for two queues, class and destination, and the key; refused where even the optimistic end of the measured rate (two standard deviations) is not in time, with the time to return; shut and draining destinations count. The first of a key takes over part of what those behind it lose. What a restart found untried goes before what came since.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 package choice
 
-// All decisions of the gateway. In reading order: constants; the endpoint list; the timeout oracle; health,
-// pacing and waits; admission and final answers; order of keys; the turn.
+// The decisions of the relay. In reading order: constants; the endpoint list; the timeout oracle; health,
+// pacing and waits; arrivals and results; order of keys; the turn. Admission and final answers have files of their own.
 
 import (
 	"cmp"
@@ -45,7 +45,7 @@
 		hosts: map[string]*host{}, lines: map[string]*line{}, owing: map[string]*message{},
 		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}}
 	for _, k := range s.Classes {
-		c.bound, c.minAim = max(c.bound, k.Aim), min(c.minAim, k.Aim)
+		c.bound, c.minAim, c.longest = max(c.bound, k.Aim), min(c.minAim, k.Aim), max(c.longest, k.Deadline)
 	}
 	if !s.Subscribe {
 		c.askAt = -1
@@ -62,7 +62,7 @@
 	for _, e := range events {
 		switch e := e.(type) {
 		case Arrival:
-			c.arrive(e)
+			c.arrived = append(c.arrived, c.arrive(e))
 		case Result:
 			c.result(e)
 		case Withdrawn:
@@ -88,6 +88,7 @@
 			c.fleet(e)
 		case Restored:
 			m := c.arrive(e.Arrival)
+			m.restored = true
 			if m.attempts = e.Attempts; e.Ran {
 				m.ran, m.ranAt, m.ranZone = true, c.now-min(e.Since, math.MaxInt64/4), e.Zone
 				m.unsure, m.noRefuse = c.now, true
@@ -116,8 +117,11 @@
 		return !d.live
 	})
 	c.watch()
+	c.measure()
+	c.admit()
 	c.answer()
 	c.turn()
+	c.noteWaiting()
 	at := now + c.nap
 	if (c.held+c.busy > 0 || c.askAt >= 0) && (c.wakeAt <= now || at < c.wakeAt) {
 		c.wakeAt = at
@@ -203,7 +207,8 @@
 func (c *Chooser) dest(id int) *dest {
 	d := c.dests[id]
 	if d == nil {
-		d = &dest{id: id, kind: Kind{PerCall: 1}, habits: &c.habits[0]}
+		d = &dest{id: id, kind: Kind{PerCall: 1}, habits: &c.habits[0], readyAt: c.now}
+		d.rates = make([]queueRate, len(c.set.Classes))
 		d.table = table{width: c.bound / buckets, weight: 1}
 		c.dests[id], c.order = d, append(c.order, d)
 	}
@@ -581,7 +586,8 @@
 // Admission and final answers.
 
 func (c *Chooser) arrive(e Arrival) *message {
-	k := &c.set.Classes[min(max(e.Class, 0), len(c.set.Classes)-1)]
+	e.Class = min(max(e.Class, 0), len(c.set.Classes)-1)
+	k := &c.set.Classes[e.Class]
 	m := &message{Arrival: e, class: k, dest: c.dest(e.Dest), due: c.now + e.Left, taken: c.now, unsure: -1}
 	m.born = m.due - k.Deadline
 	c.msgs[e.ID] = m
@@ -593,7 +599,9 @@
 			l = &line{key: e.Key}
 			c.lines[e.Key] = l
 		}
+		l.rate.update(c.now, c.longest)
 		l.queue = append(l.queue, m)
+		l.rate.waiting = len(l.queue) > 1
 	}
 	return m
 }
@@ -622,6 +630,9 @@
 	case Served:
 		d.table.add(e.Took)
 		c.pool.add(e.Took)
+		if k.sent > m.taken {
+			d.rates[m.Class].served++
+		}
 		if e.Took <= d.table.edge {
 			d.backoff = 0
 		}
@@ -724,38 +735,6 @@
 	return m.ranAt + m.class.Window
 }
 
-// final answers a message that is not out: refused where that is lawful, else failed.
-func (c *Chooser) final(m *message) {
-	harmless := m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone
-	if !m.ran || harmless && !c.set.Certain && !m.noRefuse {
-		c.act(Refuse{m.ID, c.back(m)})
-	} else {
-		c.act(Fail{m.ID})
-	}
-	if c.set.Acknowledged && m.class.Ordered && m.Key != "" {
-		c.owing[m.ID] = m
-	}
-	c.end(m)
-}
-
-// back tells how long a client should stay away: until a wait, a pause or a trial of its destination is over,
-// and a zone of it is open.
-func (c *Chooser) back(m *message) time.Duration {
-	wait, d := c.set.MaxRetryAfter, m.dest
-	for _, u := range d.units {
-		wait = min(wait, max(u.waitUntil, u.pauseUntil, d.pauseUntil, u.trialAt)-c.now)
-	}
-	if c.tolls != nil && len(d.hosts) > 0 {
-		opens := time.Duration(math.MaxInt64)
-		for _, h := range d.hosts {
-			again, _ := c.passes(m, h.Zone)
-			opens = min(opens, again)
-		}
-		wait = min(max(wait, opens-c.now), c.set.MaxRetryAfter)
-	}
-	return max(0, wait)
-}
-
 // end frees a message; one that is out keeps its record, and its key, until its outcome.
 func (c *Chooser) end(m *message) {
 	if !m.over {
@@ -778,7 +757,11 @@
 		return
 	}
 	if l := c.lines[m.Key]; l != nil && m.class.Ordered {
+		if l.rate.update(c.now, c.longest); l.rate.waiting && m.attempts > 0 {
+			l.rate.served++
+		}
 		l.queue = remove(l.queue, m)
+		l.rate.waiting = len(l.queue) > 1
 		if m.unsure >= 0 {
 			l.rest = max(l.rest, m.unsure+c.set.Rules.OrderSettle)
 		}
@@ -805,37 +788,6 @@
 	return k.Worth * (1 - (1-k.LateShare)*late/(k.Deadline-k.Aim).Seconds())
 }
 
-// answer ends messages whose time is up, and the least worth while the holding room is crowded.
-func (c *Chooser) answer() {
-	for _, d := range c.live {
-		for i := len(d.waiting) - 1; i >= 0; i-- {
-			m := d.waiting[i]
-			if c.stopped || c.barred(m) || m.due-c.now <= margin*c.set.Tick+c.nap || !c.repeatable(m) {
-				c.final(m)
-			}
-		}
-	}
-	for c.set.MaxHeld > 0 && float64(c.held) > crowded*float64(c.set.MaxHeld) {
-		worst, least := (*message)(nil), math.Inf(1)
-		for _, d := range c.live {
-			for _, m := range d.waiting {
-				w := c.worth(m, c.now) / float64(len(d.waiting))
-				if b := c.set.TakenBack; !m.ran && c.now > m.taken &&
-					(c.now-m.taken).Seconds() < b.Before*(m.due-m.taken).Seconds() {
-					w += b.Cost * m.class.Worth // rather refused before it is taken than given up after
-				}
-				if w < least && (!m.ran || m.class.Effect == Safe && !m.noRefuse) {
-					least, worst = w, m
-				}
-			}
-		}
-		if worst == nil {
-			return
-		}
-		c.final(worst)
-	}
-}
-
 // Order of keys.
 
 // hasTurn tells whether the order of its key lets a message go.
@@ -1066,7 +1018,10 @@
 		if !c.hasTurn(m) || !test(m) {
 			continue
 		}
-		loss := c.worth(m, c.now) - c.worth(m, c.now+wait)
+		loss := c.loss(m, wait)
+		if m.goesFirst() {
+			loss = math.Inf(1)
+		}
 		if best == nil || loss > most || loss == most && m.due < best.due {
 			best, most = m, loss
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,6 +26,8 @@
 	last     *host
 	unsure   time.Duration // time of the last unsure outcome; its key rests after it
 	over     bool          // answered or withdrawn
+	restored bool          // an earlier run took it
+	excess   time.Duration // refused since it would wait so much too long
 	unwanted bool          // withdrawn
 	noRefuse bool          // it ran, or an earlier run may have had its answer: no refusal is lawful
 }
@@ -111,13 +113,16 @@
 	refused    int     // refusals in a row
 	habits     *habits // of its kind
 	pauseUntil time.Duration
-	backoff    int // time-outs in a row with nothing served since
+	backoff    int           // time-outs in a row with nothing served since
+	rates      []queueRate   // of what waits, by class
+	readyAt    time.Duration // when one of its hosts last wanted work, as of a step in which it was live
 }
 
 // line is the order of one key.
 type line struct {
 	key   string
 	queue []*message
+	rate  queueRate // of those behind the first
 	rest  time.Duration
 }
 
@@ -127,6 +132,8 @@
 	now     time.Duration
 	bound   time.Duration // maximal timeout of the oracle
 	minAim  time.Duration
+	longest time.Duration // deadline of a class
+	arrived []*message    // in this step
 	msgs    map[string]*message
 	dests   map[int]*dest
 	order   []*dest // as first heard of
