--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,8 @@
 package choice
 
 // The decisions of the relay. In reading order: constants; the endpoint list; the timeout oracle; health,
-// pacing and waits; arrivals and results; order of keys; the turn. Admission and final answers have files of their own.
+// pacing and waits; arrivals and results; order of keys; the turn. Admission and final answers have their own
+// files.
 
 import (
 	"cmp"
--- a/cmd/basaltcross/soak.go
+++ b/cmd/basaltcross/soak.go
@@ -12,6 +12,7 @@
 
 	"basaltcross.example/basaltcross/internal/shim"
 	"basaltcross.example/basaltcross/internal/soak"
+	"basaltcross.example/basaltcross/internal/trace"
 )
 
 func soakCommand() *cobra.Command {
@@ -71,9 +72,26 @@
 	f.IntVar(&shrinks, "shrink", 0, "plays that may be spent on shrinking a seed that fails")
 	f.StringVar(&opt.Trace, "trace", "", "write the nodes' logs, with each step of each request, into this folder")
 	f.StringVar(&out, "json", "", "write the report to this file as JSON")
+	c.AddCommand(explainCommand())
 	return c
 }
 
+// explainCommand prints the course of one request over all processes of a run that was traced.
+func explainCommand() *cobra.Command {
+	return &cobra.Command{Use: "explain DIR ID", Short: "Print one request's course from the logs that --trace has written", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			steps, err := trace.Read(args[0], args[1])
+			if err != nil {
+				return err
+			}
+			if len(steps) == 0 {
+				return fmt.Errorf("soak: %s has no step of %s", args[0], args[1])
+			}
+			trace.Print(c.OutOrStdout(), steps)
+			return nil
+		}}
+}
+
 // shimCommand becomes a program whose system calls a tracer may have fail.
 func shimCommand() *cobra.Command {
 	return &cobra.Command{Use: "shim-exec PROGRAM [ARGS]", Hidden: true, Args: cobra.MinimumNArgs(1), DisableFlagParsing: true,
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -26,6 +26,7 @@
 	"basaltcross.example/basaltcross/internal/member"
 	"basaltcross.example/basaltcross/internal/partner"
 	"basaltcross.example/basaltcross/internal/recover"
+	tracing "basaltcross.example/basaltcross/internal/trace"
 )
 
 // The last seconds of a run. At a planned restart new connections come for up to
@@ -51,7 +52,8 @@
 		return nil
 	}
 	return func(id, step, with string) {
-		log.Info().Str("cause", "trace").Str("id", id).Str("step", step).Msg(with)
+		log.Info().Str("cause", tracing.Cause).Str("id", id).Str("step", step).Int64("mono_us", tracing.Now()).
+			Str(tracing.Field(step), with).Send()
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -17,6 +17,7 @@
 	"basaltcross.example/basaltcross/internal/emulator"
 	"basaltcross.example/basaltcross/internal/pause"
 	"basaltcross.example/basaltcross/internal/shim"
+	"basaltcross.example/basaltcross/internal/trace"
 )
 
 // Options of a run.
@@ -100,6 +101,11 @@
 		}
 		opt.Faults = Draw(opt.Seed, opt.Nodes, opt.Hosts, opt.Duration, kinds)
 	}
+	if opt.Trace != "" {
+		if err := os.MkdirAll(opt.Trace, 0o700); err != nil {
+			return nil, fmt.Errorf("soak: %w", err)
+		}
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
@@ -136,7 +142,19 @@
 	r.settle(ctx)
 	stopLag()
 	r.plant()
-	return r.result(), ctx.Err()
+	return r.result(), errors.Join(r.writeTrace(), ctx.Err())
+}
+
+// writeTrace writes the platform's side of each request beside the nodes' logs.
+func (r *run) writeTrace() error {
+	if r.opt.Trace == "" {
+		return nil
+	}
+	f, err := os.Create(filepath.Join(r.opt.Trace, trace.File))
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	return errors.Join(r.platform.Record.WriteTrace(f), f.Close())
 }
 
 // startAll brings all nodes up.
