A traced connection is that of its process: one log may hold several

A node's log in the soak holds all of its processes, and connections are numbered anew in each: the course of a request showed a later process's connection of the same number. Steps carry the process id. Measured: TestCourseOverProcesses with such a line, which it printed before.

--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -51,8 +51,9 @@
 	if os.Getenv(traceVariable) == "" {
 		return nil
 	}
+	process := os.Getpid()
 	return func(id, step, with string) {
-		log.Info().Str("cause", tracing.Cause).Str("id", id).Str("step", step).Int64("mono_us", tracing.Now()).
+		log.Info().Str("cause", tracing.Cause).Str("id", id).Str("step", step).Int64("mono_us", tracing.Now()).Int("pid", process).
 			Str(tracing.Field(step), with).Send()
 	}
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -25,6 +25,7 @@
 	ID     string `json:"id"`      // of the request, or of the connection
 	Name   string `json:"step"`    // what was done
 	At     int64  `json:"mono_us"` // microseconds on the monotonic clock
+	PID    int    `json:"pid"`     // of the process; one log may hold several
 	Values map[string]any
 	Source string // the file without its extension
 }
@@ -75,14 +76,18 @@
 
 // of picks the steps of a request and of its connections.
 func of(steps []Step, id string) (some []Step) {
-	connections := map[string]bool{}
+	type connection struct {
+		pid  int
+		name string
+	}
+	carried := map[connection]bool{}
 	for _, s := range steps {
 		if s.ID == id && s.Name == "read" {
-			connections[fmt.Sprint(s.Values[Field("read")])] = true
+			carried[connection{s.PID, fmt.Sprint(s.Values[Field("read")])}] = true
 		}
 	}
 	for _, s := range steps {
-		if s.ID == id || connections[s.ID] {
+		if s.ID == id || carried[connection{s.PID, s.ID}] {
 			some = append(some, s)
 		}
 	}
@@ -120,7 +125,7 @@
 	if json.Unmarshal(line, &s.Values) != nil {
 		return s, false
 	}
-	for _, known := range []string{"cause", "id", "step", "mono_us", "time", "level"} {
+	for _, known := range []string{"cause", "id", "step", "mono_us", "pid", "time", "level"} {
 		delete(s.Values, known)
 	}
 	return s, true
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -17,6 +17,7 @@
 panic: no step
 {"cause":"trace","id":"m","step":"response","mono_us":4000,"status":"202","time":"2026-12-03T14:00:00Z"}
 {"cause":"trace","id":"c1","step":"close","mono_us":5000,"reason":"idle"}
+{"cause":"trace","id":"c1","step":"close","mono_us":4500,"reason":"the next process of this node","pid":7}
 {"cause":"trace","id":"c2","step":"close","mono_us":2500,"reason":"idle"}
 {"cause":"trace","id":"other","step":"read","mono_us":2600,"connection":"c2"}
 `,
