A test of refusals by chance, failing: a destination that is well is starved

What callers saw: a partner that refuses a call now and then (503, no wait) gets only a part of its messages; the rest is answered 429 or given up untried.

--- /dev/null
+++ b/choice/chance_test.go
@@ -0,0 +1,208 @@
+package choice
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// chancePlay is a fleet of relays that hand messages to one destination. It serves all that comes, and refuses a
+// share of the calls by chance.
+type chancePlay struct {
+	relays  int
+	rate    float64 // messages a second, over all relays
+	refused float64 // share of the calls
+	ordered bool
+	restart bool // each relay once, with what it holds
+	span    time.Duration
+	seed    uint64
+}
+
+// callInFlight is a call whose outcome is due.
+type callInFlight struct {
+	at     time.Duration
+	result Result
+}
+
+// chanceRelay is one relay of a play.
+type chanceRelay struct {
+	chooser  *Chooser
+	random   *rand.Rand
+	wake     time.Duration
+	calls    []callInFlight
+	attempts map[string]int
+	held     map[string]heldMessage
+	restart  time.Duration
+}
+
+// heldMessage is a message that is not answered yet.
+type heldMessage struct {
+	Arrival
+	due  time.Duration
+	sent time.Duration // first; below 0 if it was not
+}
+
+const (
+	// chanceTick is the time between two looks of a play.
+	chanceTick = 5 * ms
+	// chanceKeys is how many keys share the rate of a play with an order, for each message a second.
+	chanceKeys = 2
+)
+
+func (p chancePlay) settings(index int) Settings {
+	s := settings()
+	s.Index, s.Fleet = index, p.relays
+	s.Listed, s.MaxAttempts, s.ReportLimit = false, 6, -1
+	each := p.rate / float64(p.relays)
+	s.Workers, s.MaxHeld = 8+int(each/4), 50+int(10*each)
+	inOrder := s.Classes[0]
+	inOrder.Ordered = true
+	s.Classes = []Class{s.Classes[0], inOrder}
+	return s
+}
+
+func (p chancePlay) start(t *testing.T, r *chanceRelay, index int, now time.Duration) {
+	t.Helper()
+	chooser, err := New(p.settings(index), p.seed+uint64(index))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.chooser, r.calls, r.wake = chooser, nil, now // what is out is not heard of again
+	events := []Event{Listing{Whole: true, Hosts: []Host{{Addr: "a", Dest: 1, State: Ready}}}}
+	for _, id := range slices.Sorted(maps.Keys(r.held)) {
+		m := r.held[id]
+		m.Left = m.due - now
+		back := Restored{Arrival: m.Arrival, Attempts: r.attempts[id], Ran: m.sent >= 0, Since: now - m.sent}
+		events = append(events, back)
+	}
+	r.carryOut(chooser.Step(now, events), now, p)
+}
+
+// carryOut does what a relay decided.
+func (r *chanceRelay) carryOut(actions []Action, now time.Duration, p chancePlay) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Wake:
+			r.wake = min(r.wake, now+a.After)
+		case Refuse:
+			delete(r.held, a.ID)
+		case Fail:
+			delete(r.held, a.ID)
+		case Send:
+			r.call(a, now, p)
+		}
+	}
+}
+
+func (r *chanceRelay) call(a Send, now time.Duration, p chancePlay) {
+	m := r.held[a.ID]
+	outcome, took := Served, chanceTick+time.Duration(r.random.Int64N(int64(15*ms)))
+	if r.random.Float64() < p.refused {
+		outcome = Refused
+	}
+	if outcome == Served && m.sent < 0 {
+		m.sent = now
+		r.held[a.ID] = m
+	}
+	result := Result{ID: a.ID, Host: a.Host, Attempt: r.attempts[a.ID], Outcome: outcome, Took: took, Done: outcome == Served}
+	r.attempts[a.ID]++
+	r.calls = append(r.calls, callInFlight{now + took, result})
+}
+
+// outcomes are the results that are due, and the messages that were delivered in time.
+func (r *chanceRelay) outcomes(now time.Duration) (events []Event, delivered int) {
+	var open []callInFlight
+	for _, call := range r.calls {
+		if call.at > now {
+			open = append(open, call)
+			continue
+		}
+		events = append(events, call.result)
+		if m, held := r.held[call.result.ID]; held && call.result.Outcome == Served {
+			if now <= m.due {
+				delivered++
+			}
+			delete(r.held, call.result.ID)
+		}
+	}
+	r.calls = open
+	return events, delivered
+}
+
+// run plays it and tells how many messages were handed in and delivered in time.
+func (p chancePlay) run(t *testing.T) (offered, delivered int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(p.seed, 7))
+	relays := make([]*chanceRelay, p.relays)
+	for i := range relays {
+		relays[i] = &chanceRelay{random: rand.New(rand.NewPCG(p.seed, uint64(100+i))), attempts: map[string]int{}, held: map[string]heldMessage{}}
+		if p.restart {
+			relays[i].restart = p.span/4 + time.Duration(random.Int64N(int64(p.span/2)))
+		}
+		p.start(t, relays[i], i, 0)
+	}
+	s := p.settings(0)
+	next := time.Duration(random.ExpFloat64() / p.rate * float64(time.Second))
+	end := p.span + s.Classes[0].Deadline
+	for now := chanceTick; now < end; now += chanceTick {
+		arrivals := make([][]Event, p.relays)
+		for ; next <= now && next < p.span; next += time.Duration(random.ExpFloat64() / p.rate * float64(time.Second)) {
+			offered++
+			m := Arrival{ID: fmt.Sprint("m", offered), Dest: 1, Left: s.Classes[0].Deadline}
+			to := random.IntN(p.relays)
+			if p.ordered {
+				key := random.IntN(max(p.relays, int(chanceKeys*p.rate)))
+				m.Class, m.Key, to = 1, fmt.Sprint("k", key), key%p.relays
+			}
+			r := relays[to]
+			r.held[m.ID] = heldMessage{Arrival: m, due: now + m.Left, sent: -1}
+			arrivals[to] = append(arrivals[to], m)
+		}
+		for i, r := range relays {
+			if p.restart && now-chanceTick < r.restart && r.restart <= now {
+				p.start(t, r, i, now)
+			}
+			events, done := r.outcomes(now)
+			delivered += done
+			events = append(events, arrivals[i]...)
+			if len(events) == 0 && now < r.wake {
+				continue
+			}
+			if now >= r.wake {
+				events, r.wake = append(events, Woken{}), 1<<62
+			}
+			r.carryOut(r.chooser.Step(now, events), now, p)
+		}
+	}
+	return offered, delivered
+}
+
+// chanceTargets are the least shares delivered in time, by the share of the calls that is refused by chance.
+var chanceTargets = []struct{ refused, delivered float64 }{{0.01, 0.99}, {0.05, 0.97}, {0.1, 0.95}, {0.2, 0.9}}
+
+// Guards against starving a destination that is well: it serves all that comes, and refuses a few calls by chance.
+func TestRefusalsByChanceStarveNoDestination(t *testing.T) {
+	for _, target := range chanceTargets {
+		for _, relays := range []int{1, 30} {
+			for _, rate := range []float64{2, 20, 200} {
+				for _, ordered := range []bool{false, true} {
+					for _, restart := range []bool{false, true} {
+						name := fmt.Sprintf("refused=%v/relays=%d/rate=%v/ordered=%v/restart=%v", target.refused, relays, rate, ordered, restart)
+						t.Run(name, func(t *testing.T) {
+							t.Parallel()
+							p := chancePlay{relays, rate, target.refused, ordered, restart, time.Minute, 1}
+							offered, delivered := p.run(t)
+							t.Logf("%d of %d delivered", delivered, offered)
+							if float64(delivered) < target.delivered*float64(offered) {
+								t.Errorf("%d of %d delivered in time, want %v", delivered, offered, target.delivered)
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
