The test of refusals by chance hands in nothing twice around a restart

What came in the tick of a restart was handed in as restored and as fresh, so that one of the two calls never had its outcome.

--- a/choice/chance_test.go
+++ b/choice/chance_test.go
@@ -148,6 +148,11 @@
 	next := time.Duration(random.ExpFloat64() / p.rate * float64(time.Second))
 	end := p.span + s.Classes[0].Deadline
 	for now := chanceTick; now < end; now += chanceTick {
+		for i, r := range relays {
+			if p.restart && now-chanceTick < r.restart && r.restart <= now {
+				p.start(t, r, i, now)
+			}
+		}
 		arrivals := make([][]Event, p.relays)
 		for ; next <= now && next < p.span; next += time.Duration(random.ExpFloat64() / p.rate * float64(time.Second)) {
 			offered++
@@ -162,9 +167,6 @@
 			arrivals[to] = append(arrivals[to], m)
 		}
 		for i, r := range relays {
-			if p.restart && now-chanceTick < r.restart && r.restart <= now {
-				p.start(t, r, i, now)
-			}
 			events, done := r.outcomes(now)
 			delivered += done
 			events = append(events, arrivals[i]...)
