The first refusal leaves no debt: calls sent before there was a limit are not counted

What callers saw: where no rate is listed, a destination that had served for a while got nothing for seconds after the first call that it refused; what waited was refused at the door or given up untried.

Cause: each send took a token, also while no limit was in force, when none is put back. The first refusal sets the limit, and the pace then had to earn back every call since the start: 200 calls at 20 a second are 12 s of silence.

Evidence: in a play of one relay at 2 messages a second, refused once in 114 calls, nothing was sent for seconds though the limit stood at 8 a second, the unit was healthy, no pause or wait was in force and 8 messages waited; what was left were the tokens.

Why this works: tokens are taken only under a limit, and the first cut begins at none.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -912,7 +912,9 @@
 		u.sends = u.sends[1:] // by time; to scan all of them at each send took most of a busy relay's time
 	}
 	u.outs, u.sends = append(u.outs, k), append(u.sends, c.now)
-	u.tokens--
+	if u.limit > 0 {
+		u.tokens--
+	}
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
 	}
