Pacing has its own file: limit, tokens and cuts of a unit; no decision changed

The pace stood in choice.go between pauses and health. choice/pacing.go now holds the limit of a unit, its tokens, its growth and its cuts, with named constants; unit.pace, which was the smoothed latency, is unit.latency.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,16 +25,13 @@
 	wasted = 4.0
 	// outage of the last history outcomes of a unit must have failed: one stray error is none.
 	history, outage = 5, 2
-	margin          = 4   // ticks between the last own look at a message and its deadline
-	budgetShare     = 0.9 // of the rule's budget for a cold destination
-	// cut of a unit's pace: a fifth on a refusal. grow is what it regains in a second without, and
-	// search the same where no rate is listed.
-	cut, grow, search = 0.8, 0.05, 0.1
-	aside             = 0.02     // share of worth by which a host that failed or is not yet well comes later
-	glance            = 200      // looks without news within the shortest aim
-	scarce            = 1.0 / 32 // share of a kind's calls without a connection above which none is left open
-	doubt             = 1.0 / 8  // share lost on rested connections beyond that on others: three in a row
-	crowded           = 0.9      // part of the holding room above which the least worth is turned away
+	margin          = 4        // ticks between the last own look at a message and its deadline
+	budgetShare     = 0.9      // of the rule's budget for a cold destination
+	aside           = 0.02     // share of worth by which a host that failed or is not yet well comes later
+	glance          = 200      // looks without news within the shortest aim
+	scarce          = 1.0 / 32 // share of a kind's calls without a connection above which none is left open
+	doubt           = 1.0 / 8  // share lost on rested connections beyond that on others: three in a row
+	crowded         = 0.9      // part of the holding room above which the least worth is turned away
 )
 
 // New returns a Chooser for one relay. Pauses are drawn from the seed.
@@ -332,7 +329,7 @@
 		return left
 	}
 	t = max(t, m.timeout+d.table.width)
-	restart := c.now + t + time.Duration(u.pace*float64(time.Second))
+	restart := c.now + t + time.Duration(u.latency*float64(time.Second))
 	if restart >= m.due || m.class.Effect == Keyed && restart >= c.windowEnd(m) {
 		return left
 	}
@@ -461,15 +458,7 @@
 		}
 		d.pauseUntil = c.now + 2*c.spread(u, d, step)
 	}
-	if c.now-u.cutAt >= time.Second && !c.thin(u) {
-		// Over at least the even share of a call, or the refused call alone counts as more than its share.
-		span := min(max(time.Second, c.even(u)), c.set.Rules.Cold)
-		if own := c.sent(u, span) / span.Seconds(); u.limit == 0 || own < u.limit {
-			u.limit = own
-		}
-		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
-		u.cutAt, u.tokens = c.now, min(u.tokens, 0)
-	}
+	c.cutPace(u)
 	// Refusals alone, for longer than a limit explains, are those of a shut destination. Of one that it meets
 	// seldom a relay sees but few before it opens and all relays come at once: three in a row are enough.
 	fall := c.set.Rules.Fall
@@ -504,8 +493,8 @@
 func (c *Chooser) coldGap(u *unit) float64 { return c.set.Rules.Fall.Seconds() / c.budget(u, 0) }
 
 func (c *Chooser) served(u *unit, d *dest, took time.Duration) {
-	u.pace = cmp.Or(u.pace, took.Seconds())
-	u.pace += (took.Seconds() - u.pace) / 8
+	u.latency = cmp.Or(u.latency, took.Seconds())
+	u.latency += (took.Seconds() - u.latency) / 8
 	cold := c.set.Rules.Cold.Seconds()
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
 	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall ||
@@ -541,17 +530,6 @@
 	}
 }
 
-// sent counts the calls to a unit within a span until now.
-func (c *Chooser) sent(u *unit, span time.Duration) float64 {
-	n := 0.0
-	for _, t := range u.sends {
-		if c.now-t <= span {
-			n++
-		}
-	}
-	return n
-}
-
 // room tells whether a unit may be sent a call now.
 func (c *Chooser) room(u *unit) bool {
 	if c.now < u.waitUntil || c.now < u.pauseUntil {
@@ -569,19 +547,7 @@
 			return false
 		}
 	}
-	return u.limit == 0 || u.tokens >= 1
-}
-
-// refill brings pace and tokens up to date.
-func (c *Chooser) refill(u *unit) {
-	dt := (c.now - u.limitAt).Seconds()
-	u.limitAt = c.now
-	if u.listed > 0 {
-		u.limit = min(u.limit*(1+grow*min(dt, 1)), u.listed)
-	} else {
-		u.limit *= 1 + search*min(dt, 1)
-	}
-	u.tokens = min(u.tokens+u.limit*dt, max(1, u.limit*c.minAim.Seconds()/8))
+	return u.hasToken()
 }
 
 // Admission and final answers.
@@ -912,9 +878,7 @@
 		u.sends = u.sends[1:] // by time; to scan all of them at each send took most of a busy relay's time
 	}
 	u.outs, u.sends = append(u.outs, k), append(u.sends, c.now)
-	if u.limit > 0 {
-		u.tokens--
-	}
+	u.takeToken()
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
 	}
@@ -1062,7 +1026,7 @@
 	if c.thin(u) {
 		cost = cost/10 + h.liking/20
 	}
-	finish := u.pace * float64(h.out+1) / m.class.Aim.Seconds()
+	finish := u.latency * float64(h.out+1) / m.class.Aim.Seconds()
 	cost += max(0, finish-0.25) + finish/100
 	if h == m.last || u.state != healthy || h.fails > 0 {
 		cost += aside * float64(1+min(h.fails, 4)) // before long an untried host comes first
--- a/choice/state.go
+++ b/choice/state.go
@@ -67,6 +67,7 @@
 
 // unit is what health, limits and waits hang on: a destination, or a route where routes are apart.
 type unit struct {
+	pacer
 	name       string
 	listed     float64 // calls a second from all relays, 0 if unknown
 	state      health
@@ -83,13 +84,9 @@
 	lastServed time.Duration // or first listed
 	outs       []*call
 	sends      []time.Duration // in the last Fall or second
-	pace       float64         // smoothed latency, seconds
+	latency    float64         // smoothed, seconds
 	served     float64         // smoothed rate served to this relay, messages a second
 	base       float64         // served when the outage began
-	limit      float64         // calls a second this relay allows itself; 0 for no limit
-	limitAt    time.Duration   // last time that limit or tokens were brought up to date
-	cutAt      time.Duration
-	tokens     float64
 }
 
 // habits are what this relay has met at the destinations of a kind.
