Refusals by chance do not cut the pace: only what depends on the pace, or a limit, does

What callers saw: a partner that is well and refuses a call now and then (503, no wait) lost a fifth of its messages at 1 in 100 and most of them at 1 in 10: answered 429, or given up untried.

Cause: each refusal cut the limit to four fifths of what this relay had sent in the last second, at most once a second, and a tenth a second came back. At a share p of refusals that settles near 0.43/p calls a second, whatever the destination takes. A sender that sends all it has, or had sent little in that second, fell under its own demand at once.

Change: where the destination tells waits, or this relay sends over its even share of a listed rate, a refusal is that of a limit and cuts as before. Elsewhere the cut is the share of calls refused in the span, less the share that was refused while the pace stood below where the last cut found it; the pace is the highest of the cold time.

Why this works: a limit's refusals go away as the pace falls, those by chance stay.

--- a/choice/chance_test.go
+++ b/choice/chance_test.go
@@ -17,6 +17,7 @@
 	refused float64 // share of the calls
 	ordered bool
 	restart bool // each relay once, with what it holds
+	listed  bool // twice the rate of the messages is listed
 	span    time.Duration
 	seed    uint64
 }
@@ -55,7 +56,7 @@
 func (p chancePlay) settings(index int) Settings {
 	s := settings()
 	s.Index, s.Fleet = index, p.relays
-	s.Listed, s.MaxAttempts, s.ReportLimit = false, 6, -1
+	s.Listed, s.MaxAttempts, s.ReportLimit = p.listed, 6, -1
 	each := p.rate / float64(p.relays)
 	s.Workers, s.MaxHeld = 8+int(each/4), 50+int(10*each)
 	inOrder := s.Classes[0]
@@ -71,7 +72,8 @@
 		t.Fatal(err)
 	}
 	r.chooser, r.calls, r.wake = chooser, nil, now // what is out is not heard of again
-	events := []Event{Listing{Whole: true, Hosts: []Host{{Addr: "a", Dest: 1, State: Ready}}}}
+	host := Host{Addr: "a", Dest: 1, State: Ready, Rate: 2 * p.rate}
+	events := []Event{Listing{Whole: true, Hosts: []Host{host}}}
 	for _, id := range slices.Sorted(maps.Keys(r.held)) {
 		m := r.held[id]
 		m.Left = m.due - now
@@ -185,17 +187,19 @@
 // chanceTargets are the least shares delivered in time, by the share of the calls that is refused by chance.
 var chanceTargets = []struct{ refused, delivered float64 }{{0.01, 0.99}, {0.05, 0.97}, {0.1, 0.95}, {0.2, 0.9}}
 
-// Guards against starving a destination that is well: it serves all that comes, and refuses a few calls by chance.
-func TestRefusalsByChanceStarveNoDestination(t *testing.T) {
+// playChances plays every case of one seed, and holds what was delivered against its target.
+func playChances(t *testing.T, seed uint64, listed bool) {
+	t.Helper()
 	for _, target := range chanceTargets {
 		for _, relays := range []int{1, 30} {
 			for _, rate := range []float64{2, 20, 200} {
 				for _, ordered := range []bool{false, true} {
 					for _, restart := range []bool{false, true} {
-						name := fmt.Sprintf("refused=%v/relays=%d/rate=%v/ordered=%v/restart=%v", target.refused, relays, rate, ordered, restart)
+						p := chancePlay{relays: relays, rate: rate, refused: target.refused, ordered: ordered, restart: restart, listed: listed,
+							span: time.Minute, seed: seed}
+						name := fmt.Sprintf("refused=%v/relays=%d/rate=%v/ordered=%v/restart=%v", p.refused, relays, rate, ordered, restart)
 						t.Run(name, func(t *testing.T) {
 							t.Parallel()
-							p := chancePlay{relays, rate, target.refused, ordered, restart, time.Minute, 1}
 							offered, delivered := p.run(t)
 							t.Logf("%d of %d delivered", delivered, offered)
 							if float64(delivered) < target.delivered*float64(offered) {
@@ -208,3 +212,16 @@
 		}
 	}
 }
+
+// Guards against starving a destination that is well: it serves all that comes, and refuses a few calls by chance.
+func TestRefusalsByChanceStarveNoDestination(t *testing.T) { playChances(t, 1, false) }
+
+// The same with more seeds, and where a rate is listed.
+func TestRefusalsByChanceWithFurtherSeeds(t *testing.T) {
+	const seeds = 5
+	for seed := uint64(1); seed <= seeds; seed++ {
+		for _, listed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("seed=%d/listed=%v", seed, listed), func(t *testing.T) { playChances(t, seed, listed) })
+		}
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -438,6 +438,7 @@
 // refused takes in a refusal: a wait if one was told, a pause of its own and a lower pace if not.
 func (c *Chooser) refused(u *unit, d *dest, wait time.Duration) {
 	c.bad(u)
+	u.noteRefusal(c.now, c.set.Rules.Cold, wait > 0)
 	u.waitUntil = max(u.waitUntil, c.now+wait)
 	u.pauseUntil = max(c.now, u.waitUntil)
 	step := u.bad - 1
@@ -499,6 +500,7 @@
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
 	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall ||
 		u.bad == 1 && c.thin(u) && c.now-u.since < c.set.Rules.Fall
+	u.noteAnswer(false)
 	u.lastServed, u.bad = c.now, 0
 	u.streak++
 	u.note(false)
--- a/choice/pacing_test.go
+++ b/choice/pacing_test.go
@@ -45,3 +45,47 @@
 		t.Errorf("%d calls in the two seconds that follow, want most of 40", sent)
 	}
 }
+
+// A destination that is full, and tells neither a rate nor waits, is not overrun: what it refuses shrinks with the pace.
+func TestFullDestinationIsNotOverrun(t *testing.T) {
+	s := settings()
+	s.Listed, s.Fleet, s.Workers = false, 1, 20
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	const capacity = 10 // calls in each second
+	second, taken, refused := time.Duration(0), 0, 0
+	full := func(int) Outcome {
+		if now := r.now.Truncate(time.Second); now != second {
+			second, taken = now, 0
+		}
+		if taken++; taken > capacity {
+			refused++
+			return Refused
+		}
+		return Served
+	}
+	serveSteadily(r, 10*time.Second, 25*ms, full)
+	refused = 0
+	sent := serveSteadily(r, 10*time.Second, 25*ms, full)
+	t.Logf("%d of %d calls refused", refused, sent)
+	if served := sent - refused; served < 7*capacity {
+		t.Errorf("%d calls served in ten seconds, want most of %d", served, 10*capacity)
+	}
+	if float64(refused) > mostChance*float64(sent) {
+		t.Errorf("%d of %d calls refused, want under %v", refused, sent, mostChance)
+	}
+}
+
+// A destination that tells waits has a limit: its refusals are no chance, however few they are.
+func TestToldWaitCutsThePace(t *testing.T) {
+	s := settings()
+	s.Listed, s.Fleet = false, 1
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	serveSteadily(r, 3*time.Second, 50*ms, func(int) Outcome { return Served })
+	u := r.c.order[0].units[0]
+	for _, send := range sends(r.step(arrival("told", 0))) {
+		r.step(r.end(send.ID, send.Host, Refused, func(e *Result) { e.Wait = 100 * ms }))
+	}
+	if found := u.cutFrom; found == 0 || u.limit > (1-cutShare)*found+0.1 {
+		t.Errorf("limit %v after a told wait at a pace of %v, want a cut by a fifth", u.limit, found)
+	}
+}
