--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -92,3 +92,22 @@
 		t.Errorf("%q", bad)
 	}
 }
+
+// Guards against starving hosts that are well and refuse a few calls by chance: the emulator's refuse 5 in 100 and
+// answer 3 in 100 with an error, which ends what may not be repeated.
+func TestRefusalsByChanceOnSockets(t *testing.T) {
+	program := build(t)
+	res, err := Run(t.Context(), Options{Shim: program, Program: program, Seed: 14, Nodes: 1, Hosts: 3, Clients: 8, Duration: 12 * time.Second,
+		Faults: []Fault{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d of %d delivered, %d given up untried", res.Service.Delivered, res.Requests, res.Service.Untried)
+	const served, failed = 0.97, 0.03
+	if float64(res.Service.Delivered) < (served-failed)*float64(res.Requests) {
+		t.Errorf("%d of %d delivered in time, want %v", res.Service.Delivered, res.Requests, served-failed)
+	}
+	if 50*res.Service.Untried >= res.Service.Taken {
+		t.Errorf("%d of %d taken were given up untried, want under one in fifty", res.Service.Untried, res.Service.Taken)
+	}
+}
