TestNameMoves holds repeats to their rule: a status again only after its attempt was given up

The test failed beside load since a message was delivered after two calls. In 10 such messages of 6 failed plays of 18, each call traced, all were of class status, which may be repeated; the relay had given up the first call at the least-E time-out of its table, as the design has it, and the stand-in saw the connection end or answered too late. Charges were called once in all of them. So the check was wrong for one of its two classes.

Replaced, as strict: a charge has exactly one call; a status has no more calls than attempts went out, and each attempt but the last was timed out or given up by the relay, counted between core and caller.

--- a/internal/relay/addr_test.go
+++ b/internal/relay/addr_test.go
@@ -9,13 +9,16 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/client"
 	"basaltcross.example/basaltcross/internal/config"
+	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/relay"
 	"basaltcross.example/basaltcross/internal/standin"
 	"basaltcross.example/basaltcross/internal/testutil"
@@ -167,9 +170,67 @@
 	}
 }
 
+// attemptLog counts, by the body of the message, the attempts that went out and those that timed out or were
+// given up by the relay.
+type attemptLog struct {
+	core.Caller
+	mu          sync.Mutex
+	sent, ended map[string]int
+}
+
+func newAttemptLog() *attemptLog { return &attemptLog{sent: map[string]int{}, ended: map[string]int{}} }
+
+// over is a hook that puts the log between core and caller.
+func (l *attemptLog) over(c core.Caller) core.Caller {
+	l.Caller = c
+	return l
+}
+
+func (l *attemptLog) Send(c core.Call) core.Attempt {
+	body := string(c.Body)
+	l.add(l.sent, body)
+	end := c.End
+	c.End = func(e core.Ending) {
+		if e.Outcome == choice.Timeout {
+			l.add(l.ended, body)
+		}
+		end(e)
+	}
+	return loggedAttempt{l.Caller.Send(c), l, body}
+}
+
+// loggedAttempt is an attempt that the relay may give up.
+type loggedAttempt struct {
+	core.Attempt
+	log  *attemptLog
+	body string
+}
+
+func (a loggedAttempt) Abort() (started, ok bool) {
+	started, ok = a.Attempt.Abort()
+	if ok {
+		a.log.add(a.log.ended, a.body)
+	}
+	return started, ok
+}
+
+func (l *attemptLog) add(to map[string]int, body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	to[body]++
+}
+
+// repeatsExplained tells whether each of a message's calls but one follows an attempt that the relay gave up.
+func (l *attemptLog) repeatsExplained(body string, calls int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return calls <= l.sent[body] && l.sent[body] == l.ended[body]+1
+}
+
 // A partner's name moves from one host to another, gives nothing, gives another
 // partner's address, and its server goes mute, while messages come: nothing goes
-// to a host after its time there is over, nothing to another's, none is sent twice.
+// to a host after its time there is over, nothing to another's, no charge is sent twice,
+// and a status, which a repeat does not harm, again only after the relay gave up its attempt.
 func TestNameMoves(t *testing.T) {
 	dns, err := standin.StartDNS()
 	if err != nil {
@@ -211,7 +272,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := relay.Start(cfg, zerolog.Nop(), relay.Hooks{})
+	attempts := newAttemptLog()
+	r, err := relay.Start(cfg, zerolog.Nop(), relay.Hooks{Caller: attempts.over})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -271,8 +333,10 @@
 		}
 	}
 	for id, a := range in.wait(t, n) {
-		if a[0].Answer != "delivered" || seen[id] != 1 {
-			t.Errorf("%s: %s after %d calls", id, a[0].Answer, seen[id])
+		i, _ := strconv.Atoi(id)
+		once := i%2 == 1 // a charge
+		if a[0].Answer != "delivered" || seen[id] < 1 || once && seen[id] != 1 || !attempts.repeatsExplained(id, seen[id]) {
+			t.Errorf("%s: %s after %d calls, %d attempts, %d given up", id, a[0].Answer, seen[id], attempts.sent[id], attempts.ended[id])
 		}
 	}
 }
