A destination that serves nothing is paced from its second refusal, also right after a start

What callers saw, had it landed: a host that refuses all for two seconds (503, no wait) used up all six attempts of a message, which was given up though the host was well again within its time.

Cause: calls went at 0, 0.33, 0.57, 0.8, 1.2 and 1.9 s. No limit held them: a cut within a second of the process's start was taken for one within a second of a cut, and the first cut then had no debt of tokens to keep, which had spaced the tries by accident.

Change: the time since the last cut counts only after a cut. Where a unit has served no call yet, or none for the cold time, and refused more than one, the refusal is no chance: it is paced as by a limit, and the first call served lifts that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -500,7 +500,7 @@
 	u.served = u.served*math.Exp(-(c.now-u.lastServed).Seconds()/cold) + 1/cold
 	short := u.bad == 0 || !u.errors && c.now-u.lastServed < c.set.Rules.Fall ||
 		u.bad == 1 && c.thin(u) && c.now-u.since < c.set.Rules.Fall
-	u.noteAnswer(false)
+	u.noteServed()
 	u.lastServed, u.bad = c.now, 0
 	u.streak++
 	u.note(false)
--- a/choice/pacing.go
+++ b/choice/pacing.go
@@ -39,6 +39,7 @@
 	refusals   []time.Duration // within the longest span of a cut
 	tellsWait  float64         // share of the refusals, faded
 	calm       refusalShare    // of the calls at a calm pace
+	uncertain  bool            // the limit was set before anything was served; the first call served lifts it
 }
 
 // refusalShare counts calls and those of them that were refused. Old ones fade.
@@ -61,6 +62,14 @@
 	}
 }
 
+// noteServed enters a call that was served.
+func (p *pacer) noteServed() {
+	p.noteAnswer(false)
+	if p.uncertain {
+		p.uncertain, p.limit, p.cutFrom = false, 0, 0
+	}
+}
+
 // noteRefusal enters a refusal, and whether it told a wait.
 func (p *pacer) noteRefusal(now, memory time.Duration, told bool) {
 	p.noteAnswer(true)
@@ -110,13 +119,15 @@
 
 // cutPace lowers the limit of a unit that refused a call, where this relay meets it often enough to learn a pace.
 func (c *Chooser) cutPace(u *unit) {
-	if c.now-u.cutAt < cutInterval || c.thin(u) {
+	if u.cutFrom > 0 && c.now-u.cutAt < cutInterval || c.thin(u) {
 		return
 	}
 	// Over at least the even share of a call, or the refused call alone counts as more than its share.
 	span := min(max(cutInterval, c.even(u)), c.set.Rules.Cold)
 	found, depth := c.sent(u, span)/span.Seconds(), cutShare
-	if !c.tellsOfLimit(u, found) {
+	if !c.tellsOfLimit(u, found) && c.servesNothing(u) {
+		u.uncertain = u.limit == 0
+	} else if !c.tellsOfLimit(u, found) {
 		if u.listed == 0 && !u.sentFor(span, c.now) {
 			return // how much it sends is not known yet
 		}
@@ -141,6 +152,12 @@
 	return u.tellsWait >= tellsLimit || u.listed > 0 && pace > u.listed/float64(c.set.Fleet)
 }
 
+// servesNothing tells whether a unit has served no call yet, or none for the cold time, and refused more than one: it
+// may be shut.
+func (c *Chooser) servesNothing(u *unit) bool {
+	return u.bad > 1 && (u.served == 0 || c.now-u.lastServed > c.set.Rules.Cold)
+}
+
 // sent counts the calls to a unit within a span until now.
 func (c *Chooser) sent(u *unit, span time.Duration) float64 {
 	return float64(countWithin(u.sends, c.now, span))
