A limit that is never cut stays a number

What callers would see: where no rate is listed, a destination gets nothing more, for good, once a limit has grown for some two hours without a cut: it reached +Inf, and +Inf over no time is no number of tokens.

Found by reading; TestLimitStaysFinite failed before (limit +Inf, tokens NaN). The limit is bounded at a thousand million calls a second.

--- a/choice/pacing.go
+++ b/choice/pacing.go
@@ -14,6 +14,8 @@
 	cutShare = 0.2
 	// listedGrowth is the share by which a limit grows in a second where a rate is listed, searchGrowth where none is.
 	listedGrowth, searchGrowth = 0.05, 0.1
+	// mostLimit in calls a second keeps a limit that is never cut a number.
+	mostLimit = 1e9
 	// cutInterval is the least time between two cuts, and that over which the own rate is measured.
 	cutInterval = time.Second
 	// burstAims is how much of the shortest aim's calls may go at once.
@@ -112,7 +114,7 @@
 	if u.listed > 0 {
 		u.limit = min(u.limit*(1+listedGrowth*min(elapsed, 1)), u.listed)
 	} else {
-		u.limit *= 1 + searchGrowth*min(elapsed, 1)
+		u.limit = min(u.limit*(1+searchGrowth*min(elapsed, 1)), mostLimit)
 	}
 	u.tokens = min(u.tokens+u.limit*elapsed, max(1, u.limit*c.minAim.Seconds()*burstAims))
 }
--- a/choice/pacing_test.go
+++ b/choice/pacing_test.go
@@ -89,3 +89,21 @@
 		t.Errorf("limit %v after a told wait at a pace of %v, want a cut by a fifth", u.limit, found)
 	}
 }
+
+// Guards against a destination that gets nothing after hours without a cut: a limit that grows without end is no number.
+func TestLimitStaysFinite(t *testing.T) {
+	s := settings()
+	s.Listed, s.Fleet = false, 1
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	u := r.c.order[0].units[0]
+	u.limit = 1
+	const hours = 3
+	for range hours * 3600 {
+		r.c.now += time.Second
+		r.c.refill(u)
+	}
+	r.c.refill(u) // at the same time once more
+	if !u.hasToken() {
+		t.Errorf("limit %v, tokens %v: nothing may be sent", u.limit, u.tokens)
+	}
+}
