The pace of a destination that served nothing is lifted though it refused more than twice

What callers would see: after an outage in which a destination refused three times or more it kept the slow pace after it served again, and regained a tenth a second.

Cause: the second cut forgot that the first was provisional, since there was a limit by then.

--- a/choice/pacing.go
+++ b/choice/pacing.go
@@ -6,8 +6,8 @@
 // with time. Calls take tokens, which come at the rate of the limit.
 //
 // A refusal is taken for that of a limit where the destination tells waits, or where this relay sends more than its
-// even share of a listed rate. Otherwise it may have come by chance: the cut is as deep as the share of calls refused,
-// less the share that is refused whatever the pace.
+// even share of a listed rate. A unit that has served nothing is paced alike until it serves. Otherwise a refusal may
+// have come by chance: the cut is as deep as the share of calls refused, less the share refused whatever the pace.
 
 const (
 	// cutShare of the limit goes with a cut at most.
@@ -26,9 +26,10 @@
 	calmMemory = 64
 	// mostChance is the largest share of refusals that is put down to chance: one that is shut or cold refuses more.
 	mostChance = 0.3
-	// tellsMemory is over how many refusals the share is taken that tells a wait, and tellsLimit the share from which
-	// a destination is one that tells its limit: one refusal in as many.
-	tellsMemory, tellsLimit = 8, 0.1
+	// tellsMemory is the number of refusals over which the share that tells a wait is smoothed.
+	tellsMemory = 8
+	// tellsLimit is the share of refusals with a told wait from which all of them are taken for those of a limit.
+	tellsLimit = 0.1
 )
 
 // pacer is the limit of a unit, and its tokens.
@@ -126,18 +127,21 @@
 	}
 	// Over at least the even share of a call, or the refused call alone counts as more than its share.
 	span := min(max(cutInterval, c.even(u)), c.set.Rules.Cold)
-	found, depth := c.sent(u, span)/span.Seconds(), cutShare
-	if !c.tellsOfLimit(u, found) && c.servesNothing(u) {
-		u.uncertain = u.limit == 0
-	} else if !c.tellsOfLimit(u, found) {
-		if u.listed == 0 && !u.sentFor(span, c.now) {
-			return // how much it sends is not known yet
+	calls := c.sent(u, span)
+	found, depth := calls/span.Seconds(), cutShare
+	switch {
+	case c.tellsOfLimit(u, found):
+		u.uncertain = false
+	case c.servesNothing(u):
+		u.uncertain = u.uncertain || u.limit == 0
+	case u.listed == 0 && !u.sentFor(span, c.now):
+		return // how much it sends is not known yet
+	default:
+		refused := float64(countWithin(u.refusals, c.now, span))
+		if depth = min(cutShare, refused/calls-u.chance()); depth <= 0 {
+			return
 		}
 		found = u.peak(span)
-		depth = min(cutShare, float64(countWithin(u.refusals, c.now, span))/c.sent(u, span)-u.chance())
-	}
-	if depth <= 0 {
-		return
 	}
 	if u.limit > 0 {
 		found = min(found, u.limit)
--- a/choice/pacing_test.go
+++ b/choice/pacing_test.go
@@ -107,3 +107,19 @@
 		t.Errorf("limit %v, tokens %v: nothing may be sent", u.limit, u.tokens)
 	}
 }
+
+// The pace set while a destination served nothing is lifted by the first call that it serves, however often it refused.
+func TestPaceBeforeTheFirstServedIsLifted(t *testing.T) {
+	s := settings()
+	s.Listed, s.Fleet, s.MaxAttempts = false, 1, 20
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	serveSteadily(r, 4*time.Second, 500*ms, func(int) Outcome { return Refused })
+	u := r.c.order[0].units[0]
+	if u.limit == 0 || u.bad < 4 {
+		t.Fatalf("limit %v after %d refusals, want one", u.limit, u.bad)
+	}
+	serveSteadily(r, 10*time.Second, 500*ms, func(int) Outcome { return Served })
+	if u.limit != 0 {
+		t.Errorf("limit %v once it serves, want none", u.limit)
+	}
+}
