A listed unit is not paced by its first second either

A unit with a listed rate was cut by the share of what few calls it had got since the start: a first call refused counted as all of them. The exception is gone: where no limit is told, nothing is cut before the span has been sent for.

--- a/choice/pacing.go
+++ b/choice/pacing.go
@@ -134,7 +134,7 @@
 		u.uncertain = false
 	case c.servesNothing(u):
 		u.uncertain = u.uncertain || u.limit == 0
-	case u.listed == 0 && !u.sentFor(span, c.now):
+	case !u.sentFor(span, c.now):
 		return // how much it sends is not known yet
 	default:
 		refused := float64(countWithin(u.refusals, c.now, span))
