MQTT: a hand-in behind an answer that is not acknowledged yet is owed one of its own

Callers saw: a client that was refused, waited as told and handed the same message in again before its acknowledgement of the refusal had reached the relay got PUBACK and then nothing: no call, no answer. So did one that handed in again what was delivered. Cause: session.handIn found the identity in s.pend, where it stays until its answer is acknowledged, took the hand-in for a repeat of one that is under way, acknowledged it and left; the acknowledgement of the earlier answer then freed the identity. Change: a hand-in joins one of its identity that has no answer yet. Behind an answer it goes to the core, whose ledger decides: the same answer again, or a new try after a refusal's time. A flow that is asked for again with DUP stays the hand-in that it was. The record of an identity counts as handed over only with the answer of its newest hand-in, so that a restart does not forget that one. An answer not yet sent gives way to that of the later hand-in once that is taken. Answers not acknowledged count against `Pending`, replaced ones too. Evidence: again_test.go on the code before: all seven cases of TestComesAgainBeforeItAcknowledges ("the core heard of 1 hand-ins, want 2"; QoS 1 and 2, refused, delivered and failed, between PUBREC and PUBCOMP, session resumed), TestComesAgainBeforeItsAnswerIsSent and TestUnacknowledgedAnswersAreBounded failed; all pass now, with the race detector, as do internal/relay and internal/badday. TestFlowAskedForAgainIsNoNewHandIn passes on both.

--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -647,7 +647,10 @@
 			fl.identity = front.Identity('f', s.user, s.id, fmt.Sprint(f.born), fmt.Sprint(s.serial))
 		}
 	}
-	if old := s.pend[fl.identity]; old != nil { // under way, or its answer on the way to this session
+	// A hand-in joins one that is under way; a flow that is asked for again stands for the
+	// hand-in that it was. Any other comes after an answer and is owed one of its own: the
+	// same again or, after a refusal's time, that of a new try.
+	if old := s.pend[fl.identity]; old != nil && (old.answer.Verdict == 0 || known) {
 		if old.taken {
 			s.ack(fl)
 		} else if !slices.Contains(old.acks, fl) {
@@ -655,7 +658,7 @@
 		}
 		return
 	}
-	if len(s.pend) >= f.opt.Pending {
+	if s.owed >= f.opt.Pending {
 		s.nack(fl, front.ErrPending)
 		return
 	}
@@ -683,9 +686,9 @@
 	if f.opt.Keeper != nil {
 		m.Front, m.Way = Name, pend.way(fl.qos)
 	}
-	s.pend[fl.identity] = pend
+	s.expect(pend)
 	if err := f.opt.Door.Submit(m); err != nil {
-		delete(s.pend, fl.identity)
+		s.turnAway(pend)
 		s.nack(fl, err)
 	}
 }
--- a/internal/mqttfront/keep.go
+++ b/internal/mqttfront/keep.go
@@ -53,11 +53,22 @@
 	k.Session(Name, s.id, b)
 }
 
-// handed frees a message whose answer the client has; under mu.
+// handed frees a hand-in whose answer the client has; under mu. The record of its identity
+// is that of the newest hand-in, whose answer may still be owed.
 func (s *session) handed(p *pending) {
+	p.handed = true
+	s.owed--
+	if s.pend[p.identity] != p {
+		return
+	}
 	delete(s.pend, p.identity)
+	s.settled(p.identity)
+}
+
+// settled records that nothing is owed for an identity; under mu.
+func (s *session) settled(identity string) {
 	if k := s.front.opt.Keeper; k != nil {
-		k.Handed(p.identity)
+		k.Handed(identity)
 	}
 }
 
@@ -113,7 +124,7 @@
 		return nowhere{}
 	}
 	p := &pending{s: s, identity: o.Identity, topic: w.Topic, corr: w.Corr, packet: w.Packet, taken: true}
-	s.pend[o.Identity] = p
+	s.expect(p)
 	if o.Answer.Verdict != 0 {
 		p.answer = o.Answer
 		s.queue = append(s.queue, p)
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -45,7 +45,8 @@
 	before map[uint16]*flow
 	open   int // QoS 1 and 2 not yet acknowledged on this connection
 
-	pend   map[string]*pending // owed, until the answer is handed over; by identity
+	pend   map[string]*pending // the newest hand-in of each identity, until its answer is handed over
+	owed   int                 // answers not yet handed over, of hand-ins that were replaced too
 	queue  []*pending          // answered, not yet sent
 	sent   map[uint16]*pending // sent, not yet acknowledged
 	turn   uint64              // answers sent so far
@@ -61,11 +62,14 @@
 	taken    bool
 }
 
-// pending is one message of this session until its answer is handed over.
+// pending is one hand-in of this session, with those that joined it, until its answer is
+// handed over.
 type pending struct {
 	s        *session
 	identity string
-	topic    string // of the answer
+	earlier  *pending // whose place this one takes once it is taken; nil from then on
+	handed   bool     // nothing is owed for it any more
+	topic    string   // of the answer
 	corr     []byte
 	packet   uint16
 	taken    bool
@@ -81,7 +85,7 @@
 // dismiss ends the connection of a client that is owed nothing while the relay
 // stops; under mu.
 func (s *session) dismiss() {
-	if s.conn != nil && len(s.pend) == 0 && s.front.draining.Load() {
+	if s.conn != nil && s.owed == 0 && s.front.draining.Load() {
 		s.conn.write()
 		go s.conn.end(mqtt.ServerShuttingDown, "relay stops")
 	}
@@ -102,13 +106,44 @@
 	s.dueAt.Store(at)
 }
 
+// expect counts a hand-in as the newest of its identity.
+func (s *session) expect(p *pending) {
+	p.earlier = s.pend[p.identity]
+	s.pend[p.identity] = p
+	s.owed++
+}
+
+// turnAway forgets a hand-in that was not taken. The one before it is the newest again.
+func (s *session) turnAway(p *pending) {
+	s.owed--
+	delete(s.pend, p.identity)
+	switch before := p.earlier; {
+	case before == nil:
+	case before.handed:
+		s.settled(p.identity)
+	default:
+		s.pend[p.identity] = before
+	}
+}
+
+// replace drops an answer that was not sent yet, as a later hand-in of its identity is owed
+// one. An answer that was sent stays until its acknowledgement (4.4).
+func (s *session) replace(p *pending) {
+	if p == nil || p.handed || p.out != 0 {
+		return
+	}
+	s.queue = slices.DeleteFunc(s.queue, func(queued *pending) bool { return queued == p })
+	s.owed--
+	p.handed = true
+}
+
 // taken tells the client that the core took a hand-in, or did not.
 func (s *session) taken(p *pending, err error) {
 	if s.pend[p.identity] != p {
 		return
 	}
 	if err != nil {
-		delete(s.pend, p.identity)
+		s.turnAway(p)
 		defer s.dismiss()
 		for _, fl := range p.acks {
 			s.nack(fl, err)
@@ -116,6 +151,8 @@
 		return
 	}
 	p.taken = true
+	s.replace(p.earlier)
+	p.earlier = nil
 	for _, fl := range p.acks {
 		s.ack(fl)
 	}
