Web Push: a receipt's acknowledgement does not settle a later push of its identity

Callers would have missed the receipt of a message that they posted again after a refusal, where the relay was restarted between the acknowledgement of the first receipt and the reading of the second. Change: the front knows the newest push of each identity whose receipt is still to be read; only its acknowledgement settles the identity. The table is bounded by the receipts owed and goes with its subscription. Evidence: TestPostedAgainBeforeItsReceiptIsAcknowledged and TestReceiptsOfOneIdentityInTwoSubscriptions failed before ("the identity counts as handed over while its second receipt is not acknowledged") and pass now. TestPostedAgainBeforeItsTime passes on both. That a refused identity is opened anew, with a receipt of its own, whether or not the first was acknowledged, was so before and is shown by the first of them.

--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -82,7 +82,8 @@
 	pushes     map[string]*push
 	byIdentity map[string]*push
 	topics     map[string]*push
-	ended      *list.List // of pushes, oldest first
+	unread     map[string]*push // by identity: the newest whose receipt is to come or not acknowledged
+	ended      *list.List       // of pushes, oldest first
 	boxes      map[string]*box
 	polls      int
 	swept      time.Time
@@ -94,7 +95,7 @@
 func New(opt Options) *Front {
 	return &Front{opt: opt, vapid: newVAPID(opt.Audience), out: front.NewOutbox[*push](), stop: make(chan struct{}),
 		conns: map[*conn]struct{}{}, pushes: map[string]*push{}, byIdentity: map[string]*push{},
-		topics: map[string]*push{}, ended: list.New(), boxes: map[string]*box{},
+		topics: map[string]*push{}, unread: map[string]*push{}, ended: list.New(), boxes: map[string]*box{},
 		h2: &http2.Server{MaxConcurrentStreams: uint32(opt.Streams), MaxReadFrameSize: 16 << 10, IdleTimeout: opt.Idle,
 			MaxUploadBufferPerConnection: 1 << 20, MaxUploadBufferPerStream: 256 << 10,
 			MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096}}
--- a/internal/webpush/keep.go
+++ b/internal/webpush/keep.go
@@ -84,6 +84,9 @@
 		f.forget() // one that ended; what is owed is held past the bound
 	}
 	f.pushes[p.id], f.byIdentity[p.identity] = p, p
+	if p.box != nil && !o.Handed {
+		f.unread[p.identity] = p
+	}
 	if o.Answer.Verdict != 0 {
 		p.ended = time.Now()
 		f.ended.PushBack(p)
--- a/internal/webpush/push.go
+++ b/internal/webpush/push.go
@@ -87,7 +87,7 @@
 	Status       int    `json:"status"`
 	Answer       string `json:"answer"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
-	identity     string
+	push         *push
 }
 
 // waiter is a long poll.
@@ -97,7 +97,7 @@
 }
 
 func receiptOf(p *push) receipt {
-	r := receipt{identity: p.identity, Message: "/message/" + p.id, Status: http.StatusGone, Answer: p.answer.Verdict.String(),
+	r := receipt{push: p, Message: "/message/" + p.id, Status: http.StatusGone, Answer: p.answer.Verdict.String(),
 		RetryAfterMS: int64(math.Ceil(float64(p.answer.After) / float64(time.Millisecond)))}
 	if p.answer.Verdict == ledger.Delivered {
 		r.Status = http.StatusNoContent
@@ -269,6 +269,7 @@
 	}
 	if p.box != nil {
 		p.box.owed++
+		f.unread[p.identity] = p
 	}
 	f.pushes[p.id], f.byIdentity[p.identity] = p, p
 	if topic != "" {
@@ -342,6 +343,7 @@
 			f.drop(p)
 			if p.box != nil {
 				p.box.owed--
+				f.read(p)
 			}
 		}
 		for _, post := range posts {
@@ -373,6 +375,23 @@
 	b.ready = append(b.ready, r)
 }
 
+// read says that nobody will read the receipt of a push any more, or that it was read.
+func (f *Front) read(p *push) {
+	if f.unread[p.identity] == p {
+		delete(f.unread, p.identity)
+	}
+}
+
+// acknowledged lets a receipt go. The record of its identity is that of the newest push,
+// whose receipt may still be to be read; under mu.
+func (f *Front) acknowledged(p *push) {
+	newest := f.unread[p.identity]
+	f.read(p)
+	if k := f.opt.Keeper; k != nil && (newest == nil || newest == p) {
+		k.Handed(p.identity)
+	}
+}
+
 // drop takes a push off the tables; under mu.
 func (f *Front) drop(p *push) {
 	delete(f.pushes, p.id)
@@ -401,6 +420,9 @@
 	for id, b := range f.boxes {
 		if b.owed == 0 && len(b.waiting) == 0 && now.Sub(b.used) >= f.opt.Keep {
 			delete(f.boxes, id)
+			for _, r := range b.ready {
+				f.read(r.push)
+			}
 			if k := f.opt.Keeper; k != nil {
 				k.Session(Name, id, nil)
 			}
@@ -500,9 +522,7 @@
 			return
 		}
 		for len(b.ready) > 0 && b.ready[0].Seq <= seq {
-			if k := f.opt.Keeper; k != nil {
-				k.Handed(b.ready[0].identity)
-			}
+			f.acknowledged(b.ready[0].push)
 			b.ready = b.ready[1:]
 		}
 	}
