Ledger: a refusal past its time is kept until its identity is opened anew

Since a hand-in behind an answer that is not acknowledged reaches the core, that is met in ordinary use. Change: Find only says that the refusal is not in force; Open replaces it, and makes room by that first. Evidence: TestRefusalIsKeptUntilOpenedAnew failed before (dropped ["a"] by Find) and passes now; internal/core and internal/ledger pass with the race detector.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -69,21 +69,24 @@
 func (l *Ledger) Len() int { return len(l.entries) }
 
 // Find returns the entry of an identity, nil if there is none in force. One
-// that was refused stands until the advised time; who comes after it has come
-// again, as told, and is tried anew.
+// that was refused is in force until the advised time; who comes after it has
+// come again, as told, and is tried anew. It is kept until Open replaces it.
 func (l *Ledger) Find(now time.Duration, identity string) *Entry {
 	l.expire(now)
 	e := l.entries[identity]
 	if e != nil && e.Answer.Verdict == Refused && now >= e.Ended+e.Answer.After {
-		l.drop(l.loose, e.place)
 		return nil
 	}
 	return e
 }
 
-// Open begins an identity that Find does not know.
+// Open begins an identity that Find does not know, in place of a refusal that is
+// not in force any more.
 func (l *Ledger) Open(now time.Duration, identity, id string, forget bool) (*Entry, error) {
 	l.expire(now)
+	if refused := l.entries[identity]; refused != nil {
+		l.drop(l.loose, refused.place)
+	}
 	if len(l.entries) >= l.count {
 		oldest := l.loose.Front()
 		if oldest == nil {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -52,3 +52,26 @@
 		}
 	}
 }
+
+// A refusal whose time has passed is kept until its identity is opened anew: who comes again
+// and is turned away is still owed it after a restart.
+func TestRefusalIsKeptUntilOpenedAnew(t *testing.T) {
+	l := New(1, time.Minute)
+	var dropped []string
+	l.Dropped = func(identity string) { dropped = append(dropped, identity) }
+	e, err := l.Open(0, "a", "1", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.End(1, e, Answer{Verdict: Refused, After: time.Second})
+	if l.Find(time.Second, "a") != e {
+		t.Error("a refusal is not in force before its time")
+	}
+	if l.Find(2*time.Second, "a") != nil || len(dropped) != 0 {
+		t.Errorf("a refusal past its time is in force or gone: %q", dropped)
+	}
+	again, err := l.Open(2*time.Second, "a", "2", false)
+	if err != nil || len(dropped) != 1 || l.Len() != 1 || l.Find(2*time.Second, "a") != again {
+		t.Errorf("opened anew: %v, dropped %q, %d kept", err, dropped, l.Len())
+	}
+}
