A relay test: the answer of a later hand-in is owed after a restart

With the condition in session.handed taken out (trial) the test fails: nothing comes after the restart.

--- a/internal/relay/journal_test.go
+++ b/internal/relay/journal_test.go
@@ -206,3 +206,49 @@
 		b.Errorf("%d of %d sessions were kept", present, n)
 	}
 }
+
+// A client hands a message in again, gets its answer again, and acknowledges only the first
+// of the two: the second is still owed after a restart.
+func TestLaterHandInIsOwedAfterARestart(t *testing.T) {
+	rec := standin.NewRecorder(1000)
+	e, err := standin.Start("127.0.0.1:0", standin.NewPartner("p0", standin.Model{Service: ms}, 1), rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	dir := t.TempDir()
+	r := journaled(t, dir, "", e.Addr)
+	conn := rawConnect(t, r.Addrs()[0], "c", 60)
+	answer := func(conn net.Conn) mqtt.Publish {
+		t.Helper()
+		for {
+			first, body := read(t, conn)
+			if first>>4 != mqtt.PUBLISH {
+				continue
+			}
+			p, err := mqtt.ParsePublish(mqtt.V5, first, body)
+			if err != nil || string(p.Props.Correlation) != "a" || p.Props.Get("answer") != "delivered" {
+				t.Fatalf("%+v, %v", p, err)
+			}
+			return p
+		}
+	}
+	write(t, conn, mqtt.AppendSubscribe(nil, mqtt.V5, 9, mqtt.Filter{Topic: "answers/c", QoS: 1}))
+	var answers []mqtt.Publish
+	for id := range uint16(2) {
+		p := mqtt.Publish{QoS: 1, ID: id + 1, Topic: "send/charge/p0", Payload: []byte("x"), Props: mqtt.Props{Correlation: []byte("a")}}
+		write(t, conn, mqtt.AppendPublish(nil, mqtt.V5, &p))
+		answers = append(answers, answer(conn))
+	}
+	write(t, conn, mqtt.AppendAck(nil, mqtt.V5, mqtt.PUBACK, answers[0].ID, mqtt.Success, ""))
+	write(t, conn, mqtt.AppendEmpty(nil, mqtt.PINGREQ))
+	if first, _ := read(t, conn); first>>4 != mqtt.PINGRESP {
+		t.Fatalf("packet type %d after the acknowledgement", first>>4)
+	}
+	r.Stop()
+	r = journaled(t, dir, "", e.Addr)
+	answer(rawConnect(t, r.Addrs()[0], "c", 60))
+	if n := len(rec.Calls()); n != 1 {
+		t.Errorf("%d calls", n)
+	}
+}
