MQTT: a QoS 0 message handed in again is not acknowledged with packet id 0

Callers saw a PUBREC with packet id 0, which the protocol forbids, when they handed in a message of QoS 0 again while it was under way: a strict client ends its connection over it. Cause: session.ack took every flow that is not of QoS 1 for one of QoS 2; a flow of QoS 0 reaches it only by joining a hand-in. Evidence: TestQoS0HandedInAgain failed before (packet type 5 0000, want PINGRESP) and passes now.

--- a/internal/mqttfront/again_test.go
+++ b/internal/mqttfront/again_test.go
@@ -275,3 +275,15 @@
 	}
 	p.note()
 }
+
+// A message of QoS 0 that is handed in again while it is under way has no acknowledgement,
+// as the first had none.
+func TestQoS0HandedInAgain(t *testing.T) {
+	d := &door{}
+	p := dial(t, start(t, d, nil))
+	p.connect("c", mqtt.Props{})
+	p.send(publish(0, 0, "a"))
+	d.settle(t, p)
+	p.send(publish(0, 0, "a"))
+	p.ping()
+}
--- a/internal/mqttfront/session.go
+++ b/internal/mqttfront/session.go
@@ -162,8 +162,8 @@
 // ack sends PUBACK or PUBREC for a flow that is taken.
 func (s *session) ack(fl *flow) {
 	fl.taken = true
-	if fl.epoch != s.epoch || s.conn == nil {
-		return // the client asks again on its next connection
+	if fl.qos == 0 || fl.epoch != s.epoch || s.conn == nil {
+		return // nothing to say, or the client asks again on its next connection
 	}
 	if fl.qos == 1 {
 		s.open--
