MQTT: a repeated PUBLISH is the message that it names, not the last one under its packet id

Callers saw: a message acknowledged that nobody handed in, answered with an earlier message's answer. A client uses a packet id again for another message, the connection breaks before the relay has read it, and the client asks for it again with DUP, as it must; the relay took it for the finished flow that had the packet id before. Cause: a flow was found by packet id and DUP alone, among the last Receive Maximum flows of the session, which are kept past their acknowledgement; after a restart, also among those of QoS 2 of the earlier run. Change: with Correlation Data the repeat must name the flow's identity. Without it, packet id and DUP are all that tells a flow, as before; a packet id that was used again can be mistaken there. Found while the hand-ins behind an answer were gone through.

--- a/internal/mqttfront/again_test.go
+++ b/internal/mqttfront/again_test.go
@@ -287,3 +287,23 @@
 	p.send(publish(0, 0, "a"))
 	p.ping()
 }
+
+// A client uses a packet id again for another message, which the relay does not read before
+// the connection breaks: asked for again, it is that message and not the earlier one.
+func TestPacketIDUsedAgain(t *testing.T) {
+	d := &door{}
+	addr := start(t, d, nil)
+	p, first := answered(t, d, addr, 1, ledger.Delivered)
+	p.acknowledge(1, first.id)
+	p.ping()
+	_ = p.conn.Close()
+	p = dial(t, addr)
+	p.connect("c", mqtt.Props{SessionExpiry: 60})
+	p.send(publish(1, 1, "b", func(q *mqtt.Publish) { q.Dup = true }))
+	p.until(mqtt.PUBACK)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := len(d.msgs); n != 2 || d.msgs[0].Identity == d.msgs[1].Identity {
+		t.Errorf("the core heard of %d hand-ins, want 2 of two identities", n)
+	}
+}
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -584,14 +584,14 @@
 	fl := &flow{id: p.ID, qos: p.QoS, epoch: s.epoch}
 	switch p.QoS {
 	case 1:
-		if old := s.flows[p.ID]; old != nil && p.Dup {
+		if old := s.flows[p.ID]; s.repeats(p, old) {
 			fl = old
 			if old.epoch == s.epoch && !old.taken {
 				return nil // its acknowledgement is on the way
 			}
 		}
 	case 2:
-		if old := s.before[p.ID]; old != nil && p.Dup { // of an earlier run
+		if old := s.before[p.ID]; s.repeats(p, old) { // of an earlier run
 			old.epoch = s.epoch
 			s.rel, s.open = orNew(s.rel), s.open+1
 			s.rel[p.ID] = old
@@ -629,6 +629,20 @@
 	return m
 }
 
+// repeats tells whether a PUBLISH asks for a flow again. Its packet id may have been used
+// by an earlier flow, and the one that it repeats may not have arrived.
+func (s *session) repeats(p *mqtt.Publish, old *flow) bool {
+	if old == nil || !p.Dup {
+		return false
+	}
+	return !p.Props.HasCorrelation() || old.identity == s.named(p)
+}
+
+// named is the identity of a PUBLISH with Correlation Data.
+func (s *session) named(p *mqtt.Publish) string {
+	return front.Identity('c', s.user, s.id, string(p.Props.Correlation))
+}
+
 // handIn submits a message under its identity; under mu.
 func (s *session) handIn(p *mqtt.Publish, fl *flow) {
 	f := s.front
@@ -641,7 +655,7 @@
 	kept := s.expiry > 0 && fl.qos > 0
 	if !known {
 		if p.Props.HasCorrelation() {
-			fl.identity = front.Identity('c', s.user, s.id, string(p.Props.Correlation))
+			fl.identity = s.named(p)
 		} else {
 			s.serial++
 			fl.identity = front.Identity('f', s.user, s.id, fmt.Sprint(f.born), fmt.Sprint(s.serial))
