--- a/cmd/basaltcross/day.go
+++ b/cmd/basaltcross/day.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -15,6 +16,7 @@
 func dayCommand() *cobra.Command {
 	var script, trouble, plant, keep string
 	var all, asJSON bool
+	var acknowledge time.Duration
 	c := &cobra.Command{Use: "day", Short: "Play a bad day on loopback and audit the six rules",
 		Long: "Starts relays as processes of their own, stand-ins for partners and MQTT clients, plays a script of\n" +
 			"troubles and audits the six rules from what stand-ins and clients saw. Ends with 'rules broken: N';\n" +
@@ -25,7 +27,7 @@
 			if err != nil {
 				return err
 			}
-			opt := badday.Options{Binary: self, Plant: plant, Out: out, Keep: keep}
+			opt := badday.Options{Binary: self, Plant: plant, Out: out, Keep: keep, AcknowledgeEvery: acknowledge}
 			names, texts := []string{"the mixed day"}, []string{badday.Mixed}
 			switch {
 			case script != "":
@@ -87,6 +89,7 @@
 	f.BoolVar(&all, "all", false, "play each kind of trouble in turn")
 	f.StringVar(&plant, "break", "", "plant a fault that the audit must catch: "+strings.Join(badday.Breaks, ", "))
 	f.StringVar(&keep, "keep", "", "keep configurations and logs in this folder")
+	f.DurationVar(&acknowledge, "acknowledge-every", 0, "let MQTT clients acknowledge answers in batches this far apart")
 	f.BoolVar(&asJSON, "json", false, "print the reports as JSON")
 	return c
 }
--- a/internal/badday/audit.go
+++ b/internal/badday/audit.go
@@ -144,14 +144,14 @@
 		x.Occasions++
 		name := fmt.Sprintf("%s (%s to %s, hand-in %d at relay %d)", h.id, h.class, h.partner, h.number, h.relay)
 		if len(h.answers) == 0 {
-			x.fail("%s: no answer", name)
+			x.fail("%s: no answer; %s", name, d.course(h))
 			continue
 		}
 		first := h.answers[0]
 		r.Answers[first.Answer]++
 		for _, a := range h.answers[1:] {
 			if a.Answer != first.Answer {
-				x.fail("%s: %s, then %s", name, first.Answer, a.Answer)
+				x.fail("%s: %s, then %s; %s", name, first.Answer, a.Answer, d.course(h))
 			}
 		}
 		due := dueOf(h, hands)
@@ -166,7 +166,7 @@
 			}
 		}
 		if first.At.After(due.Add(answerSlack)) && !d.away(h, due) {
-			x.fail("%s: %s %v late", name, first.Answer, first.At.Sub(due))
+			x.fail("%s: %s %v late; %s", name, first.Answer, first.At.Sub(due), d.course(h))
 		}
 		for _, c := range byID[h.id] {
 			if first.Answer == "refused" && c.number == h.number && c.What != standin.Refused {
@@ -185,6 +185,16 @@
 	return x
 }
 
+// course of a message, as its client knows it.
+func (d *day) course(h *handIn) string {
+	for _, s := range d.senders {
+		if s.name == h.client {
+			return s.course(h.id)
+		}
+	}
+	return ""
+}
+
 // away tells whether the client was not connected to that relay when its
 // answer fell due: it gets it when it returns.
 func (d *day) away(h *handIn, due time.Time) bool {
--- a/internal/badday/day.go
+++ b/internal/badday/day.go
@@ -31,6 +31,9 @@
 	Plant  string   // a fault for all relays
 	Out    io.Writer
 	Keep   string // folder for configurations and logs; empty for one that is removed
+	// AcknowledgeEvery is the time between the MQTT clients' batches of acknowledgements; 0
+	// for clients that acknowledge each answer at once.
+	AcknowledgeEvery time.Duration
 }
 
 // Figures of the day's deployment; all of it is on loopback.
--- a/internal/badday/sender.go
+++ b/internal/badday/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	at                              time.Time
 	left                            time.Duration // asked for: what is left of its time
 	taken                           bool          // the relay said so
+	sure                            time.Time     // when it had
 	unknown                         bool          // the connection was lost before the relay said anything
 	orphan                          bool          // its relay was killed while it was owed an answer
 	answers                         []client.Answer
@@ -39,8 +41,9 @@
 	push   []*client.PushSession // by relay, of those that push
 	stray  int                   // answers to nothing
 	number int
-	gaps   [][2]time.Time    // not connected
-	keys   map[string]string // by message, for the audit
+	gaps   [][2]time.Time         // not connected
+	keys   map[string]string      // by message, for the audit
+	acks   map[string][]time.Time // when answers were acknowledged, by message
 }
 
 // carrier is a connection to a relay by either front.
@@ -59,7 +62,7 @@
 // newSender makes the i-th client; each third one pushes.
 func newSender(d *day, i int) (*sender, error) {
 	s := &sender{day: d, name: fmt.Sprintf("client-%d", i), relay: i % d.script.Relays,
-		queue: make(chan *handIn, 100000), last: map[string]*handIn{}}
+		queue: make(chan *handIn, 100000), last: map[string]*handIn{}, acks: map[string][]time.Time{}}
 	for range d.script.Relays {
 		if i%3 != 2 {
 			break
@@ -87,6 +90,13 @@
 	}
 }
 
+// acknowledged notes that the acknowledgement of an answer was written.
+func (s *sender) acknowledged(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acks[id] = append(s.acks[id], time.Now())
+}
+
 // again hands a message in once more after a while; under mu.
 func (s *sender) again(h *handIn, after time.Duration) {
 	n := &handIn{id: h.id, class: h.class, partner: h.partner, key: h.key, client: h.client, try: h.try + 1,
@@ -107,7 +117,8 @@
 		if r := s.day.relays[s.relay]; s.push != nil {
 			cl, err = client.DialPush(r.origin, s.day.trust, s.push[s.relay], s.answer)
 		} else {
-			cl, err = client.Dial(dial, r.addr(), client.Options{ID: s.name, Expiry: 120, On: s.answer})
+			cl, err = client.Dial(dial, r.addr(), client.Options{ID: s.name, Expiry: 120, On: s.answer,
+				Acknowledged: s.acknowledged, AcknowledgeEvery: s.day.opt.AcknowledgeEvery})
 		}
 		cancel()
 		if err == nil {
@@ -180,7 +191,7 @@
 			}
 			s.mu.Lock()
 			if err == nil {
-				h.taken = true
+				h.taken, h.sure = true, time.Now()
 			} else if connected { // turned away at the door: that was no try
 				h.try--
 				s.again(h, 200*time.Millisecond)
@@ -214,3 +225,32 @@
 		s.relay = (relay + 1) % s.day.script.Relays
 	}
 }
+
+// course tells all that is known of a message's hand-ins; times count from the first.
+func (s *sender) course(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var steps []string
+	for _, h := range s.hands {
+		if h.id != id {
+			continue
+		}
+		step := fmt.Sprintf("hand-in %d (try %d) at relay %d at %v", h.number, h.try, h.relay, since(h, h.at))
+		if h.taken {
+			step += fmt.Sprintf(", taken %v", since(h, h.sure))
+		}
+		if h.unknown {
+			step += ", connection lost"
+		}
+		for _, a := range h.answers {
+			step += fmt.Sprintf(", %s %v to come again after %v", a.Answer, since(h, a.At), a.After)
+		}
+		steps = append(steps, step)
+	}
+	for _, at := range s.acks[id] {
+		steps = append(steps, fmt.Sprintf("acknowledged %v", at.Sub(s.last[id].first).Round(time.Millisecond)))
+	}
+	return strings.Join(steps, "; ")
+}
+
+func since(h *handIn, at time.Time) time.Duration { return at.Sub(h.first).Round(time.Millisecond) }
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -48,6 +49,10 @@
 	TLS      *tls.Config // nil for none
 	// On is called for each answer, on the client's own goroutine.
 	On func(Answer)
+	// Acknowledged is told the ID of each answer whose acknowledgement was written; nil for none.
+	Acknowledged func(id string)
+	// AcknowledgeEvery is the time between batches of acknowledgements; 0 sends each at once.
+	AcknowledgeEvery time.Duration
 	// Session carries unacknowledged flows from one connection to the next;
 	// nil starts without any.
 	Session *state.State
@@ -62,6 +67,40 @@
 	lost    chan struct{}
 }
 
+// acknowledging is a session that tells of the answers it has acknowledged.
+type acknowledging struct {
+	*state.State
+	tell func(id string)
+	own  bool // it ends with its connection
+}
+
+func newAcknowledging(o Options) acknowledging {
+	if o.Session != nil {
+		return acknowledging{State: o.Session, tell: o.Acknowledged}
+	}
+	return acknowledging{State: state.NewInMemory(), tell: o.Acknowledged, own: true}
+}
+
+// Ack writes the acknowledgement of an answer.
+func (a acknowledging) Ack(p *packets.Publish) error {
+	if err := a.State.Ack(p); err != nil {
+		return err
+	}
+	if p.Properties != nil {
+		a.tell(string(p.Properties.CorrelationData))
+	}
+	return nil
+}
+
+// ConnectionLost ends what waits for the connection, for good if the session is its own.
+func (a acknowledging) ConnectionLost(p *packets.Disconnect) error {
+	err := a.State.ConnectionLost(p)
+	if a.own {
+		err = errors.Join(err, a.Close())
+	}
+	return err
+}
+
 // Topic is where answers to a client id arrive.
 func Topic(id string) string { return "answers/" + id }
 
@@ -93,6 +132,9 @@
 			if o.On != nil {
 				o.On(a)
 			}
+			if o.AcknowledgeEvery > 0 {
+				return true, p.Client.Ack(p.Packet)
+			}
 			return true, nil
 		}},
 		OnClientError:      func(error) { c.gone() },
@@ -101,6 +143,12 @@
 	if o.Session != nil {
 		cfg.Session = o.Session
 	}
+	if o.Acknowledged != nil {
+		cfg.Session = newAcknowledging(o)
+	}
+	if o.AcknowledgeEvery > 0 {
+		cfg.EnableManualAcknowledgment, cfg.SendAcksInterval = true, o.AcknowledgeEvery
+	}
 	c.paho = paho.NewClient(cfg)
 	cp := &paho.Connect{ClientID: o.ID, KeepAlive: 30, CleanStart: o.Clean}
 	if o.Expiry > 0 {
