--- a/internal/mqttfront/keep.go
+++ b/internal/mqttfront/keep.go
@@ -53,25 +53,6 @@
 	k.Session(Name, s.id, b)
 }
 
-// handed frees a hand-in whose answer the client has; under mu. The record of its identity
-// is that of the newest hand-in, whose answer may still be owed.
-func (s *session) handed(p *pending) {
-	p.handed = true
-	s.owed--
-	if s.pend[p.identity] != p {
-		return
-	}
-	delete(s.pend, p.identity)
-	s.settled(p.identity)
-}
-
-// settled records that nothing is owed for an identity; under mu.
-func (s *session) settled(identity string) {
-	if k := s.front.opt.Keeper; k != nil {
-		k.Handed(identity)
-	}
-}
-
 // Restore takes in sessions of an earlier run, before the front serves: their
 // clients count as having gone just now.
 func (f *Front) Restore(sessions map[string][]byte) {
@@ -87,7 +68,7 @@
 			continue
 		}
 		s := &session{id: id, user: k.User, born: k.Born, front: f, version: k.Version, expiry: k.Expiry, away: time.Now(),
-			subs: k.Subs, pend: map[string]*pending{}}
+			subs: k.Subs, newest: map[string]*pending{}}
 		if s.subs == nil {
 			s.subs = map[string]byte{}
 		}
