Tests hold the ports of addresses that refuse: a free one became another test's server

Cause: the tests opened a listener, closed it, and took its port for one that refuses. A closed port is free: the next server of any process gets it.

Change: internal/testutil/port binds a socket that does not listen, until the test ends: connections are refused, and nobody else gets the port.

--- a/internal/partner/partner_test.go
+++ b/internal/partner/partner_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +15,7 @@
 	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/testutil/port"
 )
 
 // peer is a raw scripted server: for each connection it runs the script with
@@ -200,31 +200,11 @@
 // Nobody listens, or the backlog is full and the handshake never ends: not a
 // byte was handed over, and Abort and Recall say so.
 func TestNoConnection(t *testing.T) {
-	l, _ := net.Listen("tcp", "127.0.0.1:0")
-	dead := l.Addr().String()
-	_ = l.Close()
+	dead, host := port.Refusing(t, "127.0.0.1"), port.Unanswered(t)
 	c := caller(t, true)
 	if e := do(t, c, dead, nil); e.Outcome != choice.NoConnection {
 		t.Errorf("refused: outcome %d", e.Outcome)
 	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer syscall.Close(fd)
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	name, _ := syscall.Getsockname(fd)
-	host := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
-	for range 2 { // fills the backlog
-		if conn, err := net.DialTimeout("tcp", host, 200*time.Millisecond); err == nil {
-			defer conn.Close()
-		}
-	}
 	ended := make(chan core.Ending, 2)
 	send := func() core.Attempt {
 		return c.Send(core.Call{Host: host, Patient: 10 * time.Second, End: func(e core.Ending) { ended <- e }})
--- a/internal/partner/race_test.go
+++ b/internal/partner/race_test.go
@@ -6,39 +6,15 @@
 	"fmt"
 	"net"
 	"slices"
-	"syscall"
 	"testing"
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/testutil/port"
 )
 
-// blackHole is an address whose backlog is full: connections to it never end.
-func blackHole(t testing.TB) string {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	name, _ := syscall.Getsockname(fd)
-	host := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
-	for range 2 {
-		if conn, err := net.DialTimeout("tcp", host, 200*time.Millisecond); err == nil {
-			t.Cleanup(func() { _ = conn.Close() })
-		}
-	}
-	return host
-}
-
 func addresses(t testing.TB, list ...string) (out []addr.Address) {
 	t.Helper()
 	for _, s := range list {
@@ -60,10 +36,7 @@
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	hole := blackHole(t)
-	l, _ := net.Listen("tcp", "[::1]:0")
-	refused := l.Addr().String()
-	_ = l.Close()
+	hole, refused := port.Unanswered(t), port.Refusing(t, "::1")
 	c := caller(t, true)
 	c.Addresses(map[string][]addr.Address{"e": addresses(t, refused, hole, good), "dead": addresses(t, refused, hole)})
 	for range 5 {
@@ -116,7 +89,7 @@
 			_ = conn.Close()
 		}
 	}()
-	good, hole := l.Addr().String(), blackHole(b)
+	good, hole := l.Addr().String(), port.Unanswered(b)
 	c, err := New(Options{Targets: []Target{{}}, Keep: addr.KeepSettings{Idle: time.Minute}})
 	if err != nil {
 		b.Fatal(err)
--- a/internal/relay/addr_test.go
+++ b/internal/relay/addr_test.go
@@ -22,6 +22,7 @@
 	"basaltcross.example/basaltcross/internal/relay"
 	"basaltcross.example/basaltcross/internal/standin"
 	"basaltcross.example/basaltcross/internal/testutil"
+	"basaltcross.example/basaltcross/internal/testutil/port"
 )
 
 // severalAddresses is a relay with one endpoint at the addresses given.
@@ -44,17 +45,6 @@
 	return r
 }
 
-// deadPort is an address that refuses connections.
-func deadPort(t *testing.T, at string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", at)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // Addresses of each family, each broken in its way: no two attempts of one
 // message ever overlap, no charge goes out twice, and what can be delivered by a
 // good address is.
@@ -71,7 +61,7 @@
 		t.Cleanup(e.Close)
 		ends = append(ends, e)
 	}
-	r := severalAddresses(t, deadPort(t, "127.0.0.1:0"), ends[1].Addr, "unix:"+sock, ends[2].Addr, ends[3].Addr, ends[2].Addr)
+	r := severalAddresses(t, port.Refusing(t, "127.0.0.1"), ends[1].Addr, "unix:"+sock, ends[2].Addr, ends[3].Addr, ends[2].Addr)
 	in := newInbox()
 	c, err := client.Dial(testutil.Context(t), r.Addrs()[0], client.Options{ID: "c", Expiry: 600, On: in.on})
 	if err != nil {
@@ -151,7 +141,7 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
-	r := severalAddresses(t, deadPort(t, "[::1]:0"), "unix:/nonexistent/socket", e.Addr)
+	r := severalAddresses(t, port.Refusing(t, "::1"), "unix:/nonexistent/socket", e.Addr)
 	in := newInbox()
 	c, err := client.Dial(testutil.Context(t), r.Addrs()[0], client.Options{ID: "c", Expiry: 600, On: in.on})
 	if err != nil {
