TestRace waits for the one connection: the one before counts until its goroutine saw its close

Evidence: twelve processes at once of this test beside six busy ones, printing the count: all twelve failed within 45 s, each with two connections, one of them idle, none being set up. Eight with the pool's steps noted (trial): CloseIdle at 4.302 s closes a connection; the next call's is kept at 4.304 s, and two are counted; the closed one leaves the pool behind that, at 4.304 s; a second later one is counted.

Cause: a connection is counted until its own goroutine has taken in that it was closed, which is right: its descriptor is in use until then. The test read the count once, at no event.

Change: the test waits for the count to be one, and then for none. A connection that stays, or that is not kept, fails it as before, now by name.

--- a/internal/partner/race_test.go
+++ b/internal/partner/race_test.go
@@ -59,17 +59,18 @@
 	if e := <-ended; e.Outcome != choice.NoConnection {
 		t.Errorf("only dead ones: outcome %d", e.Outcome)
 	}
-	for c.Connections("dead") > 0 { // nothing is left of the races
-		time.Sleep(time.Millisecond)
+	connections := func(host string, want int) func() bool {
+		return func() bool { return c.Connections(host) == want }
 	}
-	// An address leaves the list with a connection kept to it.
-	if e := do(t, c, "e", nil); e.Outcome != choice.Served || c.Connections("e") != 1 {
+	until(t, "the end of the races", connections("dead", 0))
+	// An address leaves the list with a connection kept to it. The one before that counts
+	// until its own goroutine has taken in that it was closed.
+	if e := do(t, c, "e", nil); e.Outcome != choice.Served {
 		t.Fatalf("outcome %d", e.Outcome)
 	}
+	until(t, "one connection", connections("e", 1))
 	c.Addresses(map[string][]addr.Address{"e": addresses(t, refused)})
-	for c.Connections("e") > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	until(t, "the end of the connection kept", connections("e", 0))
 }
 
 // What a first address that never connects adds to a connection: at first, once
