--- a/internal/relay/journal_test.go
+++ b/internal/relay/journal_test.go
@@ -207,48 +207,133 @@
 	}
 }
 
-// A client hands a message in again, gets its answer again, and acknowledges only the first
-// of the two: the second is still owed after a restart.
-func TestLaterHandInIsOwedAfterARestart(t *testing.T) {
-	rec := standin.NewRecorder(1000)
-	e, err := standin.Start("127.0.0.1:0", standin.NewPartner("p0", standin.Model{Service: ms}, 1), rec)
+// owedBed is a relay with a journal, and a client that hands the message "a" in and reads
+// its answers by hand.
+type owedBed struct {
+	t    *testing.T
+	rec  *standin.Recorder
+	addr string // of the endpoint
+	dir  string
+	r    *relay.Relay
+	conn net.Conn
+	next uint16 // packet id
+}
+
+func newOwedBed(t *testing.T) *owedBed {
+	t.Helper()
+	b := &owedBed{t: t, rec: standin.NewRecorder(1000), dir: t.TempDir()}
+	e, err := standin.Start("127.0.0.1:0", standin.NewPartner("p0", standin.Model{Service: ms}, 1), b.rec)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer e.Close()
-	dir := t.TempDir()
-	r := journaled(t, dir, "", e.Addr)
-	conn := rawConnect(t, r.Addrs()[0], "c", 60)
-	answer := func(conn net.Conn) mqtt.Publish {
-		t.Helper()
-		for {
-			first, body := read(t, conn)
-			if first>>4 != mqtt.PUBLISH {
-				continue
-			}
-			p, err := mqtt.ParsePublish(mqtt.V5, first, body)
-			if err != nil || string(p.Props.Correlation) != "a" || p.Props.Get("answer") != "delivered" {
-				t.Fatalf("%+v, %v", p, err)
-			}
-			return p
-		}
+	t.Cleanup(e.Close)
+	b.addr = e.Addr
+	b.r = journaled(t, b.dir, "", b.addr)
+	b.connect(false)
+	return b
+}
+
+// connect resumes the client's session, or begins a clean one.
+func (b *owedBed) connect(clean bool) {
+	b.t.Helper()
+	if b.conn != nil {
+		_ = b.conn.Close()
 	}
-	write(t, conn, mqtt.AppendSubscribe(nil, mqtt.V5, 9, mqtt.Filter{Topic: "answers/c", QoS: 1}))
-	var answers []mqtt.Publish
-	for id := range uint16(2) {
-		p := mqtt.Publish{QoS: 1, ID: id + 1, Topic: "send/charge/p0", Payload: []byte("x"), Props: mqtt.Props{Correlation: []byte("a")}}
-		write(t, conn, mqtt.AppendPublish(nil, mqtt.V5, &p))
-		answers = append(answers, answer(conn))
+	b.conn = rawConnectAs(b.t, b.r.Addrs()[0], &mqtt.Connect{Version: mqtt.V5, ClientID: "c", Clean: clean, Props: mqtt.Props{SessionExpiry: 60}})
+}
+
+func (b *owedBed) restart() {
+	b.t.Helper()
+	b.r.Stop()
+	b.r = journaled(b.t, b.dir, "", b.addr)
+	b.connect(false)
+}
+
+func (b *owedBed) subscribe() {
+	b.t.Helper()
+	write(b.t, b.conn, mqtt.AppendSubscribe(nil, mqtt.V5, 9, mqtt.Filter{Topic: "answers/c", QoS: 1}))
+}
+
+func (b *owedBed) handIn() {
+	b.t.Helper()
+	b.next++
+	p := mqtt.Publish{QoS: 1, ID: b.next, Topic: "send/charge/p0", Payload: []byte("x"), Props: mqtt.Props{Correlation: []byte("a")}}
+	write(b.t, b.conn, mqtt.AppendPublish(nil, mqtt.V5, &p))
+}
+
+// answer reads the next answer, which must be delivered.
+func (b *owedBed) answer() mqtt.Publish {
+	b.t.Helper()
+	for {
+		first, body := read(b.t, b.conn)
+		if first>>4 != mqtt.PUBLISH {
+			continue
+		}
+		p, err := mqtt.ParsePublish(mqtt.V5, first, body)
+		if err != nil || string(p.Props.Correlation) != "a" || p.Props.Get("answer") != "delivered" {
+			b.t.Fatalf("%+v, %v", p, err)
+		}
+		return p
 	}
-	write(t, conn, mqtt.AppendAck(nil, mqtt.V5, mqtt.PUBACK, answers[0].ID, mqtt.Success, ""))
-	write(t, conn, mqtt.AppendEmpty(nil, mqtt.PINGREQ))
-	if first, _ := read(t, conn); first>>4 != mqtt.PINGRESP {
-		t.Fatalf("packet type %d after the acknowledgement", first>>4)
+}
+
+// acknowledge acknowledges an answer, and returns once the relay has taken that in.
+func (b *owedBed) acknowledge(answer mqtt.Publish) {
+	b.t.Helper()
+	write(b.t, b.conn, mqtt.AppendAck(nil, mqtt.V5, mqtt.PUBACK, answer.ID, mqtt.Success, ""))
+	write(b.t, b.conn, mqtt.AppendEmpty(nil, mqtt.PINGREQ))
+	if first, _ := read(b.t, b.conn); first>>4 != mqtt.PINGRESP {
+		b.t.Fatalf("packet type %d after the acknowledgement", first>>4)
 	}
-	r.Stop()
-	r = journaled(t, dir, "", e.Addr)
-	answer(rawConnect(t, r.Addrs()[0], "c", 60))
-	if n := len(rec.Calls()); n != 1 {
-		t.Errorf("%d calls", n)
+}
+
+// oneCall checks that the message was delivered once.
+func (b *owedBed) oneCall() {
+	b.t.Helper()
+	if n := len(b.rec.Calls()); n != 1 {
+		b.t.Errorf("%d calls", n)
 	}
 }
+
+// A client hands a message in again, gets its answer again, and acknowledges only the first
+// of the two: the second is still owed after a restart.
+func TestLaterHandInIsOwedAfterARestart(t *testing.T) {
+	b := newOwedBed(t)
+	b.subscribe()
+	b.handIn()
+	first := b.answer()
+	b.handIn()
+	b.answer()
+	b.acknowledge(first)
+	b.restart()
+	b.answer()
+	b.oneCall()
+}
+
+// The same with the first answer acknowledged before the second hand-in.
+func TestHandInAfterAnAcknowledgementIsOwedAfterARestart(t *testing.T) {
+	b := newOwedBed(t)
+	b.subscribe()
+	b.handIn()
+	b.acknowledge(b.answer())
+	b.handIn()
+	b.answer()
+	b.restart()
+	b.answer()
+	b.oneCall()
+}
+
+// The same with a clean session begun before the second hand-in: the answer is owed there.
+func TestHandInOfACleanSessionIsOwedAfterARestart(t *testing.T) {
+	b := newOwedBed(t)
+	b.subscribe()
+	b.handIn()
+	b.answer()
+	b.connect(true)
+	b.subscribe()
+	b.handIn()
+	b.answer()
+	b.restart()
+	b.answer()
+	b.oneCall()
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -435,6 +435,11 @@
 }
 
 func rawConnect(t *testing.T, addr, id string, expiry uint32) net.Conn {
+	t.Helper()
+	return rawConnectAs(t, addr, &mqtt.Connect{Version: mqtt.V5, ClientID: id, Props: mqtt.Props{SessionExpiry: expiry}})
+}
+
+func rawConnectAs(t *testing.T, addr string, as *mqtt.Connect) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -442,8 +447,7 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
-	write(t, conn, mqtt.AppendConnect(nil, &mqtt.Connect{Version: mqtt.V5, ClientID: id,
-		Props: mqtt.Props{SessionExpiry: expiry}}))
+	write(t, conn, mqtt.AppendConnect(nil, as))
 	if first, body := read(t, conn); first>>4 != mqtt.CONNACK || body[1] != 0 {
 		t.Fatalf("no CONNACK: %x %x", first, body)
 	}
