Soak: its oracle sees requests that are read and hear nothing while the folder fails

Callers see a request read and no response in their 0.4 s; so far the audit excused that. Now the nodes' traces say what was read, and each such request must be answered while its client waits, unless its process was killed. What a host served while the relay said that it waits for it may not be told as refused or failed. Moments of a failing folder last 0.5 to 1.5 s as well; reads fail with ENOMEM, writes with ENOBUFS, accept with EMFILE, ENOBUFS and EPROTO (in place of dup, which nothing calls), epoll_pwait with EINTR, setsockopt and getsockopt, reads of files.

Both new checks have a planted violation that they find (go test ./internal/soak).

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -58,10 +58,12 @@
 	for _, id := range ids {
 		c := r.courses[id]
 		a.replies(c)
+		a.answered(c)
 		a.refusals(c)
 		a.owed(c)
 		a.repeats(c)
 		a.ended(c)
+		a.served(c)
 	}
 	a.orders()
 	a.waits()
@@ -106,9 +108,9 @@
 // replies: a response is complete, or there is none at all and nothing came of the request.
 func (a *audit) replies(c *Course) {
 	died := a.killed(c.Node, c.Sent, c.Reply.At)
-	a.of("a response is complete").check(c.Reply.Complete || c.Reply.Text == "" || c.Reply.End == "timeout" || died, c.String)
+	a.of("a response is complete").check(c.Reply.Complete || c.Reply.Text == "" || died, c.String)
 	if c.Reply.End == "eof" || c.Reply.End == "reset" {
-		read := len(c.Calls) > 0 || len(c.Notices) > 0
+		read := !c.Read.IsZero() || len(c.Calls) > 0 || len(c.Notices) > 0
 		a.of("a request that was read is not closed unanswered").check(!read || died, c.String)
 	}
 	if c.Reply.Status == 429 || c.Reply.Status == 503 || c.Reply.Status == 202 {
@@ -116,6 +118,17 @@
 	}
 }
 
+// answered: a request that the relay read whole hears its answer while its client waits. What
+// the relay read only when that was over is not its doing.
+func (a *audit) answered(c *Course) {
+	until := c.Sent.Add(clientWaits)
+	if c.Read.IsZero() || c.Reply.At.IsZero() || c.Read.After(until.Add(-socketGrace)) {
+		return
+	}
+	died := a.killed(c.Node, c.Sent, until)
+	a.of("a request that was read is answered in time").check(c.Reply.Complete || c.Reply.End != "timeout" || died, c.String)
+}
+
 // refusals: what was answered 429 or 503 is never forwarded from then on.
 func (a *audit) refusals(c *Course) {
 	if !c.Reply.Complete || c.Reply.Status != 429 && c.Reply.Status != 503 {
@@ -194,6 +207,21 @@
 	}
 }
 
+// served: a message whose host answered 200, while the relay waited for it and long before the
+// message's time, is not told as refused or failed by the same process.
+func (a *audit) served(c *Course) {
+	for _, x := range c.Calls {
+		if x.Status != 200 || x.Told.IsZero() || x.Told.Add(soon+clientWaits).After(c.Due) {
+			continue
+		}
+		heard := x.Told.Add(onTheWay + socketGrace + a.lag)
+		if heard.After(x.At.Add(x.Waited)) || a.killed(c.Node, x.At, heard.Add(soon)) {
+			continue
+		}
+		a.of("what its host has served is not told as refused").check(len(c.Notices) == 0, c.String)
+	}
+}
+
 // forgotten tells whether a message was answered 200 in time with its one call, and refused
 // by a later process. Within one process a call may be given up while its answer is on its way.
 func (a *audit) forgotten(c *Course) bool {
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -50,6 +50,7 @@
 	Told   time.Time // when it had been written, zero for never
 	Over   time.Time // when it was answered or its connection had ended
 	Wait   time.Duration
+	Waited time.Duration // how long the relay said that it waits for the answer; 0 for nothing said
 }
 
 // Notice is one notice of a message.
@@ -66,6 +67,7 @@
 	Key     string
 	Number  int // of its key
 	Sent    time.Time
+	Read    time.Time // the relay said that it had read the request whole; zero for never
 	Due     time.Time
 	Reply   Reply
 	Calls   []Call
@@ -79,6 +81,9 @@
 	since := func(t time.Time) string { return t.Sub(c.Sent).Round(time.Millisecond).String() }
 	s := fmt.Sprintf("%s node %d lane %s key %q number %d, sent %s after the load began, due %s; reply %d complete %v end %q at %s", c.ID,
 		c.Node, c.Lane.Name, c.Key, c.Number, c.Sent.Sub(c.began).Round(time.Millisecond), since(c.Due), c.Reply.Status, c.Reply.Complete, c.Reply.End, since(c.Reply.At))
+	if !c.Read.IsZero() {
+		s += "; read at " + since(c.Read)
+	}
 	if !c.Reply.Complete && c.Reply.Text != "" {
 		s += fmt.Sprintf(" %q", c.Reply.Text)
 	}
@@ -147,6 +152,16 @@
 	r.courses[c.ID] = c
 }
 
+// Read notes that a relay said that it had read a request whole; one that nobody sent is
+// passed over.
+func (r *Record) Read(id string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x := r.courses[id]; x != nil {
+		x.Read = at
+	}
+}
+
 // Replied notes what came of it.
 func (r *Record) Replied(id string, reply Reply) {
 	r.mu.Lock()
@@ -323,6 +338,10 @@
 			c.Calls = append(c.Calls, Call{At: c.Reply.At.Add(2 * time.Second), Host: "planted", Status: 200, Ran: true})
 		case what == "record-after-answer" && c.taken() && c.delivered():
 			c.Calls, c.Notices = nil, nil
+		case what == "unanswered" && c.taken() && !c.Read.IsZero() && len(c.Calls) > 0:
+			c.Reply = Reply{At: c.Sent.Add(clientWaits), End: "timeout"}
+		case what == "served-and-refused" && c.taken() && c.delivered() && len(c.Notices) == 0 && c.Calls[len(c.Calls)-1].Waited > time.Second/4:
+			c.Notices = []Notice{{At: c.Calls[len(c.Calls)-1].Told.Add(time.Second), Result: "bounced"}}
 		case what == "second-effect" && c.Lane.Effect == AtMostOnce && c.delivered():
 			c.Calls = append(c.Calls, c.Calls[0])
 		default:
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -339,8 +339,9 @@
 		}
 	}
 	rec := h.platform.Record
+	waited, _ := strconv.ParseInt(r.Header.Get("X-Remaining-Ms"), 10, 32) // 0 where nothing is said
 	for _, x := range items {
-		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID})
+		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID, Waited: time.Duration(waited) * time.Millisecond})
 		x.fate = h.draw()
 	}
 	defer func() {
--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -43,19 +43,23 @@
 	case unix.SYS_UNLINKAT:
 		t.fail(pid, &regs, UnlinkFails, t.names(pid, regs.Rsi), unix.EIO)
 	case unix.SYS_ACCEPT4:
-		t.fail(pid, &regs, AcceptFails, true, unix.ECONNABORTED, unix.ENFILE)
+		if !t.fail(pid, &regs, AcceptFails, true, unix.ECONNABORTED, unix.ENFILE) {
+			t.fail(pid, &regs, AcceptNoRoom, true, unix.EMFILE, unix.ENOBUFS, unix.EPROTO)
+		}
 	case unix.SYS_SOCKET:
 		t.fail(pid, &regs, SocketFails, true, unix.ENFILE, unix.ENOBUFS)
 	case unix.SYS_CONNECT:
 		t.fail(pid, &regs, ConnectFails, true, unix.EADDRNOTAVAIL, unix.ENETUNREACH)
-	case unix.SYS_DUP:
-		t.fail(pid, &regs, DupFails, true, unix.EMFILE)
 	case unix.SYS_EPOLL_CTL:
 		// Go's runtime has no way on where the first one of a process fails.
 		t.fail(pid, &regs, PollNoMemory, t.polls && regs.Rsi != unix.EPOLL_CTL_DEL, unix.ENOMEM)
 		t.polls = true
-	case unix.SYS_EPOLL_WAIT:
-		t.fail(pid, &regs, Interrupted, true, unix.EINTR)
+	case unix.SYS_EPOLL_PWAIT:
+		t.fail(pid, &regs, PollInterrupted, true, unix.EINTR)
+	case unix.SYS_SETSOCKOPT, unix.SYS_GETSOCKOPT:
+		t.fail(pid, &regs, SockoptFails, true, unix.ENOBUFS, unix.ENOMEM)
+	case unix.SYS_PREAD64, unix.SYS_GETDENTS64:
+		t.fail(pid, &regs, FileReadFails, t.inState(pid, regs.Rdi), unix.EIO)
 	}
 }
 
@@ -87,7 +91,11 @@
 }
 
 func (t *tracer) read(pid int, regs *unix.PtraceRegs) {
-	if !isSocket(pid, regs.Rdi) || t.fail(pid, regs, Interrupted, true, unix.EINTR) {
+	if !isSocket(pid, regs.Rdi) {
+		t.fail(pid, regs, FileReadFails, t.inState(pid, regs.Rdi), unix.EIO)
+		return
+	}
+	if t.fail(pid, regs, Interrupted, true, unix.EINTR) || t.fail(pid, regs, ReadNoMemory, true, unix.ENOMEM, unix.ENOBUFS) {
 		return
 	}
 	if t.p.is(ShortRead) {
@@ -105,7 +113,7 @@
 		t.p.hit(Stall)
 		time.Sleep(time.Duration(t.r.Int64N(int64(longestStall))))
 	}
-	if t.fail(pid, regs, Interrupted, true, unix.EINTR) {
+	if t.fail(pid, regs, Interrupted, true, unix.EINTR) || t.fail(pid, regs, WriteNoMemory, true, unix.ENOBUFS, unix.ENOMEM) {
 		return
 	}
 	if t.p.is(ShortWrite) {
@@ -122,7 +130,7 @@
 		t.instead(pid, regs, -int64(unix.ENOSPC))
 		return
 	}
-	if t.fail(pid, regs, DiskFull, true, unix.ENOSPC) || t.fail(pid, regs, DiskError, true, unix.EIO) {
+	if t.fail(pid, regs, DiskFull, true, unix.ENOSPC, unix.EDQUOT) || t.fail(pid, regs, DiskError, true, unix.EIO) {
 		return
 	}
 	if t.p.is(WriteTorn) && regs.Rdx > 1 && t.r.IntN(2) == 0 {
@@ -159,9 +167,10 @@
 	return name
 }
 
-// inState tells whether a descriptor is that of a file in the state folder.
+// inState tells whether a descriptor is that of the state folder or of a file in it.
 func (t *tracer) inState(pid int, fd uint64) bool {
-	return t.p.opt.State != "" && strings.HasPrefix(target(pid, fd), t.p.opt.State+"/")
+	name := target(pid, fd)
+	return t.p.opt.State != "" && (name == t.p.opt.State || strings.HasPrefix(name, t.p.opt.State+"/"))
 }
 
 // names tells whether a path in the program's memory lies in the state folder.
--- a/internal/shim/exec.go
+++ b/internal/shim/exec.go
@@ -14,7 +14,8 @@
 
 // traced are the system calls that the tracer is asked about.
 var traced = []uint32{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FTRUNCATE, unix.SYS_OPENAT, unix.SYS_RENAMEAT,
-	unix.SYS_UNLINKAT, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_DUP, unix.SYS_EPOLL_CTL, unix.SYS_EPOLL_WAIT}
+	unix.SYS_UNLINKAT, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_EPOLL_CTL, unix.SYS_EPOLL_PWAIT, unix.SYS_SETSOCKOPT,
+	unix.SYS_GETSOCKOPT, unix.SYS_PREAD64, unix.SYS_GETDENTS64}
 
 // Offsets in struct seccomp_data.
 const (
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -30,25 +30,31 @@
 const (
 	ShortWrite   Kind = "short_write"    // a socket takes a part
 	ShortRead    Kind = "short_read"     // a socket gives a part
-	Interrupted  Kind = "eintr"          // read, write or epoll_wait was interrupted
+	Interrupted  Kind = "eintr"          // read or write was interrupted
 	PollNoMemory Kind = "epoll_enomem"   // epoll_ctl ADD and MOD fail with ENOMEM
 	AcceptFails  Kind = "accept"         // ECONNABORTED, ENFILE
 	SocketFails  Kind = "socket"         // ENFILE, ENOBUFS
 	ConnectFails Kind = "connect"        // EADDRNOTAVAIL, ENETUNREACH
-	DupFails     Kind = "dup"            // EMFILE
+	AcceptNoRoom Kind = "accept_no_room" // accept fails with EMFILE, ENOBUFS, EPROTO
 	WriteTorn    Kind = "disk_torn"      // a part of a record is written, then ENOSPC
-	DiskFull     Kind = "disk_enospc"    // writes fail with ENOSPC
+	DiskFull     Kind = "disk_enospc"    // writes fail with ENOSPC, EDQUOT
 	DiskError    Kind = "disk_eio"       // writes fail with EIO
 	TruncFails   Kind = "disk_ftruncate" // ftruncate fails with EIO
 	OpenFails    Kind = "disk_open"      // opening, creating and renaming files fails with EIO
 	UnlinkFails  Kind = "disk_unlink"    // removing a file fails with EIO
 	Stall        Kind = "stall"          // up to 0.15 s pass before a write to a socket
 	WallClock    Kind = "wall_clock"     // the wall clock is off by a step
+
+	PollInterrupted Kind = "epoll_eintr"   // epoll_pwait was interrupted
+	ReadNoMemory    Kind = "read_enomem"   // read from a socket fails with ENOMEM, ENOBUFS
+	WriteNoMemory   Kind = "write_enobufs" // write to a socket fails with ENOBUFS, ENOMEM
+	SockoptFails    Kind = "sockopt"       // setsockopt and getsockopt fail with ENOBUFS, ENOMEM
+	FileReadFails   Kind = "disk_read"     // reading a file or the folder fails with EIO
 )
 
 // Kinds are all of them.
-var Kinds = []Kind{ShortWrite, ShortRead, Interrupted, PollNoMemory, AcceptFails, SocketFails, ConnectFails, DupFails, WriteTorn,
-	DiskFull, DiskError, TruncFails, OpenFails, UnlinkFails, Stall, WallClock}
+var Kinds = []Kind{ShortWrite, ShortRead, Interrupted, PollNoMemory, AcceptFails, SocketFails, ConnectFails, AcceptNoRoom, WriteTorn,
+	DiskFull, DiskError, TruncFails, OpenFails, UnlinkFails, Stall, WallClock, PollInterrupted, ReadNoMemory, WriteNoMemory, SockoptFails, FileReadFails}
 
 // Options of a Process.
 type Options struct {
--- a/internal/shim/shim_test.go
+++ b/internal/shim/shim_test.go
@@ -42,6 +42,14 @@
 	}
 	n, err := syscall.Write(pair[0], make([]byte, 100))
 	fmt.Fprintf(os.Stderr, "socket: %d %v\n", n, err)
+	if n > 0 { // else there is nothing to be read
+		n, err = syscall.Read(pair[1], make([]byte, 100))
+		fmt.Fprintf(os.Stderr, "read: %d %v\n", n, err)
+	}
+	err = syscall.SetsockoptInt(pair[0], syscall.SOL_SOCKET, syscall.SO_SNDBUF, 1<<16)
+	fmt.Fprintf(os.Stderr, "option: %v\n", err)
+	text, err := os.ReadFile(os.Getenv("STATE") + "/file")
+	fmt.Fprintf(os.Stderr, "content: %d %v\n", len(text), err)
 	_, err = net.Dial("tcp", "127.0.0.1:1")
 	fmt.Fprintf(os.Stderr, "dial: %v\n", err)
 }
@@ -53,6 +61,7 @@
 		want string // in what some play of the program says
 	}{
 		{WriteTorn, "no space left"}, {DiskError, "input/output error"}, {ShortWrite, "socket: "}, {SocketFails, "dial: dial tcp 127.0.0.1:1: socket:"},
+		{ReadNoMemory, "read: -1"}, {WriteNoMemory, "socket: -1"}, {SockoptFails, "option: "}, {FileReadFails, "content: 0"},
 		{WallClock, "wall: "}, {"", ""},
 	} {
 		seen := false
@@ -77,6 +86,8 @@
 			switch c.kind {
 			case ShortWrite:
 				seen = !strings.Contains(text, "socket: 100 <nil>")
+			case SockoptFails: // of the program's own socket, or within the dial
+				seen = !strings.Contains(text, "option: <nil>") || strings.Contains(text, "sockopt:")
 			case WallClock:
 				var wall int64
 				_, _ = fmt.Sscanf(text[strings.Index(text, "wall: "):], "wall: %d", &wall)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -16,6 +16,7 @@
 
 	"basaltcross.example/basaltcross/internal/emulator"
 	"basaltcross.example/basaltcross/internal/shim"
+	"basaltcross.example/basaltcross/internal/trace"
 )
 
 // node is one relay over all of its processes.
@@ -38,8 +39,10 @@
 	known   string // address of discovery in the configuration
 }
 
-// tail keeps what is of interest in a log, bounded.
+// tail keeps what is of interest in a log, bounded, and hands on the steps of requests.
 type tail struct {
+	step func(trace.Step) // may be nil
+
 	mu    sync.Mutex
 	lines []string
 	rest  []byte
@@ -58,10 +61,16 @@
 		if !found {
 			return len(b), nil
 		}
+		t.rest = rest
+		if step, is := trace.Parse(line); is {
+			if t.step != nil {
+				t.step(step)
+			}
+			continue
+		}
 		if t.lines = append(t.lines, string(line)); len(t.lines) > mostLines {
 			t.lines = t.lines[1:]
 		}
-		t.rest = rest
 	}
 }
 
@@ -110,7 +119,7 @@
 	}
 	n.mu.Lock()
 	n.starts++
-	n.log = &tail{}
+	n.log = &tail{step: n.run.step}
 	seed := n.run.opt.Seed*1_000_000 + uint64(n.number*1000+n.starts)
 	n.mu.Unlock()
 	life := n.run.platform.Record.Begun(n.number)
@@ -124,7 +133,7 @@
 		log = io.MultiWriter(n.log, file)
 	}
 	p, err := shim.Start(shim.Options{Path: n.run.opt.Shim, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
-		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE="+n.run.opt.Trace),
+		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE=1"),
 		Stderr: log, Seed: seed})
 	if err != nil {
 		return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -45,10 +45,12 @@
 	PlantForward Plant = "refused-and-forwarded"
 	PlantForget  Plant = "record-after-answer"
 	PlantTwice   Plant = "second-effect"
+	PlantSilent  Plant = "unanswered"
+	PlantServed  Plant = "served-and-refused"
 )
 
 // Plants are all of them.
-var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice}
+var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice, PlantSilent, PlantServed}
 
 // Result of a run.
 type Result struct {
@@ -236,6 +238,13 @@
 	all.Wait()
 }
 
+// step takes in a step of a request that a node has logged.
+func (r *run) step(s trace.Step) {
+	if s.Name == "read" {
+		r.platform.Record.Read(s.ID, trace.Time(s.At))
+	}
+}
+
 func (r *run) hit(k Kind) {
 	r.mu.Lock()
 	r.hits[k]++
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -105,12 +105,41 @@
 )
 
 // Draw makes the faults of a run: two to four signals for each node, and moments of all
-// kinds that lie over them; of every other seed, of a few kinds.
+// kinds that lie over them; of every other seed, of a few kinds. Further faults, of kinds and
+// lengths that came later, are drawn apart: the others of a seed stay what they were.
 func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
-	r := rand.New(rand.NewPCG(seed, 0xfa))
-	var all []Fault
+	first, further := bySeries(kinds)
+	all := drawFirst(rand.New(rand.NewPCG(seed, firstSeries)), nodes, hosts, length, first, seed%2 == 0)
+	all = append(all, drawFurther(rand.New(rand.NewPCG(seed, furtherSeries)), nodes, length, kinds, further)...)
+	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
+	return all
+}
+
+// Streams of a seed's random numbers.
+const (
+	firstSeries   = 0xfa
+	furtherSeries = 0xfb
+)
+
+// furtherKinds are drawn apart from the others.
+var furtherKinds = []Kind{Kind(shim.PollInterrupted), Kind(shim.ReadNoMemory), Kind(shim.WriteNoMemory), Kind(shim.SockoptFails),
+	Kind(shim.FileReadFails)}
+
+// bySeries tells kinds of the first series from further ones.
+func bySeries(kinds []Kind) (first, further []Kind) {
+	for _, k := range kinds {
+		if slices.Contains(furtherKinds, k) {
+			further = append(further, k)
+		} else {
+			first = append(first, k)
+		}
+	}
+	return first, further
+}
+
+func drawFirst(r *rand.Rand, nodes, hosts int, length time.Duration, kinds []Kind, fewKinds bool) (all []Fault) {
 	restarts, moments := split(kinds)
-	if seed%2 == 0 && len(moments) > few { // a few kinds, which meet each other often
+	if fewKinds && len(moments) > few { // a few kinds, which meet each other often
 		r.Shuffle(len(moments), func(i, j int) { moments[i], moments[j] = moments[j], moments[i] })
 		moments = moments[:few]
 	}
@@ -125,7 +154,32 @@
 	for host := range hosts {
 		all = append(all, drawMoments(r, host, length, ofHosts)...)
 	}
-	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
+	return all
+}
+
+// drawFurther makes moments of the further kinds, and failures of the folder that outlast
+// what a client waits.
+func drawFurther(r *rand.Rand, nodes int, length time.Duration, kinds, further []Kind) (all []Fault) {
+	ofDisk := slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return !k.ofDisk() })
+	for node := range nodes {
+		for at := between(r, 0, time.Second); len(further) > 0 && at < length; at += between(r, 200*time.Millisecond, 1500*time.Millisecond) {
+			all = append(all, Fault{further[r.IntN(len(further))], node, at, between(r, 30*time.Millisecond, 280*time.Millisecond)})
+		}
+		for at := between(r, 0, 2*time.Second); len(ofDisk) > 0 && at < length; at += between(r, 2*time.Second, 5*time.Second) {
+			f := Fault{ofDisk[r.IntN(len(ofDisk))], node, at, between(r, 500*time.Millisecond, 1500*time.Millisecond)}
+			all = append(all, withTornRest(r, f, kinds)...)
+		}
+	}
+	return all
+}
+
+// withTornRest adds, to half of the torn writes, that what is left of the record stays there.
+func withTornRest(r *rand.Rand, f Fault, kinds []Kind) []Fault {
+	all := []Fault{f}
+	if f.Kind == Kind(shim.WriteTorn) && slices.Contains(kinds, Kind(shim.TruncFails)) && r.IntN(2) == 0 {
+		f.Kind = Kind(shim.TruncFails)
+		all = append(all, f)
+	}
 	return all
 }
 
@@ -137,11 +191,7 @@
 		if longer(k) {
 			f.For = between(r, 300*time.Millisecond, 1500*time.Millisecond)
 		}
-		all = append(all, f)
-		if k == Kind(shim.WriteTorn) && slices.Contains(kinds, Kind(shim.TruncFails)) && r.IntN(2) == 0 {
-			f.Kind = Kind(shim.TruncFails) // what is left of the record stays there
-			all = append(all, f)
-		}
+		all = append(all, withTornRest(r, f, kinds)...)
 	}
 	return all
 }
@@ -161,6 +211,9 @@
 // atHost tells kinds that strike a host, for all nodes; the others strike one node.
 func (k Kind) atHost() bool { return strings.HasPrefix(string(k), "host_") }
 
+// ofDisk tells kinds that have the folder of a node fail.
+func (k Kind) ofDisk() bool { return strings.HasPrefix(string(k), "disk_") }
+
 // longer tells kinds that last for longer than a moment.
 func longer(k Kind) bool {
 	switch k {
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"basaltcross.example/basaltcross/internal/emulator"
-	"basaltcross.example/basaltcross/internal/shim"
 )
 
 // Report of a series of seeds.
@@ -70,13 +69,9 @@
 	case len(o.Kinds) > 0:
 		return o.Kinds
 	}
-	return slices.DeleteFunc(Kinds(), func(k Kind) bool { return k == unmade })
+	return Kinds()
 }
 
-// unmade is of a system call that a node makes no more: the kind is drawn all the same, so that seeds mean
-// what they did.
-const unmade = Kind(shim.DupFails)
-
 // add takes in one seed.
 func (r *Report) add(res *Result) {
 	r.Seeds++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,8 @@
 	PlantForward: "a refused request is not forwarded",
 	PlantForget:  "what was taken is delivered or ends in time",
 	PlantTwice:   "a message that may not be repeated is not sent again",
+	PlantSilent:  "a request that was read is answered in time",
+	PlantServed:  "what its host has served is not told as refused",
 }
 
 // An oracle that cannot fail is none: each violation that is put into a record is found.
@@ -111,3 +113,33 @@
 		t.Errorf("%d of %d taken were given up untried, want under one in fifty", res.Service.Untried, res.Service.Taken)
 	}
 }
+
+// Guards against requests that are read and hear nothing until their client leaves, because the record of their
+// answer waits for a folder that fails for longer than the client waits.
+func TestRequestsAreAnsweredWhileTheFolderFails(t *testing.T) {
+	program := build(t)
+	faults, err := ParseFaults("disk_enospc@0+1s~1s,disk_enospc@1+2s~700ms,disk_eio@0+4s~1.2s,disk_open@1+5s~1s,disk_torn@0+7s~900ms," +
+		"disk_ftruncate@0+7s~1.2s,term@1+7.5s~0s,disk_torn@1+8s~1s,disk_ftruncate@1+8s~1s,disk_eio@1+10s~600ms,disk_enospc@0+9.5s~500ms")
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := Run(t.Context(), Options{Shim: program, Program: program, Seed: 9000, Nodes: 2, Hosts: 6, Clients: 8, Duration: 14 * time.Second,
+		Faults: faults})
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, answered := 0, "a request that was read is answered in time"
+	for _, f := range res.Findings {
+		if f.Invariant == answered {
+			read = f.Checked
+		}
+	}
+	if read < 1000 {
+		t.Errorf("%d requests were read, too few to tell", read)
+	}
+	if res.Broken() > 0 {
+		var out bytes.Buffer
+		res.print(&out)
+		t.Error(out.String())
+	}
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"errors"
@@ -117,6 +118,22 @@
 	}
 }
 
+// Time is the moment of a step, by this process's clock.
+func Time(monoMicroseconds int64) time.Time {
+	return time.Now().Add(time.Duration(monoMicroseconds-Now()) * time.Microsecond)
+}
+
+// marker is in each line that is a step, as the program writes it.
+var marker = []byte(`"cause":"` + Cause + `"`)
+
+// Parse reads a line of a program's log; false for one that is no step.
+func Parse(line []byte) (s Step, ok bool) {
+	if !bytes.Contains(line, marker) {
+		return s, false
+	}
+	return parse(line)
+}
+
 // parse reads a line; false for one that is no step.
 func parse(line []byte) (s Step, ok bool) {
 	if json.Unmarshal(line, &s) != nil || s.Cause != Cause {
