Answers to requests that were read wait for their own records, and for half of a client's time

Callers heard nothing in their 0.4 s while the folder failed for longer: an answer waited for its record without a bound of its own, and behind the records of all others.

The new tests of core and lifecycle are of calls that were not there before, so that they were not played on the code before.

Now lifecycle.Message.MayRespond says what may be told until when: past 0.2 s (half of the client's time, for the relay may be held up for 0.15 s) a message whose own record is on disk is taken on and its final answer follows; of any other the record is taken back first and it is refused, so that no later process knows it. A refusal of a message whose own record waits takes that back and is told at once. A step waits for the records of its own messages. A record torn on disk is not overwritten by a shorter one before it is cut off. Writes are tried again after 5 ms. A response past its client's time is counted (answer_late) and logged; the log says when all records are written again, and traces have taken_back and overdue.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,13 +5,11 @@
 package core
 
 import (
-	"cmp"
 	"container/heap"
 	"context"
 	"encoding/base64"
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -34,13 +32,14 @@
 	Partner  int    // index in the relay's partners
 	Key      string // key of the order
 	Left     time.Duration
-	Now      bool   // sent at once or not at all, and not again
-	Once     bool   // a further hand-in of an identity that is known is turned away with ErrKnown
-	Front    string // which front, and
-	Way      []byte // what it needs to find the way back after a restart
-	Head     []byte // further header lines for the partner, each with its CRLF
-	Body     []byte // not changed after the hand-in
-	Reply    Reply  // where "taken" and the final answer go
+	Respond  time.Duration // whoever hands it in must hear of it within this; 0 for no such time
+	Now      bool          // sent at once or not at all, and not again
+	Once     bool          // a further hand-in of an identity that is known is turned away with ErrKnown
+	Front    string        // which front, and
+	Way      []byte        // what it needs to find the way back after a restart
+	Head     []byte        // further header lines for the partner, each with its CRLF
+	Body     []byte        // not changed after the hand-in
+	Reply    Reply         // where "taken" and the final answer go
 }
 
 // Reply receives what becomes of one hand-in. Its methods run on the core's
@@ -58,8 +57,9 @@
 // Answer that the module gave at once has come by then.
 type Decider interface {
 	Decided()
-	// Undecided ends the wait for records at the end of the process, if Decided has not come:
-	// the message is held by the next run, or nobody knows it.
+	// Undecided ends the wait for records that cannot be written in time, if Decided has not
+	// come: the message is held, by the next run too, and its final answer follows; or nobody
+	// knows it, and none does.
 	Undecided(held bool)
 }
 
@@ -161,14 +161,6 @@
 	Then(done func()) bool
 }
 
-// Backlog is a Journal that tells what of it is not on disk yet; journal.Log is one.
-type Backlog interface {
-	// Waiting tells whether a record about a message waits to be written.
-	Waiting(seq uint64) bool
-	// Cancel takes back a message whose own record waits; false where that is on disk.
-	Cancel(seq uint64) bool
-}
-
 // Names are those that records have.
 type Names struct {
 	Partner func(int) string
@@ -290,8 +282,8 @@
 	draining bool // shutting down: nothing further is taken
 	stopAt   time.Duration
 	batch    []choice.Event
-	steps    []func()            // that wait for the journal, in order
-	stepped  uint64              // steps that were done
+	backlog  Backlog             // the journal, if it is one
+	records  records             // what waits for them
 	noted    map[string]noted    // by endpoint, as recorded
 	waited   map[string]noted    // from an earlier run, for endpoints not yet listed
 	lastAt   time.Duration       // while shutting down: what waits for the journal is given up then
@@ -320,11 +312,13 @@
 	if opt.Journal != nil {
 		led.Dropped = opt.Journal.Forget
 	}
-	return &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: led,
+	c := &Core{opt: opt, ch: ch, arrivals: limit.NewShare(opt.Arrivals), led: led,
 		clock: clock,
 		wake:  make(chan struct{}, 1), msgs: map[string]*message{}, byEntry: map[*ledger.Entry]*message{},
 		open: map[*message]bool{}, untold: map[*message]func(){}, outs: map[*attempt]struct{}{}, zones: map[string]int{}, kinds: map[string]int{}, wakeAt: -1, stopAt: -1,
-		owing: map[string]string{}, noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}, nil
+		owing: map[string]string{}, noted: map[string]noted{}, waited: map[string]noted{}, lastAt: -1}
+	c.watchBacklog()
+	return c, nil
 }
 
 // Now is the core's monotonic clock.
@@ -461,7 +455,7 @@
 		c.now = c.Now()
 		c.work()
 		// A journal that failed never says that something is on disk.
-		if c.draining && len(c.msgs) == 0 && (len(c.steps) == 0 || c.now >= c.lastAt) {
+		if c.draining && len(c.msgs) == 0 && (c.records.none() || c.now >= c.lastAt) {
 			return
 		}
 	}
@@ -513,10 +507,8 @@
 	if c.stopAt >= 0 && (at < 0 || c.stopAt < at) {
 		at = c.stopAt
 	}
-	for m := range c.untold {
-		if !c.open[m] && (at < 0 || m.due < at) {
-			at = m.due
-		}
+	if due := c.records.next(c); due >= 0 && (at < 0 || due < at) {
+		at = due
 	}
 	if c.draining && (at < 0 || c.lastAt < at) {
 		at = c.lastAt
@@ -584,6 +576,7 @@
 			c.batch = append(c.batch, news)
 		}
 	}
+	c.respondOverdue()
 	for len(c.batch) > 0 {
 		c.carryOut(c.ch.Step(c.now, c.batch))
 		c.batch = c.batch[:0]
@@ -601,10 +594,11 @@
 				delete(c.open, m)
 				m.Reply.(Decider).Decided()
 			}
-		})
+		}, m.seq)
 	}
 	clear(c.fresh)
 	c.fresh = c.fresh[:0]
+	c.releaseWritten()
 	c.tellOverdue()
 	if c.idle != nil && len(c.outs) == 0 {
 		c.idle()
@@ -639,7 +633,7 @@
 				if a.Verdict != 0 {
 					in.Reply.Answer(a)
 				}
-			})
+			}, numberOf(e.ID))
 			return
 		}
 	}
@@ -659,6 +653,9 @@
 		m.entry, c.byEntry[e] = e, m
 	}
 	m.life = lifecycle.Message{ID: m.Identity, Repeat: repeats[k.Effect], Window: k.Window, Due: m.due, Kept: m.kept}
+	if in.Respond > 0 {
+		m.life.RespondBy = at + in.Respond
+	}
 	c.msgs[m.id] = m
 	c.owed++
 	if m.kept {
@@ -666,7 +663,7 @@
 			Partner: c.opt.Names.Partner(m.Partner), Key: m.Key, At: c.opt.Journal.Stamp(), Left: int64(m.due - c.now),
 			Head: m.Head, Body: m.Body, Front: m.Front, Way: m.Way})
 	}
-	c.durable(m.kept, func() { in.Reply.Taken(nil) })
+	c.durable(m.kept, func() { in.Reply.Taken(nil) }, m.seq)
 	c.opt.Trace.Step(m.Identity, "taken", m.id)
 	c.opt.Observer.Taken(in.Class)
 	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
@@ -679,19 +676,6 @@
 	}
 }
 
-// tellOverdue tells final answers whose records cannot be written, once their messages'
-// time is over: later they would be of no use, and no later run sends these messages.
-func (c *Core) tellOverdue() {
-	if len(c.untold) == 0 {
-		return
-	}
-	late := slices.DeleteFunc(slices.Collect(maps.Keys(c.untold)), func(m *message) bool { return c.now < m.due || c.open[m] })
-	slices.SortFunc(late, func(x, y *message) int { return cmp.Compare(x.seq, y.seq) })
-	for _, m := range late {
-		c.untold[m]()
-	}
-}
-
 // answer gives a message its one final answer.
 func (c *Core) answer(m *message, a ledger.Answer) {
 	if m.answered || !m.life.MayEnd(c.opt.Guard, a.Verdict == ledger.Refused) {
@@ -706,7 +690,7 @@
 	if c.opt.Settings.Acknowledged && (a.Verdict == ledger.Refused || a.Verdict == ledger.Failed) {
 		c.owing[m.Identity] = m.id
 	}
-	if m.kept {
+	if m.kept && !c.takeBack(m) {
 		c.opt.Journal.Ended(journal.End{Seq: m.seq, Identity: m.Identity, Class: c.opt.Settings.Classes[m.Class].Name,
 			Verdict: uint8(a.Verdict), After: int64(a.After), At: c.opt.Journal.Stamp(), Front: m.Front, Way: m.Way})
 	}
@@ -725,66 +709,14 @@
 	if c.opt.Settings.Acknowledged {
 		c.untold[m] = tell
 	}
-	c.durable(m.kept, tell)
+	c.durable(m.kept, tell, m.seq)
 	c.opt.Observer.Answered(m.Class, a, c.now-m.taken)
 	c.forget(m)
 }
 
-// durable does something once what was recorded so far is on disk; at once where
-// nothing is kept. It is then done on the core's goroutine, in order.
-func (c *Core) durable(kept bool, do func()) {
-	if c.opt.Journal == nil || !kept {
-		do()
-		return
-	}
-	number := c.stepped + uint64(len(c.steps)) + 1
-	down := c.opt.Journal.Then(func() { c.release(number) })
-	if down && len(c.steps) == 0 {
-		do()
-		return
-	}
-	c.steps = append(c.steps, do)
-	if down { // behind those whose turn is in the inbox already
-		c.release(number)
-	}
-}
-
-// release has the steps up to a number done, in their order.
-func (c *Core) release(number uint64) {
-	_ = c.put(event{call: func() {
-		for c.stepped < number && len(c.steps) > 0 {
-			do := c.steps[0]
-			c.steps[0] = nil
-			c.steps = c.steps[1:]
-			c.stepped++
-			do()
-		}
-	}})
-}
-
-// recorded tells whether all that was recorded of a message is on disk.
-func (c *Core) recorded(m *message) bool {
-	b, ok := c.opt.Journal.(Backlog)
-	return !ok || !b.Waiting(m.seq)
-}
-
 // repeats translates effects.
 var repeats = [...]lifecycle.Repeat{choice.Safe: lifecycle.Freely, choice.Keyed: lifecycle.InWindow, choice.Unsafe: lifecycle.Never}
 
-// Resolve ends the wait of clients for records that cannot be written, before the process
-// ends: a message that the next run will hold counts as taken, of the others nobody knows.
-// done is called when all have heard.
-func (c *Core) Resolve(done func()) {
-	_ = c.put(event{call: func() {
-		b, ok := c.opt.Journal.(Backlog)
-		for m := range c.open {
-			delete(c.open, m)
-			m.Reply.(Decider).Undecided(!ok || !b.Cancel(m.seq))
-		}
-		done()
-	}})
-}
-
 // harmful tells whether a second effect of a message would do harm: then each
 // attempt is recorded before its first byte.
 func (c *Core) harmful(m *message) bool {
@@ -842,32 +774,6 @@
 	}
 }
 
-// gated is an attempt that waits for its record; not a byte is out before.
-type gated struct {
-	sock Attempt // once it has begun
-	off  bool
-}
-
-// Abort ends it.
-func (g *gated) Abort() (started, ok bool) {
-	if g.sock != nil {
-		return g.sock.Abort()
-	}
-	ok = !g.off
-	g.off = true
-	return false, ok
-}
-
-// Recall ends it if it has not begun, or not reached the kernel.
-func (g *gated) Recall() bool {
-	if g.sock != nil {
-		return g.sock.Recall()
-	}
-	ok := !g.off
-	g.off = true
-	return ok
-}
-
 // Restored is a message of an earlier run.
 type Restored struct {
 	Message
@@ -1220,76 +1126,6 @@
 	c.send(group[0])
 }
 
-// send begins a call: an attempt, and those that travel with it.
-func (c *Core) send(a *attempt) {
-	if a == nil {
-		return
-	}
-	m := a.m
-	call := Call{ID: m.id, Name: m.Identity, Zone: a.zone, Passed: &a.passed, Host: a.host, Class: m.Class, Partner: m.Partner, Key: m.Key,
-		Head: m.Head, Body: m.Body, Patient: a.end - a.sent, End: func(e Ending) { c.later(event{ended: a, ending: e}) }}
-	if c.opt.Settings.Classes[m.Class].Effect == choice.Keyed {
-		call.Idem = m.idem()
-	}
-	first := false // records come before the first byte
-	by := time.Duration(0)
-	for _, b := range a.all() {
-		if b.by > 0 && (by == 0 || b.by < by) {
-			by = b.by
-		}
-		if len(a.with) > 0 {
-			call.Several = append(call.Several, Item{ID: b.m.Identity, Key: b.m.Key, Head: b.m.Head, Body: b.m.Body})
-			call.Body = nil
-		}
-		if c.harmful(b.m) {
-			first = true
-			c.tried(b, false)
-		}
-	}
-	heap.Push(&c.waits, a)
-	if by > 0 {
-		call.Within = max(by-c.Now(), 1)
-	}
-	if !first {
-		a.sock = c.opt.Caller.Send(call)
-		return
-	}
-	g := &gated{}
-	a.sock = g
-	c.durable(true, func() {
-		if g.off {
-			return
-		}
-		if !c.begins(a, by) {
-			g.off = true
-			c.later(event{ended: a, ending: Ending{Outcome: choice.NotSent, Took: c.now - a.sent}})
-			return
-		}
-		call.Patient = max(a.end-c.now, time.Millisecond)
-		if by > 0 {
-			call.Within = max(by-c.Now(), 1)
-		}
-		g.sock = c.opt.Caller.Send(call)
-	})
-}
-
-// begins decides whether a call that waited for its records may still leave: nothing does
-// once the relay leaves, and nothing behind the time of one of its messages.
-func (c *Core) begins(a *attempt, by time.Duration) bool {
-	now := c.Now()
-	for _, b := range a.all() {
-		if c.parked || now > b.m.due || by > 0 && now >= by || b.m.out != b || b.m.answered {
-			return false
-		}
-	}
-	for _, b := range a.all() {
-		if !b.m.life.MayBegin(c.opt.Guard, now, c.recorded(b.m)) {
-			return false
-		}
-	}
-	return true
-}
-
 // idem is the idempotency key: the identity where there is one, so that a
 // hand-in at another relay carries the same.
 func (m *message) idem() string {
@@ -1298,26 +1134,3 @@
 	}
 	return m.id
 }
-
-// timers is a heap of attempts by time-out.
-type timers []*attempt
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].end < t[j].end }
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].place, t[j].place = i, j
-}
-func (t *timers) Push(x any) {
-	a := x.(*attempt)
-	a.place = len(*t)
-	*t = append(*t, a)
-}
-func (t *timers) Pop() any {
-	old := *t
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*t = old[:len(old)-1]
-	a.place = -1
-	return a
-}
--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -56,7 +56,7 @@
 	t.Helper()
 	r := &rig{}
 	class := choice.Class{Aim: time.Second, Deadline: 6 * time.Second, Worth: 1, Effect: choice.Keyed, Window: 2 * time.Second}
-	c, err := New(Options{Seed: 1, Arrivals: 20, Identities: 20, Keep: time.Minute, Caller: r, Observer: r, Journal: j, Every: true,
+	c, err := New(Options{Seed: 1, Arrivals: 20, Identities: 200, Keep: time.Minute, Caller: r, Observer: r, Journal: j, Every: true,
 		Guard: &lifecycle.Guard{Strict: true},
 		Names: Names{Partner: func(int) string { return "p" }},
 		Settings: choice.Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * ms, Cancels: true, Certain: true,
@@ -104,6 +104,10 @@
 
 func (b *backlog) Cancel(seq uint64) bool { return b.unwritten[seq] }
 
+func (b *backlog) Progress(func()) {}
+
+func (b *backlog) Backlogged() bool { return b.slow }
+
 // Guards against requests that are closed without an answer because a record cannot be
 // written until the process ends: the next run has the message, or nobody will.
 func TestResolveAnswersWhatWaitsForRecords(t *testing.T) {
--- /dev/null
+++ b/internal/core/records_test.go
@@ -0,0 +1,185 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
+)
+
+// failingDisk is a journal whose writes fail as the test says, and which tells what waits.
+type failingDisk struct {
+	nothing
+	failing  bool
+	waiting  map[uint64]bool // messages with a record that waits
+	own      map[uint64]bool // those whose own record does
+	ended    []journal.End
+	cleared  int
+	progress func()
+}
+
+func newFailingDisk() *failingDisk {
+	return &failingDisk{waiting: map[uint64]bool{}, own: map[uint64]bool{}}
+}
+
+func (d *failingDisk) record(seq uint64) {
+	if d.failing {
+		d.waiting[seq] = true
+	}
+}
+
+func (d *failingDisk) Taken(m journal.Message) {
+	d.record(m.Seq)
+	d.own[m.Seq] = d.failing
+}
+
+func (d *failingDisk) Tried(a journal.Attempt) {
+	d.record(a.Seq)
+	if a.Clear {
+		d.cleared++
+	}
+}
+
+func (d *failingDisk) Ended(e journal.End) {
+	d.record(e.Seq)
+	d.ended = append(d.ended, e)
+}
+
+func (d *failingDisk) Then(func()) bool        { return len(d.waiting) == 0 }
+func (d *failingDisk) Waiting(seq uint64) bool { return d.waiting[seq] }
+func (d *failingDisk) Progress(f func())       { d.progress = f }
+
+func (d *failingDisk) Backlogged() bool { return len(d.waiting) > 0 }
+
+func (d *failingDisk) Cancel(seq uint64) bool {
+	if !d.own[seq] {
+		return false
+	}
+	delete(d.own, seq)
+	delete(d.waiting, seq)
+	return true
+}
+
+// heal has all that waits written.
+func (d *failingDisk) heal() {
+	d.failing = false
+	clear(d.waiting)
+	clear(d.own)
+	d.progress()
+}
+
+const respond = 200 * ms
+
+func (r *rig) submit(t *testing.T, id string, d *decider) {
+	t.Helper()
+	if err := r.Submit(&Message{Identity: id, Left: 5 * time.Second, Respond: respond, Reply: d}); err != nil {
+		t.Fatal(err)
+	}
+	r.at(r.now + ms)
+}
+
+// Guards against a request that hears nothing while its client waits, because its own record cannot be written: it
+// is refused in time, and neither this run nor the next one sends it.
+func TestUnrecordedHandInIsTakenBackInTime(t *testing.T) {
+	j := newFailingDisk()
+	r := kept(t, j)
+	j.failing = true
+	d := &decider{}
+	by := r.now + respond
+	r.submit(t, "m", d)
+	if r.at(by - ms); len(d.held)+d.decided > 0 {
+		t.Fatal("answered before its record or its time")
+	}
+	if next := r.nextTime(); next < 0 || next > by {
+		t.Fatalf("the next look is at %v, want %v at the latest", next, by)
+	}
+	if r.at(by); len(d.held) != 1 || d.held[0] {
+		t.Fatalf("held %v, want one answer that it is not", d.held)
+	}
+	if len(j.waiting) > 0 {
+		t.Errorf("records of %v still wait", j.waiting)
+	}
+	j.heal()
+	if r.at(r.now + ms); len(r.calls) > 0 || d.decided > 0 || len(d.answers) > 0 && d.answers[0].Verdict != ledger.Abandoned {
+		t.Errorf("%d calls, decided %d, answers %v for a message that was refused", len(r.calls), d.decided, d.answers)
+	}
+}
+
+// Guards against a request that hears nothing while its client waits, because a later record about it cannot be
+// written: it was taken on, and its final answer follows.
+func TestRecordedHandInIsTakenOnInTime(t *testing.T) {
+	j := newFailingDisk()
+	r := kept(t, j)
+	d := &decider{}
+	if err := r.Submit(&Message{Identity: "m", Left: 5 * time.Second, Respond: respond, Reply: d}); err != nil {
+		t.Fatal(err)
+	}
+	r.opt.Journal = failsAfterTaken{j}
+	r.at(r.now + ms) // its own record is written, that of its attempt is not
+	if d.decided > 0 || !j.failing {
+		t.Fatalf("decided %d, failing %v", d.decided, j.failing)
+	}
+	if r.at(r.now + respond); len(d.held) != 1 || !d.held[0] {
+		t.Fatalf("held %v, want one answer that it is", d.held)
+	}
+	j.heal()
+	for range 3 {
+		r.at(r.now + ms)
+	}
+	if len(r.calls) != 1 {
+		t.Fatalf("%d calls once the disk works", len(r.calls))
+	}
+	r.calls[0].finish(choice.Served, 0)
+	if r.at(r.now + ms); len(d.answers) != 1 || d.answers[0].Verdict != ledger.Delivered || d.decided > 0 || len(d.held) != 1 {
+		t.Errorf("answers %v, decided %d, held %v", d.answers, d.decided, d.held)
+	}
+}
+
+// failsAfterTaken is a disk that fails once a message's own record is written.
+type failsAfterTaken struct{ *failingDisk }
+
+func (f failsAfterTaken) Taken(m journal.Message) {
+	f.failingDisk.Taken(m)
+	f.failing = true
+}
+
+// Guards against a refusal that waits for the disk, or that the next run decides anew: where the message's own
+// record is not written, the refusal is told at once and leaves nothing to be recorded.
+func TestRefusalOfAnUnrecordedHandInIsToldAtOnce(t *testing.T) {
+	j := newFailingDisk()
+	r := kept(t, j)
+	r.List(choice.Listing{Whole: true}) // nobody takes it
+	r.at(r.now + ms)
+	j.failing = true
+	d := &decider{}
+	if err := r.Submit(&Message{Identity: "m", Left: 5 * time.Second, Respond: respond, Now: true, Reply: d}); err != nil {
+		t.Fatal(err)
+	}
+	r.at(r.now + ms)
+	if d.decided != 1 || len(d.answers) != 1 || d.answers[0].Verdict != ledger.Refused || len(d.taken) != 1 {
+		t.Errorf("decided %d, answers %v, taken %v", d.decided, d.answers, d.taken)
+	}
+	if len(j.ended)+len(j.waiting) > 0 {
+		t.Errorf("recorded %v, %v waits", j.ended, j.waiting)
+	}
+}
+
+// Guards against a request that waits for the records of others: only its own count.
+func TestHandInWaitsForItsOwnRecordsAlone(t *testing.T) {
+	j := newFailingDisk()
+	r := kept(t, j)
+	first, second := &decider{}, &decider{}
+	j.failing = true
+	r.submit(t, "first", first)
+	j.failing = false
+	r.submit(t, "second", second)
+	if first.decided != 0 || second.decided != 1 {
+		t.Errorf("decided %d and %d, want the second alone", first.decided, second.decided)
+	}
+	j.heal()
+	if r.at(r.now + ms); first.decided != 1 || second.decided != 1 {
+		t.Errorf("decided %d and %d once the disk works", first.decided, second.decided)
+	}
+}
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -57,6 +57,8 @@
 	Kept        int           // of them between two requests
 	Request     time.Duration // a begun request may pause so long
 	Whole       time.Duration // and must be whole by then; the first one since the connection came up
+	Respond     time.Duration // a request has its response within this, whatever the disk does; 0 for no such time
+	Wait        time.Duration // clients wait so long for it; 0 for an unknown time
 	Linger      time.Duration // a connection that the relay has shut is closed after it, whatever the client does
 	Idle        time.Duration // a connection without a request closes after it
 	WriteBuffer int
@@ -425,7 +427,7 @@
 	case len(rest) > 0:
 		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
 	default:
-		c.life.Whole(c.name)
+		c.life.Whole(c.name, c.waitsUntil(time.Duration(now)))
 		c.serve()
 	}
 }
@@ -502,7 +504,8 @@
 		return nil, err
 	}
 	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, Once: true,
-		Left: c.left(time.Duration(left) * time.Millisecond), Front: Name, Body: r.Body}
+		Left: max(time.Duration(left)*time.Millisecond-c.late(), time.Millisecond), Respond: c.respondWithin(),
+		Front: Name, Body: r.Body}
 	key, n := r.Only(fieldIdempotency)
 	if n > 1 || len(key) > 256 || strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c >= 0x7f }) {
 		return nil, fmt.Errorf("%s: %d fields, %.40q; one of at most 256 visible characters may be there", fieldIdempotency, n, key)
@@ -519,14 +522,29 @@
 	return m, nil
 }
 
-// left is what may be left of a request's time, which its client counts from its sending:
-// the first one of a connection may have been read late because accepting it failed.
-func (c *conn) left(told time.Duration) time.Duration {
+// late is how long ago a request may have been sent: the first one of a connection may have
+// been read late because accepting it failed.
+func (c *conn) late() time.Duration {
 	if c.asked.Load() {
-		return told
+		return 0
+	}
+	return min(c.waited, c.front.opt.Request/2) // a client waits no longer
+}
+
+// waitsUntil is when the client of a request that was read now waits no more; 0 if that is not known.
+func (c *conn) waitsUntil(now time.Duration) time.Duration {
+	if c.front.opt.Wait == 0 {
+		return 0
+	}
+	return now + c.front.opt.Wait - c.late()
+}
+
+// respondWithin is how soon the core must answer a hand-in; 0 for no such time.
+func (c *conn) respondWithin() time.Duration {
+	if c.front.opt.Respond == 0 {
+		return 0
 	}
-	late := min(c.waited, c.front.opt.Request/2) // a client waits no longer
-	return max(told-late, time.Millisecond)
+	return max(c.front.opt.Respond-c.late(), time.Millisecond)
 }
 
 // fieldIdempotency names the field by which hosts of some classes tell a repeat; it goes on
@@ -570,7 +588,7 @@
 
 // write sends an answer and readies the connection for the next request; under mu.
 func (c *conn) write(status int, field, body string) {
-	if c.shut || !c.life.MayAnswer(c.front.opt.Guard) {
+	if c.shut || !c.life.MayAnswer(c.front.opt.Guard, time.Duration(front.Now())) {
 		return
 	}
 	keep := c.req.Keep && !c.front.draining.Load()
@@ -677,7 +695,7 @@
 	f.opt.Door.Settled(x.id)
 }
 
-// Undecided: the process ends, and a record of what was decided cannot be written.
+// Undecided: a record of what was decided cannot be written in time, or before the process ends.
 func (x *exchange) Undecided(held bool) {
 	x.decided = true
 	x.respond(func(c *conn) {
--- a/internal/journal/fault_test.go
+++ b/internal/journal/fault_test.go
@@ -177,3 +177,43 @@
 		t.Errorf("%d messages, want 3", len(k.Messages))
 	}
 }
+
+// Guards against a request answered 503 that a later process forwards: its record was taken back while a part of it
+// stood on disk and could not be cut off, shorter records followed over that part, and then came a kill.
+func TestTakenBackIsUnknownAfterAKill(t *testing.T) {
+	for _, shorter := range []bool{false, true} {
+		dir := t.TempDir()
+		l, _ := openLog(t, dir, 1<<20)
+		l.Taken(Message{Seq: 1, Identity: "before", At: l.Stamp()})
+		repair := brokenDisk(t, l)
+		l.mu.Lock()
+		s := l.files[len(l.files)-1]
+		name, size := s.f.Name(), s.size
+		l.mu.Unlock()
+		l.Taken(Message{Seq: 2, Identity: "taken back", Body: make([]byte, 3000), At: l.Stamp()})
+		l.mu.Lock()
+		frame := l.waiting[0].frame
+		l.mu.Unlock()
+		part, err := os.OpenFile(name, os.O_WRONLY, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer part.Close()
+		if _, err := part.WriteAt(frame[:len(frame)-1], size); err != nil { // all but its last byte
+			t.Fatal(err)
+		}
+		if !l.Cancel(2) {
+			t.Fatal("its record waits, and it is not taken back")
+		}
+		want := 1
+		if shorter {
+			repair()
+			l.Taken(Message{Seq: 3, Identity: "after", At: l.Stamp()})
+			want = 2
+		}
+		_, k := openLog(t, dir, 1<<20)
+		if slices.ContainsFunc(k.Messages, func(m Message) bool { return m.Seq == 2 }) || len(k.Messages) != want {
+			t.Errorf("shorter record after it %v: %d messages are known, want %d without the one taken back", shorter, len(k.Messages), want)
+		}
+	}
+}
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -55,9 +55,12 @@
 	behind  map[uint64]int  // of them, by message
 	noted   map[string]bool // hosts with a wait that was handed in and is not gone
 	done    []func()
+	caught  func()    // told that records which waited were written; may be nil
+	since   time.Time // of the oldest record that waits
 	retry   *time.Timer
 	closed  bool
 	failed  func(error)
+	healed  func(time.Duration)
 	stats   Stats
 }
 
@@ -66,7 +69,7 @@
 	n    uint64
 	f    *os.File
 	size int64    // bytes of whole records
-	torn bool     // a part of a record may stand behind them
+	torn int64    // parts of records have been written up to here since the last cut; 0 for none
 	keys []string // of records written here, live or not, in order
 }
 
@@ -92,7 +95,7 @@
 	segments  = 12  // a full log has about so many
 	frame     = 8   // length and checksum before each record
 	suffix    = ".log"
-	retryWait = 20 * time.Millisecond
+	retryWait = 5 * time.Millisecond
 	longest   = 1 << 20 // bytes of a record that is believed
 )
 
@@ -115,6 +118,9 @@
 	Owes func(verdict uint8) bool
 	// Failed is told of writes that fail, which are tried again; nothing is taken meanwhile.
 	Failed func(error)
+	// Recovered is told that all records are written again, and how long the oldest had
+	// waited; may be nil.
+	Recovered func(waited time.Duration)
 	// Clocks reads those of the machine; nil for Clocks.
 	Clocks func() (Run, error)
 }
@@ -132,7 +138,8 @@
 		opt.Clocks = Clocks
 	}
 	l := &Log{dir: dir, most: opt.Most - opt.Most/16, clocks: opt.Clocks, live: map[string]*place{}, seqs: map[uint64][]string{},
-		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, behind: map[uint64]int{}, owes: opt.Owes, failed: opt.Failed}
+		ends: map[string]End{}, forget: map[string]bool{}, noted: map[string]bool{}, behind: map[uint64]int{}, owes: opt.Owes, failed: opt.Failed,
+		healed: opt.Recovered}
 	if l.seg = l.most / segments; l.seg < 8*block {
 		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrSmall, opt.Most)
 	}
@@ -527,6 +534,9 @@
 		}
 		l.failed(fmt.Errorf("journal: nothing is taken until this is written: %w", err))
 	}
+	if len(l.waiting) == 0 {
+		l.since = time.Now()
+	}
 	l.waiting = append(l.waiting, r)
 	l.behind[r.of]++
 	if l.retry == nil {
@@ -548,6 +558,21 @@
 	return l.behind[seq] > 0
 }
 
+// Backlogged tells whether any record waits to be written.
+func (l *Log) Backlogged() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) > 0
+}
+
+// Progress has a function called, from any goroutine, each time that records which waited
+// have been written. It is set before the first record is handed in.
+func (l *Log) Progress(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.caught = f
+}
+
 // Cancel takes back a message whose own record is not on disk yet, with all that waits
 // about it: no later run will know it. It reports false where the record is on disk.
 func (l *Log) Cancel(seq uint64) bool {
@@ -557,7 +582,12 @@
 	if !slices.ContainsFunc(l.waiting, func(r record) bool { return r.key == key }) {
 		return false
 	}
-	l.waiting = slices.DeleteFunc(l.waiting, func(r record) bool { return r.of == seq })
+	l.waiting = slices.DeleteFunc(l.waiting, func(r record) bool {
+		if r.of == seq && r.kind == kindEnd {
+			delete(l.ends, r.key)
+		}
+		return r.of == seq
+	})
 	delete(l.behind, seq)
 	return true
 }
@@ -566,13 +596,21 @@
 func (l *Log) again() {
 	l.mu.Lock()
 	l.retry = nil
+	before := len(l.waiting)
 	for len(l.waiting) > 0 && !l.closed && l.write(l.waiting[0]) == nil {
 		l.caughtUp(l.waiting[0])
 		l.waiting = l.waiting[1:]
 	}
 	var done []func()
+	if (len(l.waiting) < before || len(l.waiting) == 0) && l.caught != nil {
+		done = append(done, l.caught)
+	}
 	if len(l.waiting) == 0 {
-		done, l.done = l.done, nil
+		done = append(done, l.done...)
+		l.done = nil
+		if l.healed != nil {
+			l.healed(time.Since(l.since))
+		}
 	} else if !l.closed {
 		l.retry = time.AfterFunc(retryWait, l.again)
 	}
@@ -599,25 +637,31 @@
 		}
 		s = l.files[len(l.files)-1]
 	}
+	end := s.size + int64(len(r.frame))
+	if end < s.torn { // what is left of a longer record would stand behind this one
+		if err := s.cut(); err != nil {
+			return err
+		}
+	}
 	if _, err := s.f.WriteAt(r.frame, s.size); err != nil {
-		s.torn = true // os.File tells of no byte where a part was written
+		s.torn = max(s.torn, end) // os.File tells of no byte where a part was written
 		return errors.Join(err, s.cut())
 	}
 	l.book(s, r)
-	s.size += int64(len(r.frame))
+	s.size = end
 	l.big = max(l.big, int64(len(r.frame)))
 	return nil
 }
 
 // cut takes off what a failed write may have left behind the last whole record.
 func (s *segment) cut() error {
-	if !s.torn {
+	if s.torn == 0 {
 		return nil
 	}
 	if err := s.f.Truncate(s.size); err != nil {
 		return err
 	}
-	s.torn = false
+	s.torn = 0
 	return nil
 }
 
--- a/internal/lifecycle/exchange.go
+++ b/internal/lifecycle/exchange.go
@@ -1,6 +1,9 @@
 package lifecycle
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Phase is what a client's connection does.
 type Phase int32
@@ -22,7 +25,8 @@
 // any goroutine; the rest is its owner's, under one lock.
 type Exchange struct {
 	phase atomic.Int32
-	id    string // of the request that is being answered, or of the connection
+	id    string        // of the request that is being answered, or of the connection
+	by    time.Duration // its client waits so long; 0 for no such time
 }
 
 // Phase is what the connection does now.
@@ -33,9 +37,10 @@
 	return e.phase.CompareAndSwap(int32(Idle), int32(Reading))
 }
 
-// Whole takes in the last byte of a request: from now on a response is owed.
-func (e *Exchange) Whole(id string) {
-	e.id = id
+// Whole takes in the last byte of a request: from now on a response is owed, which its client
+// waits for until the time given, 0 for no such time.
+func (e *Exchange) Whole(id string, by time.Duration) {
+	e.id, e.by = id, by
 	e.phase.Store(int32(Answering))
 }
 
@@ -46,10 +51,14 @@
 func (e *Exchange) ID() string { return e.id }
 
 // MayAnswer decides whether a response may be written now: to a request that was read, or to
-// what is no request and will not become one. The connection rests after it.
-func (e *Exchange) MayAnswer(g *Guard) bool {
+// what is no request and will not become one. The connection rests after it. One that leaves
+// after its client's time is counted, and leaves all the same.
+func (e *Exchange) MayAnswer(g *Guard, now time.Duration) bool {
 	switch p := e.Phase(); p {
 	case Reading, Answering:
+		if p == Answering && e.by > 0 && now > e.by {
+			g.count(AnswerLate, e.id, "its client's time is over")
+		}
 		e.phase.Store(int32(Idle))
 		return true
 	case Idle:
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -27,6 +27,7 @@
 	AnswerBeforeRecord Rule = "answer_before_record" // something told whose record is not on disk
 	RefuseAfterSend    Rule = "refuse_after_send"    // a refusal of what may have run and may not be repeated
 	CloseUnanswered    Rule = "close_unanswered"     // a connection closed over a request that was read
+	AnswerLate         Rule = "answer_late"          // a response that leaves when its client waits no more
 )
 
 // Violation is one act that was forbidden.
@@ -66,7 +67,18 @@
 	if g == nil {
 		return false
 	}
-	v := Violation{rule, id, what}
+	g.count(rule, id, what)
+	if g.Strict {
+		panic(Violation{rule, id, what})
+	}
+	return false
+}
+
+// count counts and tells what can't be forbidden any more.
+func (g *Guard) count(rule Rule, id, what string) {
+	if g == nil {
+		return
+	}
 	g.mu.Lock()
 	if g.counts == nil {
 		g.counts = map[Rule]int{}
@@ -74,10 +86,6 @@
 	g.counts[rule]++
 	g.mu.Unlock()
 	if g.Told != nil {
-		g.Told(v)
+		g.Told(Violation{rule, id, what})
 	}
-	if g.Strict {
-		panic(v)
-	}
-	return false
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -50,7 +50,7 @@
 		},
 		AnswerUnasked: func(g *Guard) bool {
 			var e Exchange
-			return e.MayAnswer(g)
+			return e.MayAnswer(g, 0)
 		},
 		AnswerBeforeRecord: func(g *Guard) bool {
 			m := message(Freely)
@@ -64,7 +64,7 @@
 		CloseUnanswered: func(g *Guard) bool {
 			var e Exchange
 			e.Begin()
-			e.Whole("m")
+			e.Whole("m", 0)
 			return e.MayClose(g)
 		},
 	} {
@@ -87,8 +87,8 @@
 		if !e.Begin() || e.Begin() {
 			t.Fatal("a request begins once")
 		}
-		e.Whole("m")
-		if !e.MayAnswer(g) || e.Phase() != Idle {
+		e.Whole("m", 0)
+		if !e.MayAnswer(g, 0) || e.Phase() != Idle {
 			t.Fatal("not answered")
 		}
 	}
@@ -99,3 +99,44 @@
 		t.Error("not gone")
 	}
 }
+
+// Guards against answers that wait for the disk beyond their client's time, and against a client that hears one thing
+// and the next process does another.
+func TestResponsesWhileRecordsWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		now      time.Duration
+		recorded bool
+		backs    bool // its own record can be taken back
+		want     Response
+	}{
+		"all is on disk":              {recorded: true, want: Decision},
+		"records wait, there is time": {now: s - 1, backs: true, want: Wait},
+		"its own record is on disk":   {now: s, want: TakenOn},
+		"its own record is not":       {now: s, backs: true, want: TakenBack},
+		"on disk in the last instant": {now: 2 * s, recorded: true, backs: true, want: Decision},
+	} {
+		m := &Message{ID: "m", Due: 10 * s, Kept: true, RespondBy: s}
+		if got := m.MayRespond(c.now, c.recorded, func() bool { return c.backs }); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+		if m.Kept == (c.want == TakenBack) {
+			t.Errorf("%s: kept %v", name, m.Kept)
+		}
+	}
+}
+
+// Guards against responses that leave when their client waits no more and are not counted.
+func TestLateResponsesAreCounted(t *testing.T) {
+	g := &Guard{}
+	for range 2 { // the second one is in time
+		var e Exchange
+		e.Begin()
+		e.Whole("m", s)
+		if !e.MayAnswer(g, s+time.Duration(1-g.Counts()[AnswerLate])) {
+			t.Error("a late response is kept back")
+		}
+	}
+	if g.Counts()[AnswerLate] != 1 {
+		t.Errorf("counted %v", g.Counts())
+	}
+}
--- a/internal/lifecycle/message.go
+++ b/internal/lifecycle/message.go
@@ -31,6 +31,8 @@
 	Due    time.Duration // nothing is sent later
 	// Kept messages outlive the process: what is done with them waits for their records.
 	Kept bool
+	// RespondBy is when whoever handed the message in must have its answer; 0 for no such time.
+	RespondBy time.Duration
 
 	stage    Stage
 	mayRun   bool
@@ -94,6 +96,36 @@
 	}
 }
 
+// Response is what whoever handed a message in may be told now.
+type Response int
+
+// The responses.
+const (
+	Wait      Response = iota // records are on their way, and there is time
+	Decision                  // what was decided: all records about the message are on disk
+	TakenOn                   // that it was taken on: a later process knows it
+	TakenBack                 // that it was not taken on: no later process will know it
+)
+
+// MayRespond decides what may be told of the hand-in. recorded tells whether all records about
+// the message are on disk. Past RespondBy takeBack is asked to take the message's own record
+// back; it reports false where that is on disk. Who was told one thing never hears the other.
+func (m *Message) MayRespond(now time.Duration, recorded bool, takeBack func() bool) Response {
+	switch {
+	case !m.Kept || recorded:
+		return Decision
+	case m.RespondBy == 0 || now < m.RespondBy:
+		return Wait
+	case !takeBack():
+		return TakenOn
+	}
+	m.TakeBack()
+	return TakenBack
+}
+
+// TakeBack notes that no later process will know the message: its own record was taken back.
+func (m *Message) TakeBack() { m.Kept = false }
+
 // MayEnd decides whether a message may get its final answer, which counts from then on; a
 // refusal promises that nothing ran, or that a repeat does no harm.
 func (m *Message) MayEnd(g *Guard, refusal bool) bool {
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -14,6 +14,9 @@
 	// A client waits so long for its answer (PROTOCOL); a request that is not whole
 	// within twice that has lost its client.
 	clientWaits = 400 * time.Millisecond
+	// A request has its response within this whatever its records wait for: half of what its
+	// client waits, for the relay may be held up for 0.15 s before it writes (STANDING).
+	respondWithin = clientWaits / 2
 	// A message that was taken and has surely not run costs this share of its worth where
 	// it is given up before that share of its time (STANDING).
 	takenBack, takenBackBefore = 0.3, 0.7
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -107,6 +107,10 @@
 	b := &n.bounds
 	n.watch = &watcher{node: n}
 	n.guard = &lifecycle.Guard{Strict: os.Getenv(strictVariable) != "", Told: func(v lifecycle.Violation) {
+		if v.Rule == lifecycle.AnswerLate { // a machine that stood still has it as well
+			n.warn("late").Str("rule", string(v.Rule)).Str("id", v.ID).Msg(v.What)
+			return
+		}
 		n.log.Error().Str("cause", "violation").Str("rule", string(v.Rule)).Str("id", v.ID).Msg(v.What)
 	}}
 	var undo []func()
@@ -123,6 +127,8 @@
 	var damaged error
 	n.keep, kept, damaged, err = journal.OpenLog(journal.LogOptions{Dir: cfg.State, Most: b.Disk, Owes: owes, Failed: func(err error) {
 		n.warn("journal").Err(err).Msg("records wait to be written, nothing is taken")
+	}, Recovered: func(waited time.Duration) {
+		n.warn("journal").Dur("waited", waited).Msg("all records are written")
 	}})
 	if err != nil {
 		return nil, err
@@ -174,7 +180,7 @@
 		To:      directory.Sinks{n.core, n.caller}, Addresses: n.addresses,
 		Listed: func(int) {}, Failed: func(source string, err error) { n.warn("discovery").Str("source", source).Err(err).Msg("") }})
 	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Lanes: s.Lanes, Ordered: ordered, Dest: n.known,
-		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Lingering: b.Lingering, Kept: b.Kept, Request: 2 * clientWaits, Whole: whole, Idle: silent, Linger: linger,
+		Ready: n.ready.Load, Header: headerBytes, Body: bodyBytes, Connections: b.Clients, Lingering: b.Lingering, Kept: b.Kept, Request: 2 * clientWaits, Respond: respondWithin, Wait: clientWaits, Whole: whole, Idle: silent, Linger: linger,
 		WriteBuffer: b.WriteBuffer, Door: n.core, Keeper: n.keep, Notices: n.said, Guard: n.guard, Trace: trace(log),
 		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
 	if err != nil {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -35,8 +35,8 @@
 const Cause = "trace"
 
 // fields name the value of a step.
-var fields = map[string]string{"read": "connection", "taken": "number", "send": "host", "result": "outcome", "ended": "verdict",
-	"told": "verdict", "response": "status", "close": "reason", "error": "error"}
+var fields = map[string]string{"read": "connection", "taken": "number", "send": "host", "begun": "timeout", "result": "outcome", "ended": "verdict",
+	"told": "verdict", "taken_back": "number", "overdue": "said", "response": "status", "close": "reason", "error": "error"}
 
 // Field is the name of the value that a step has.
 func Field(step string) string { return cmp.Or(fields[step], "value") }
