--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -27,6 +27,11 @@
 		t.polls = t.polls || regs.Orig_rax == unix.SYS_EPOLL_CTL
 		return
 	}
+	if t.p.is(DiskDown) && t.changesState(pid, &regs) {
+		t.instead(pid, &regs, -int64(unix.EIO))
+		t.p.hit(DiskDown)
+		return
+	}
 	switch regs.Orig_rax {
 	case unix.SYS_READ:
 		t.read(pid, &regs)
@@ -63,6 +68,17 @@
 	}
 }
 
+// changesState tells whether a call would change the state folder.
+func (t *tracer) changesState(pid int, regs *unix.PtraceRegs) bool {
+	switch regs.Orig_rax {
+	case unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FTRUNCATE:
+		return t.inState(pid, regs.Rdi)
+	case unix.SYS_OPENAT, unix.SYS_RENAMEAT, unix.SYS_UNLINKAT:
+		return t.names(pid, regs.Rsi)
+	}
+	return false
+}
+
 // fail has a call fail, with an even chance, where a kind is active and the call is one of it.
 func (t *tracer) fail(pid int, regs *unix.PtraceRegs, k Kind, concerned bool, errnos ...unix.Errno) bool {
 	if !t.p.is(k) || !concerned || t.r.IntN(2) == 0 {
