Calls that wait for their record keep their time-out, and the module doesn't blame the host

Callers heard that a message was refused or dead although its host had answered 200 within the time that the call said it would be waited for.

Cause: a call whose record waited for a failing folder was out for the module and its time-out ran (Core.send). It was begun with what was left, told as 'no connection' without a byte sent, or called off by the module as silent (callOff counts from the decision).

By DESIGN's mechanism a time-out is a time of the endpoint's table, counted from the sending: it runs from the first byte now. Such a call waits 50 ms at most (the slack of all limits on sockets), then it ends as not sent and the module decides anew, with the pace, waits and edges of that moment; nor is one begun that has less than half of its time-out left. While records wait the module is paused (choice.Pause) and sends nothing, so that neither tries are spent nor hosts suspected. Journals that don't tell what waits (the daemon's) keep their wait, without the time-out running.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,6 +75,8 @@
 			c.list(e)
 		case Stop:
 			c.stopped, c.parked = !e.Keep, e.Keep
+		case Pause:
+			c.paused = e.On
 		case Settled:
 			if m := c.owing[e.ID]; m != nil {
 				delete(c.owing, e.ID)
@@ -958,7 +960,7 @@
 	if _, open := c.passes(m, h.Zone); !open {
 		return false
 	}
-	if h.State != Ready || c.parked || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
+	if h.State != Ready || c.parked || c.paused || !c.repeatable(m) || m.attempts >= c.set.MaxAttempts {
 		return false
 	}
 	if m.class.Effect == Keyed && m.class.SameZone && m.ran && h.Zone != m.ranZone {
--- a/choice/state.go
+++ b/choice/state.go
@@ -149,6 +149,7 @@
 	pool    table         // of all destinations together, for those that have few samples yet
 	stopped bool
 	parked  bool                // stopped, and a later run goes on with what is held
+	paused  bool                // no call can begin now
 	owing   map[string]*message // refused or failed, not settled yet: they hold their place in the order
 	tolls   *Tolls              // nil: all zones are open
 	askAt   time.Duration       // ask for list changes then; below 0 for never
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -236,6 +236,7 @@
 	lead    *attempt   // with which it travels; nil for one that goes alone or leads
 	with    []*attempt // those that travel with it
 	off     bool       // called off by the module
+	gate    *gated     // it waits for its record, or did; nil for one that had not to
 }
 
 // all are the attempts of one call.
@@ -284,6 +285,7 @@
 	batch    []choice.Event
 	backlog  Backlog             // the journal, if it is one
 	records  records             // what waits for them
+	paused   bool                // nothing is sent: records wait
 	noted    map[string]noted    // by endpoint, as recorded
 	waited   map[string]noted    // from an earlier run, for endpoints not yet listed
 	lastAt   time.Duration       // while shutting down: what waits for the journal is given up then
@@ -577,6 +579,7 @@
 		}
 	}
 	c.respondOverdue()
+	c.pauseSends()
 	for len(c.batch) > 0 {
 		c.carryOut(c.ch.Step(c.now, c.batch))
 		c.batch = c.batch[:0]
@@ -586,6 +589,7 @@
 			}
 		}
 		c.nows = c.nows[:0]
+		c.pauseSends()
 	}
 	for _, m := range c.fresh {
 		c.open[m] = true
@@ -926,7 +930,7 @@
 		return
 	}
 	if !started { // not one byte was handed over: it cannot have run
-		if why = choice.NotSent; c.now >= a.end {
+		if why = choice.NotSent; c.now >= a.end && a.begun() {
 			why = choice.NoConnection
 		}
 	}
--- a/internal/core/records_test.go
+++ b/internal/core/records_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -183,3 +184,64 @@
 		t.Errorf("decided %d and %d once the disk works", first.decided, second.decided)
 	}
 }
+
+// sentAfter hands a message in whose attempt's record waits for a while, and returns the calls that were made by then.
+func sentAfter(t *testing.T, wait time.Duration) (r *rig, j *failingDisk) {
+	t.Helper()
+	j = newFailingDisk()
+	r = kept(t, j)
+	for i := range 100 { // for a table of latencies
+		r.submit(t, fmt.Sprint("before", i), &decider{})
+		r.calls[i].finish(choice.Served, 0)
+		r.at(r.now + ms)
+	}
+	r.calls = nil
+	r.opt.Journal = failsAfterTaken{j}
+	r.submit(t, "m", &decider{})
+	if wait > 0 && len(r.calls) > 0 {
+		t.Fatal("a call left before its record")
+	}
+	for end := r.now + wait; r.now < end; {
+		r.at(r.now + ms)
+	}
+	j.heal()
+	r.opt.Journal = j
+	for range 10 {
+		r.at(r.now + ms)
+	}
+	return r, j
+}
+
+// Guards against calls that begin with what a failing disk left of their time-out, and are given up as they arrive:
+// the time-out runs from the first byte.
+func TestCallThatWaitedHasItsWholeTimeout(t *testing.T) {
+	prompt, _ := sentAfter(t, 0)
+	late, _ := sentAfter(t, recordWait-10*ms)
+	if len(prompt.calls) != 1 || len(late.calls) != 1 {
+		t.Fatalf("%d and %d calls, want one each", len(prompt.calls), len(late.calls))
+	}
+	if got, want := late.calls[0].Patient, prompt.calls[0].Patient; got != want {
+		t.Errorf("a time-out of %v, want %v", got, want)
+	}
+	if late.at(late.now + late.calls[0].Patient - 20*ms); late.calls[0].aborted {
+		t.Error("given up before its time-out, counted from its first byte, was over")
+	}
+}
+
+// Guards against calls that leave long after they were decided, in a burst once the disk works again, and against
+// endpoints that are blamed for the wait: the module decides anew.
+func TestCallThatWaitedTooLongIsDecidedAnew(t *testing.T) {
+	r, j := sentAfter(t, 3*time.Second)
+	if len(r.calls) != 1 {
+		t.Fatalf("%d calls, want one", len(r.calls))
+	}
+	if j.cleared != 1 {
+		t.Errorf("%d attempts were recorded as not made, want one for the whole wait", j.cleared)
+	}
+	if len(r.log) > 0 {
+		t.Errorf("the module says %q", r.log)
+	}
+	if left := 5*time.Second - r.now; r.calls[0].Patient > left+20*ms {
+		t.Errorf("a time-out of %v with %v left", r.calls[0].Patient, left)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -117,9 +117,22 @@
 // Guards against requests that are read and hear nothing until their client leaves, because the record of their
 // answer waits for a folder that fails for longer than the client waits.
 func TestRequestsAreAnsweredWhileTheFolderFails(t *testing.T) {
-	program := build(t)
-	faults, err := ParseFaults("disk_enospc@0+1s~1s,disk_enospc@1+2s~700ms,disk_eio@0+4s~1.2s,disk_open@1+5s~1s,disk_torn@0+7s~900ms," +
+	playWithoutFindings(t, "disk_enospc@0+1s~1s,disk_enospc@1+2s~700ms,disk_eio@0+4s~1.2s,disk_open@1+5s~1s,disk_torn@0+7s~900ms,"+
 		"disk_ftruncate@0+7s~1.2s,term@1+7.5s~0s,disk_torn@1+8s~1s,disk_ftruncate@1+8s~1s,disk_eio@1+10s~600ms,disk_enospc@0+9.5s~500ms")
+}
+
+// Guards against calls that wait for a folder that fails with their time-out running, and are given up as they arrive
+// at a host that serves them.
+func TestCallsHaveTheirTimeoutAfterTheFolderFailed(t *testing.T) {
+	playWithoutFindings(t, "disk_down@0+1s~1.3s,disk_down@1+1.5s~700ms,disk_down@0+3.5s~500ms,disk_down@1+4s~1.5s,disk_down@0+5s~300ms,"+
+		"disk_down@0+6s~900ms,disk_down@1+6.3s~200ms,kill@1+7.5s~0s,disk_down@0+8s~1.2s,disk_down@1+9.5s~1s,disk_down@0+10s~600ms")
+}
+
+// playWithoutFindings plays faults on two nodes, and fails where an invariant breaks.
+func playWithoutFindings(t *testing.T, text string) {
+	t.Helper()
+	program := build(t)
+	faults, err := ParseFaults(text)
 	if err != nil {
 		t.Fatal(err)
 	}
