--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -211,7 +211,7 @@
 // message's time, is not told as refused or failed by the same process.
 func (a *audit) served(c *Course) {
 	for _, x := range c.Calls {
-		if x.Status != 200 || x.Told.IsZero() || x.lost() || x.Told.Add(soon+clientWaits).After(c.Due) {
+		if x.Status != 200 || x.Told.IsZero() || x.Told.Add(soon+clientWaits).After(c.Due) {
 			continue
 		}
 		heard := x.Told.Add(onTheWay + socketGrace + a.lag)
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -51,13 +51,8 @@
 	Over   time.Time // when it was answered or its connection had ended
 	Wait   time.Duration
 	Waited time.Duration // how long the relay said that it waits for the answer; 0 for nothing said
-
-	conn *faulty // that brought it; may be nil
 }
 
-// lost tells whether the network reset the connection, with the answer that was written.
-func (c *Call) lost() bool { return c.conn != nil && c.conn.reset.Load() }
-
 // Notice is one notice of a message.
 type Notice struct {
 	At     time.Time
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -1,11 +1,9 @@
 package emulator
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -59,21 +57,6 @@
 type faulty struct {
 	net.Conn
 	network *Network
-	reset   atomic.Bool // by the network: what was written may not have been read
-}
-
-// connKey is that of a server's connection in the context of its requests.
-type connKey struct{}
-
-// withConn has the requests of a connection know it.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// connOf is the connection of a request, nil if it is not known.
-func connOf(ctx context.Context) *faulty {
-	c, _ := ctx.Value(connKey{}).(*faulty)
-	return c
 }
 
 func (f *faulty) Read(b []byte) (int, error) {
@@ -101,7 +84,6 @@
 	if !reset {
 		return nil
 	}
-	f.reset.Store(true)
 	if tcp, ok := f.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("emulator: %w", err)
 	}
-	s := &server{http: &http.Server{Handler: h, ConnContext: withConn}, listener: l}
+	s := &server{http: &http.Server{Handler: h}, listener: l}
 	go func() { _ = s.http.Serve(listener{l, network}) }()
 	p.mu.Lock()
 	p.servers = append(p.servers, s)
@@ -341,7 +341,7 @@
 	rec := h.platform.Record
 	waited, _ := strconv.ParseInt(r.Header.Get("X-Remaining-Ms"), 10, 32) // 0 where nothing is said
 	for _, x := range items {
-		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID, Waited: time.Duration(waited) * time.Millisecond, conn: connOf(r.Context())})
+		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID, Waited: time.Duration(waited) * time.Millisecond})
 		x.fate = h.draw()
 	}
 	defer func() {
