A listener that closes accepts and answers what stands in its queue first

Callers saw new connections reset, which had come up while the relay was told to end.

Cause: Listeners.Refuse closed the listener at once, and the system resets what has not been accepted.

Each listener is closed by the goroutine that accepts, once poll(2) finds its queue empty, for 1 s more at most where accepting fails. A connection that comes between that look and the close is reset still; clients come for 0.4 s after SIGTERM, the listener closes 0.6 s after it.

The soak has the check as an invariant with a planted violation, and accept_down, accept that fails each time. Its tests build the program once: a tracer could wait for the compiler (seen: waitid: no child processes).

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -59,6 +59,7 @@
 		c := r.courses[id]
 		a.replies(c)
 		a.answered(c)
+		a.welcomed(c)
 		a.refusals(c)
 		a.owed(c)
 		a.repeats(c)
@@ -129,6 +130,20 @@
 	a.of("a request that was read is answered in time").check(c.Reply.Complete || c.Reply.End != "timeout" || died, c.String)
 }
 
+// welcomed: a connection that comes up while clients still come to a relay that leaves is
+// accepted and answered, however long it stood in the listener's queue.
+func (a *audit) welcomed(c *Course) {
+	if !c.Reply.Fresh || c.Reply.End == "left" || !a.record.leavesAt(c) || a.killed(c.Node, c.Sent, c.Sent.Add(clientWaits)) {
+		return
+	}
+	for _, s := range a.record.shut {
+		if s.node == c.Node && s.from.Before(c.Reply.At.Add(a.lag)) && s.to.After(c.Sent.Add(-a.lag-clientWaits)) {
+			return
+		}
+	}
+	a.of("a new connection is answered while the relay leaves").check(c.Reply.Complete || c.Reply.Text != "" || c.Reply.End == "timeout", c.String)
+}
+
 // refusals: what was answered 429 or 503 is never forwarded from then on.
 func (a *audit) refusals(c *Course) {
 	if !c.Reply.Complete || c.Reply.Status != 429 && c.Reply.Status != 503 {
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -114,9 +114,25 @@
 	order   map[string][]string // ids by node, lane and key, in the order of their effects
 	lives   []*Life
 	drains  []drain
+	shut    []shut
 	strange []string // calls and notices of messages that nobody sent
 }
 
+// shut is a time in which a relay may shut new connections unread: it has no room for them,
+// or the system gives it none.
+type shut struct {
+	node     int
+	from, to time.Time
+}
+
+// MayShut notes such a time, which begins now.
+func (r *Record) MayShut(node int, length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.shut = append(r.shut, shut{node, now, now.Add(length)})
+}
+
 // drain is what one relay was told of one host.
 type drain struct {
 	node  int
@@ -325,6 +341,19 @@
 	return s
 }
 
+// clientsCome is how long new connections keep coming after SIGTERM (PROTOCOL).
+const clientsCome = 400 * time.Millisecond
+
+// leavesAt tells whether a request was sent while its relay leaves and clients still come; under mu.
+func (r *Record) leavesAt(c *Course) bool {
+	for _, l := range r.lives {
+		if l.Node == c.Node && !l.Told.IsZero() && c.Sent.After(l.Told) && c.Sent.Before(l.Told.Add(clientsCome)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Plant puts one violation into the record, of the kind named, as a broken relay would
 // have left it. It reports whether there was a request to do it with.
 func (r *Record) Plant(what string) bool {
@@ -340,6 +369,8 @@
 			c.Calls, c.Notices = nil, nil
 		case what == "unanswered" && c.taken() && !c.Read.IsZero() && len(c.Calls) > 0:
 			c.Reply = Reply{At: c.Sent.Add(clientWaits), End: "timeout"}
+		case what == "reset-while-leaving" && c.Reply.Complete && c.Reply.Fresh && r.leavesAt(c):
+			c.Reply = Reply{At: c.Reply.At, End: "reset", Fresh: true}
 		case what == "served-and-refused" && c.taken() && c.delivered() && len(c.Notices) == 0 && c.Calls[len(c.Calls)-1].Waited > time.Second/4:
 			c.Notices = []Notice{{At: c.Calls[len(c.Calls)-1].Told.Add(time.Second), Result: "bounced"}}
 		case what == "second-effect" && c.Lane.Effect == AtMostOnce && c.delivered():
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -4,9 +4,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"basaltcross.example/basaltcross/internal/engine"
 )
 
@@ -31,15 +35,21 @@
 	Addrs     []string
 	sockets   Sockets
 	engine    *engine.Engine
-	all       []net.Listener
+	all       []*net.TCPListener
 	accepting sync.WaitGroup
+	leaving   atomic.Bool
 }
 
 // Farewell is how long a client may take to read what was written to it before a close.
 const Farewell = time.Second
 
-// acceptPause keeps failing accepts from a hot loop.
-const acceptPause = 20 * time.Millisecond
+const (
+	// acceptPause keeps failing accepts from a hot loop.
+	acceptPause = 20 * time.Millisecond
+	// emptyWithin is how long a listener that is to close goes on accepting what stands in its
+	// queue, where accepting fails or clients come without end.
+	emptyWithin = time.Second
+)
 
 // Listen opens the sockets and begins to serve them.
 func Listen(s Sockets) (*Listeners, error) {
@@ -50,7 +60,7 @@
 			l.Refuse()
 			return nil, fmt.Errorf("%s: %w", s.Name, err)
 		}
-		l.Addrs, l.all = append(l.Addrs, one.Addr().String()), append(l.all, one)
+		l.Addrs, l.all = append(l.Addrs, one.Addr().String()), append(l.all, one.(*net.TCPListener))
 	}
 	var err error
 	l.engine, err = engine.Start(engine.Options{Name: s.Name, ReadBuffer: s.ReadBuffer, WriteBuffer: s.WriteBuffer})
@@ -64,15 +74,28 @@
 	return l, nil
 }
 
-// accept serves one listener until it is closed.
-func (l *Listeners) accept(from net.Listener) {
+// accept serves one listener until it is to close and nothing stands in its queue: the system
+// resets what does when a listener closes.
+func (l *Listeners) accept(from *net.TCPListener) {
+	defer from.Close()
 	var q queue
+	var until time.Time // of the queue's emptying, once the listener is to close
 	for {
 		asked := time.Now()
+		if l.leaving.Load() {
+			if until.IsZero() {
+				until = asked.Add(emptyWithin)
+			}
+			if !pending(from) || asked.After(until) {
+				return
+			}
+			_ = from.SetDeadline(until) // what stands there is accepted at once
+		}
 		raw, err := from.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded): // it is to close
 		case err != nil:
 			q.held(asked)
 			l.sockets.Failed(err)
@@ -88,6 +111,23 @@
 	}
 }
 
+// pending tells whether a connection stands in a listener's queue.
+func pending(from *net.TCPListener) (waits bool) {
+	raw, err := from.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, 0)
+		for err == unix.EINTR {
+			n, err = unix.Poll(poll, 0)
+		}
+		waits = n > 0 && poll[0].Revents&unix.POLLIN != 0
+	})
+	return waits
+}
+
 // prompt is what accepting takes that holds nothing up.
 const prompt = 5 * time.Millisecond
 
@@ -141,16 +181,21 @@
 func (refusal) Data([]byte) {}
 func (refusal) Closed()     {}
 
-// Refuse closes the listeners; connections stand.
+// Refuse closes the listeners, once what stands in their queues has been accepted; connections
+// stand.
 func (l *Listeners) Refuse() {
+	l.leaving.Store(true)
 	for _, one := range l.all {
-		_ = one.Close()
+		_ = one.SetDeadline(time.Now()) // ends the wait for the next connection
+	}
+	l.accepting.Wait()
+	for _, one := range l.all {
+		_ = one.Close() // where nobody accepted yet
 	}
 }
 
 // Close ends everything.
 func (l *Listeners) Close() {
 	l.Refuse()
-	l.accepting.Wait()
 	l.engine.Stop()
 }
--- a/internal/front/listen_test.go
+++ b/internal/front/listen_test.go
@@ -1,8 +1,12 @@
 package front
 
 import (
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"basaltcross.example/basaltcross/internal/engine"
 )
 
 // Guards against ends that are told too late: the time of a request runs while its connection
@@ -24,3 +28,59 @@
 		t.Errorf("waited %v after the queue was empty", q.waited(at(80)))
 	}
 }
+
+// echo answers what comes, for a test.
+type echo struct{ nb *engine.Conn }
+
+func (e echo) Data(b []byte) { _, _ = e.nb.Write(b) }
+func (echo) Closed()         {}
+
+// Guards against connections that the system had accepted for the relay and that are reset when it leaves: what
+// stands in the listener's queue is served before that closes, also where accepting fails or is held up.
+func TestQueuedConnectionsAreServedBeforeTheListenerCloses(t *testing.T) {
+	const clients = 30
+	held := make(chan struct{})
+	var opened atomic.Int32
+	l, err := Listen(Sockets{Name: "test", Addrs: []string{"127.0.0.1:0"}, Failed: func(error) {},
+		Open: func(nb *engine.Conn, _ time.Duration) Conn {
+			if opened.Add(1) == 1 {
+				<-held
+			}
+			return echo{nb}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var all []net.Conn
+	for range clients {
+		c, err := net.Dial("tcp", l.Addrs[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = c.Write([]byte("x"))
+		all = append(all, c)
+	}
+	refused := make(chan struct{})
+	go func() {
+		l.Refuse()
+		close(refused)
+	}()
+	time.AfterFunc(20*time.Millisecond, func() { close(held) })
+	<-refused
+	answered := 0
+	for _, c := range all {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if n, err := c.Read(make([]byte, 1)); n == 1 && err == nil {
+			answered++
+		}
+	}
+	if answered != clients {
+		t.Errorf("%d of %d connections that had come up were served", answered, clients)
+	}
+	if c, err := net.Dial("tcp", l.Addrs[0]); err == nil {
+		c.Close()
+		t.Error("a connection came up after the listener had closed")
+	}
+}
--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -48,7 +48,10 @@
 	case unix.SYS_UNLINKAT:
 		t.fail(pid, &regs, UnlinkFails, t.names(pid, regs.Rsi), unix.EIO)
 	case unix.SYS_ACCEPT4:
-		if !t.fail(pid, &regs, AcceptFails, true, unix.ECONNABORTED, unix.ENFILE) {
+		if t.p.is(AcceptDown) {
+			t.instead(pid, &regs, -int64(unix.ENFILE))
+			t.p.hit(AcceptDown)
+		} else if !t.fail(pid, &regs, AcceptFails, true, unix.ECONNABORTED, unix.ENFILE) {
 			t.fail(pid, &regs, AcceptNoRoom, true, unix.EMFILE, unix.ENOBUFS, unix.EPROTO)
 		}
 	case unix.SYS_SOCKET:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -47,10 +47,11 @@
 	PlantTwice   Plant = "second-effect"
 	PlantSilent  Plant = "unanswered"
 	PlantServed  Plant = "served-and-refused"
+	PlantReset   Plant = "reset-while-leaving"
 )
 
 // Plants are all of them.
-var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice, PlantSilent, PlantServed}
+var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice, PlantSilent, PlantServed, PlantReset}
 
 // Result of a run.
 type Result struct {
@@ -270,9 +271,13 @@
 		return
 	case Crowd:
 		r.hit(f.Kind)
+		r.platform.Record.MayShut(f.Where, f.For)
 		r.nodes[f.Where].crowd(f.For)
 		return
 	}
+	if f.Kind == Kind(shim.PollNoMemory) { // a connection that was accepted and cannot be polled is closed
+		r.platform.Record.MayShut(f.Where, f.For)
+	}
 	if r.cover(f, 1) == 1 {
 		r.set(f.Kind, f.Where, true)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,6 +50,7 @@
 	PlantTwice:   "a message that may not be repeated is not sent again",
 	PlantSilent:  "a request that was read is answered in time",
 	PlantServed:  "what its host has served is not told as refused",
+	PlantReset:   "a new connection is answered while the relay leaves",
 }
 
 // An oracle that cannot fail is none: each violation that is put into a record is found.
@@ -58,7 +60,7 @@
 		t.Run(string(plant), func(t *testing.T) {
 			t.Parallel()
 			res, err := Run(t.Context(), Options{Shim: program, Program: program, Seed: 3, Nodes: 1, Hosts: 3, Clients: 12, Duration: 8 * time.Second,
-				Kinds: []Kind{HostFull, Kill}, Plant: plant})
+				Kinds: []Kind{HostFull, Kill}, Plant: plant, Faults: plantFaults(plant)})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -72,18 +74,45 @@
 	}
 }
 
-// build makes the program.
+// plantFaults are those of a play in which a violation is planted; nil for drawn ones. Two of its
+// clients have no connection when the relay is told to leave.
+func plantFaults(plant Plant) []Fault {
+	if plant != PlantReset {
+		return nil
+	}
+	return []Fault{{ClientsLeave, 0, 2700 * time.Millisecond, 310 * time.Millisecond}, {Term, 0, 3 * time.Second, 0}}
+}
+
+// build makes the program, once: a tracer that runs meanwhile would wait for the compiler too.
 func build(t *testing.T) string {
 	t.Helper()
-	program := filepath.Join(t.TempDir(), "basaltcross")
-	cmd := exec.Command("go", "build", "-o", program, "basaltcross.example/basaltcross/cmd/basaltcross")
-	cmd.Stderr = os.Stderr
-	if err := cmd.Run(); err != nil {
+	program, err := built()
+	if err != nil {
 		t.Fatal(err)
 	}
 	return program
 }
 
+// folder holds what tests share.
+var folder string
+
+var built = sync.OnceValues(func() (string, error) {
+	program := filepath.Join(folder, "basaltcross")
+	cmd := exec.Command("go", "build", "-o", program, "basaltcross.example/basaltcross/cmd/basaltcross")
+	cmd.Stderr = os.Stderr
+	return program, cmd.Run()
+})
+
+func TestMain(m *testing.M) {
+	var err error
+	if folder, err = os.MkdirTemp("", "soak-test"); err != nil {
+		panic(err)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(status)
+}
+
 // What a program writes beside its log of lines is found: a violation, a panic.
 func TestTail(t *testing.T) {
 	var tail tail
@@ -136,6 +165,13 @@
 		"term@1+7s~0s,read_enomem@1+7.6s~280ms,read_enomem@1+8.5s~280ms,read_enomem@0+9s~200ms,read_enomem@0+10s~280ms")
 }
 
+// Guards against connections that are reset in the listener's queue when a relay that was told to end closes it, because
+// accepting failed just then.
+func TestAcceptedConnectionsAreAnsweredWhileARelayLeaves(t *testing.T) {
+	playWithoutFindings(t, "term@0+1s~0s,accept_down@0+1.3s~350ms,term@1+2s~0s,accept_down@1+2.2s~500ms,term@0+7s~0s,accept_down@0+7.1s~270ms,"+
+		"accept_down@0+7.39s~300ms,term_twice@1+8s~0s,accept_down@1+8.35s~350ms")
+}
+
 // playWithoutFindings plays faults on two nodes, and fails where an invariant breaks.
 func playWithoutFindings(t *testing.T, text string) {
 	t.Helper()
