--- /dev/null
+++ b/internal/core/restore.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/journal"
+	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
+)
+
+// noted is what is recorded of an endpoint.
+type noted struct {
+	until   time.Duration // of a told wait
+	failing bool
+}
+
+// note records waits that an endpoint told, and whether it fails. A wait that is in
+// force stays in the record whatever else happens there.
+func (c *Core) note(host string, e Ending) {
+	if c.opt.Journal == nil || c.opt.Forgetful {
+		return
+	}
+	was := c.noted[host]
+	n := noted{was.until, e.Outcome != choice.Served && e.Outcome != choice.Refused && e.Outcome != choice.NotSent}
+	if e.Wait > 0 {
+		n.until = max(n.until, c.now+e.Wait)
+	}
+	if n != was {
+		c.noted[host] = n
+		c.opt.Journal.Waits(journal.Wait{Host: host, At: c.opt.Journal.Stamp(), Left: int64(max(0, n.until-c.now)), Failing: n.failing})
+	}
+}
+
+// remember tells the module what an earlier run knew of endpoints that are listed
+// now, and drops the records of those that went.
+func (c *Core) remember(l *choice.Listing) {
+	for _, h := range l.Hosts {
+		if w, ok := c.waited[h.Addr]; ok && h.State != choice.Gone {
+			c.batch = append(c.batch, choice.Waited{Host: h.Addr, Left: max(0, w.until-c.now), Failing: w.failing})
+			delete(c.waited, h.Addr)
+		}
+	}
+	for host, n := range c.noted {
+		if _, listed := c.zones[host]; !listed && n.until <= c.now && c.opt.Journal != nil {
+			if _, later := c.waited[host]; !later {
+				delete(c.noted, host)
+				c.opt.Journal.Waits(journal.Wait{Host: host})
+			}
+		}
+	}
+}
+
+// Restored is a message of an earlier run.
+type Restored struct {
+	Message
+	Seq      uint64
+	Attempts int
+	Ran      bool
+	Since    time.Duration
+	Zone     int // below 0 if it is not known any more
+}
+
+// Ended is an identity of an earlier run that got its final answer.
+type Ended struct {
+	// Owed: the answer has not reached who is owed it. Until Settled its message
+	// holds its place in the order of its key.
+	Owed     bool
+	Seq      uint64
+	Class    int
+	Key      string
+	Identity string
+	Answer   ledger.Answer
+	Age      time.Duration
+	Forget   bool
+}
+
+// Restore takes in what an earlier run left, before Run. Answers that were given
+// then count from the first moment on; the module is told of the messages in its
+// first step, in their order.
+func (c *Core) Restore(messages []Restored, ended []Ended, waits []choice.Waited, last uint64) {
+	c.now = c.Now()
+	c.next = last
+	var owed []choice.Event
+	for _, e := range ended {
+		id := ""
+		if e.Owed {
+			id = strconv.FormatUint(e.Seq, 36)
+			c.owing[e.Identity] = id
+			owed = append(owed, choice.Restored{Arrival: choice.Arrival{ID: id, Class: e.Class, Key: e.Key}, Answered: true})
+		}
+		c.led.Restore(c.now-e.Age, e.Identity, id, e.Answer, e.Forget)
+	}
+	for _, w := range waits {
+		n := noted{c.now + w.Left, w.Failing}
+		c.waited[w.Host], c.noted[w.Host] = n, n
+	}
+	var first []*choice.Restored
+	for i := range messages {
+		r := &messages[i]
+		k := &c.opt.Settings.Classes[r.Class]
+		m := &message{Message: r.Message, taken: c.now, due: c.now + r.Message.Left, seq: r.Seq, kept: true, tries: r.Attempts,
+			id: strconv.FormatUint(r.Seq, 36)}
+		m.life = lifecycle.Message{ID: m.Identity, Repeat: repeats[k.Effect], Window: k.Window, Due: m.due, Kept: true}
+		m.life.Restore(r.Ran, c.now-min(r.Since, math.MaxInt64/4))
+		m.entry = c.led.Reopen(m.Identity, m.id, k.Effect == choice.Safe)
+		c.byEntry[m.entry] = m
+		c.msgs[m.id] = m
+		c.owed++
+		first = append(first, &choice.Restored{Arrival: choice.Arrival{ID: m.id, Class: r.Class, Dest: r.Partner, Left: r.Message.Left,
+			Key: r.Key}, Attempts: r.Attempts, Ran: r.Ran, Since: r.Since, Zone: r.Zone})
+	}
+	began := c.now
+	_ = c.put(event{call: func() {
+		c.batch = append(c.batch, owed...)
+		for _, r := range first { // the time that the start took is gone
+			if m := c.msgs[r.ID]; m != nil {
+				r.Left = m.due - c.now
+				r.Since += min(c.now-began, math.MaxInt64-r.Since)
+				c.batch = append(c.batch, *r)
+			}
+		}
+	}})
+}
--- /dev/null
+++ b/internal/hookfront/request.go
@@ -0,0 +1,111 @@
+package hookfront
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/http1"
+)
+
+// message reads the fields of a hand-in; the error names the one that is wrong.
+func (c *conn) message() (*core.Message, error) {
+	f, r := c.front, &c.req
+	value := map[string]string{}
+	for _, name := range [...]string{"X-Txn", "X-Lane", "X-Remaining-Ms", "X-Addressing"} {
+		v, n := r.Only(name)
+		if n != 1 {
+			return nil, fmt.Errorf("%s: %d fields, one is needed", name, n)
+		}
+		value[name] = v
+	}
+	id := value["X-Txn"]
+	if len(id) > 128 || !http1.Token(id) {
+		return nil, fmt.Errorf("X-Txn: %.40q is no id of at most 128 characters", id)
+	}
+	class, ok := f.opt.Lanes[value["X-Lane"]]
+	if !ok {
+		return nil, fmt.Errorf("X-Lane: %.40q is no class", value["X-Lane"])
+	}
+	left, err := strconv.ParseUint(value["X-Remaining-Ms"], 10, 40)
+	if err != nil || left == 0 {
+		return nil, fmt.Errorf("X-Remaining-Ms: %.40q is no time in milliseconds", value["X-Remaining-Ms"])
+	}
+	dest, err := destination(value["X-Addressing"])
+	if err != nil {
+		return nil, err
+	}
+	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, Once: true,
+		Left: max(time.Duration(left)*time.Millisecond-c.late(), time.Millisecond), Respond: c.respondWithin(),
+		Front: Name, Body: r.Body}
+	key, n := r.Only(fieldIdempotency)
+	if n > 1 || len(key) > 256 || strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c >= 0x7f }) {
+		return nil, fmt.Errorf("%s: %d fields, %.40q; one of at most 256 visible characters may be there", fieldIdempotency, n, key)
+	}
+	if n == 1 { // by it a host tells a repeat
+		m.Head = []byte(fieldIdempotency + ": " + key + "\r\n")
+	}
+	if f.opt.Ordered[class] {
+		m.Key = cookie(strings.Join(r.All("Cookie"), "; "), "about")
+		if m.Way = []byte(m.Key); len(m.Key) > 256 {
+			return nil, errors.New("Cookie: the key is over 256 bytes")
+		}
+	}
+	return m, nil
+}
+
+// late is how long ago a request that is being read may have been sent: reading it failed for a
+// while, or, for the first one of a connection, accepting that did.
+func (c *conn) late() time.Duration {
+	late := c.nb.HeldUp()
+	if !c.asked.Load() {
+		late += c.waited
+	}
+	return min(late, c.front.opt.Request/2) // a client waits no longer
+}
+
+// waitsUntil is when the client of a request that was read now waits no more; 0 if that is not known.
+func (c *conn) waitsUntil(now time.Duration) time.Duration {
+	if c.front.opt.Wait == 0 {
+		return 0
+	}
+	return now + c.front.opt.Wait - c.late()
+}
+
+// respondWithin is how soon the core must answer a hand-in; 0 for no such time.
+func (c *conn) respondWithin() time.Duration {
+	if c.front.opt.Respond == 0 {
+		return 0
+	}
+	return max(c.front.opt.Respond-c.late(), time.Millisecond)
+}
+
+// fieldIdempotency names the field by which hosts of some classes tell a repeat; it goes on
+// to them as it came, with every attempt.
+const fieldIdempotency = "Idempotency-Key"
+
+// destination reads dest=N among parameters.
+func destination(v string) (int, error) {
+	for part := range strings.FieldsFuncSeq(v, func(r rune) bool { return r == ';' || r == ',' }) {
+		name, n, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name == "dest" {
+			if d, err := strconv.ParseUint(strings.Trim(n, `"`), 10, 31); err == nil {
+				return int(d), nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("X-Addressing: %.40q names no dest", v)
+}
+
+// cookie finds one by its name (RFC 6265, 4.2.1); empty for none.
+func cookie(v, name string) string {
+	for part := range strings.SplitSeq(v, ";") {
+		if n, value, _ := strings.Cut(strings.TrimSpace(part), "="); n == name {
+			return value
+		}
+	}
+	return ""
+}
