A response that its socket has not taken yet is not dropped to make room

Callers saw a request that was read and taken, and its connection closed without a response, when a crowd came while writes failed for a moment.

Cause: hookfront.open closes the oldest connection that the relay has shut where too many are, also over a response that waits to be written (ENOBUFS).

--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -207,11 +207,16 @@
 	c.req.Reset(http1.Limits{Header: f.opt.Header, Body: f.opt.Body})
 	f.mu.Lock()
 	var out, rests, lingers *conn
-	resting, going, now := 0, 0, time.Now()
+	resting, going, owed, now := 0, 0, 0, time.Now()
 	for o := range f.conns {
 		phase := o.life.Phase()
 		if phase == lifecycle.Closing || o.leaving.Load() {
-			if going++; phase == lifecycle.Closing && (lingers == nil || o.since.Load() < lingers.since.Load()) {
+			going++
+			switch {
+			case phase != lifecycle.Closing:
+			case o.nb.Unsent() > 0: // its response is not written yet
+				owed++
+			case lingers == nil || o.since.Load() < lingers.since.Load():
 				lingers = o
 			}
 			continue
@@ -226,6 +231,10 @@
 		}
 	}
 	switch {
+	case owed > f.opt.Lingering:
+		f.mu.Unlock()
+		f.counts.Closed.Add(1)
+		return nil
 	case len(f.conns)-going < f.opt.Connections && resting > f.opt.Kept:
 		out = rests
 	case len(f.conns)-going < f.opt.Connections:
--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -132,6 +132,11 @@
 		t.p.hit(Stall)
 		time.Sleep(time.Duration(t.r.Int64N(int64(longestStall))))
 	}
+	if t.p.is(WriteDown) {
+		t.instead(pid, regs, -int64(unix.ENOBUFS))
+		t.p.hit(WriteDown)
+		return
+	}
 	if t.fail(pid, regs, Interrupted, true, unix.EINTR) || t.fail(pid, regs, WriteNoMemory, true, unix.ENOBUFS, unix.ENOMEM) {
 		return
 	}
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -50,6 +50,7 @@
 	WriteNoMemory   Kind = "write_enobufs" // write to a socket fails with ENOBUFS, ENOMEM
 	SockoptFails    Kind = "sockopt"       // setsockopt and getsockopt fail with ENOBUFS, ENOMEM
 	DiskDown        Kind = "disk_down"     // all that changes the folder fails with EIO, each time
+	WriteDown       Kind = "write_down"    // write to a socket fails with ENOBUFS, each time
 	AcceptDown      Kind = "accept_down"   // accept fails with ENFILE, each time
 	FileReadFails   Kind = "disk_read"     // reading a file or the folder fails with EIO
 )
@@ -57,7 +58,7 @@
 // Kinds are all of them.
 var Kinds = []Kind{ShortWrite, ShortRead, Interrupted, PollNoMemory, AcceptFails, SocketFails, ConnectFails, AcceptNoRoom, WriteTorn,
 	DiskFull, DiskError, TruncFails, OpenFails, UnlinkFails, Stall, WallClock, PollInterrupted, ReadNoMemory, WriteNoMemory, SockoptFails,
-	FileReadFails, DiskDown, AcceptDown}
+	FileReadFails, DiskDown, AcceptDown, WriteDown}
 
 // Options of a Process.
 type Options struct {
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -123,7 +123,7 @@
 
 // furtherKinds are drawn apart from the others.
 var furtherKinds = []Kind{Kind(shim.PollInterrupted), Kind(shim.ReadNoMemory), Kind(shim.WriteNoMemory), Kind(shim.SockoptFails),
-	Kind(shim.FileReadFails), Kind(shim.DiskDown), Kind(shim.AcceptDown)}
+	Kind(shim.FileReadFails), Kind(shim.DiskDown), Kind(shim.AcceptDown), Kind(shim.WriteDown)}
 
 // bySeries tells kinds of the first series from further ones.
 func bySeries(kinds []Kind) (first, further []Kind) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -172,6 +172,15 @@
 		"accept_down@0+7.39s~300ms,term_twice@1+8s~0s,accept_down@1+8.35s~350ms")
 }
 
+// Guards against responses that are dropped: their socket took nothing for a moment, and their connection was closed
+// meanwhile to make room for a crowd.
+func TestResponsesThatWaitOutlastACrowd(t *testing.T) {
+	playWithoutFindings(t, "write_down@0+1s~100ms,crowd@0+1s~500ms,write_down@1+2s~150ms,crowd@1+2.05s~500ms,write_down@0+3s~200ms,"+
+		"crowd@0+3s~500ms,write_down@1+4s~100ms,crowd@1+4s~500ms,write_down@0+5s~150ms,crowd@0+5.05s~500ms,write_down@1+6s~200ms,"+
+		"crowd@1+6s~500ms,write_down@0+7s~100ms,crowd@0+7s~300ms,write_down@1+8s~200ms,crowd@1+8s~300ms,write_down@0+9s~200ms,"+
+		"crowd@0+9s~300ms,write_down@1+10s~200ms,crowd@1+10s~300ms,write_down@0+11s~200ms,crowd@0+11s~300ms")
+}
+
 // playWithoutFindings plays faults on two nodes, and fails where an invariant breaks.
 func playWithoutFindings(t *testing.T, text string) {
 	t.Helper()
