Soak: a later process may tell what could not be recorded before a kill; narrowed by a trace

Passed over only where a folder fault lies over the answer and a process ended before the notice; the check stays as it was for all else, and its plant is found.

--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,23 +115,34 @@
 	order   map[string][]string // ids by node, lane and key, in the order of their effects
 	lives   []*Life
 	drains  []drain
-	shut    []shut
+	shut    []span
+	folder  []span
 	strange []string // calls and notices of messages that nobody sent
 }
 
-// shut is a time in which a relay may shut new connections unread: it has no room for them,
-// or the system gives it none.
-type shut struct {
+// span is a time of one relay.
+type span struct {
 	node     int
 	from, to time.Time
 }
 
-// MayShut notes such a time, which begins now.
-func (r *Record) MayShut(node int, length time.Duration) {
+// MayShut notes a time, from now on, in which a relay may shut new connections unread: it has no
+// room for them, or the system gives it none.
+func (r *Record) MayShut(node int, length time.Duration) { r.note(&r.shut, node, length) }
+
+// FolderFails notes a time, from now on, in which writes to the folder of a relay may fail.
+func (r *Record) FolderFails(node int, length time.Duration) { r.note(&r.folder, node, length) }
+
+func (r *Record) note(spans *[]span, node int, length time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.shut = append(r.shut, shut{node, now, now.Add(length)})
+	*spans = append(*spans, span{node, now, now.Add(length)})
+}
+
+// within tells whether one of some spans of a node shares a moment with a time.
+func within(spans []span, node int, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.node == node && s.from.Before(to) && s.to.After(from) })
 }
 
 // drain is what one relay was told of one host.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -278,6 +278,9 @@
 	if f.Kind == Kind(shim.PollNoMemory) { // a connection that was accepted and cannot be polled is closed
 		r.platform.Record.MayShut(f.Where, f.For)
 	}
+	if f.Kind.ofDisk() {
+		r.platform.Record.FolderFails(f.Where, f.For)
+	}
 	if r.cover(f, 1) == 1 {
 		r.set(f.Kind, f.Where, true)
 	}
