Soak: a response handed to a socket that takes nothing until its client leaves is excused by the trace

With 24 nodes a request may meet accept that fails and then write_down, which together outlast its client. Traced: 9501, c9-0-192: read at 292 ms, response handed over at 293 ms, writes failed each time from 277 to 455 ms after its sending; 9502, c15-3-124: handed over at 175 ms, writes failed from 135 to 396 ms. Excused only where the trace has the response before the client's time is over and write_down lies over all that is left of it but the longest pause between two tries.

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -14,6 +14,7 @@
 	waitGrace    = 100 * time.Millisecond  // calls that arrive so soon after the wait was told pass
 	socketGrace  = 50 * time.Millisecond   // every time limit is longer by this on sockets
 	latestPause  = 150 * time.Millisecond  // a relay may be held up so long between its clock and a write
+	longestRetry = 16 * time.Millisecond   // a relay tries a socket that took nothing again after this at the latest
 	onTheWay     = 2 * LongestHold         // bytes may be so long, in both directions or in two pieces
 )
 
@@ -120,12 +121,16 @@
 }
 
 // answered: a request that the relay read whole hears its answer while its client waits. What
-// the relay read only when that was over is not its doing.
+// the relay read only when that was over is not its doing, nor is what it had handed in time to
+// a socket that took nothing from then on.
 func (a *audit) answered(c *Course) {
 	until := c.Sent.Add(clientWaits)
 	if c.Read.IsZero() || c.Reply.At.IsZero() || c.Read.After(until.Add(-socketGrace)) {
 		return
 	}
+	if !c.Handed.IsZero() && c.Handed.Before(until) && covers(a.record.writes, c.Node, c.Handed, until.Add(-longestRetry)) {
+		return
+	}
 	died := a.killed(c.Node, c.Sent, until)
 	a.of("a request that was read is answered in time").check(c.Reply.Complete || c.Reply.End != "timeout" || died, c.String)
 }
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -69,6 +69,7 @@
 	Number  int // of its key
 	Sent    time.Time
 	Read    time.Time // the relay said that it had read the request whole; zero for never
+	Handed  time.Time // the relay said that it had handed its response to the socket; zero for never
 	Due     time.Time
 	Reply   Reply
 	Calls   []Call
@@ -117,6 +118,7 @@
 	drains  []drain
 	shut    []span
 	folder  []span
+	writes  []span
 	strange []string // calls and notices of messages that nobody sent
 }
 
@@ -133,6 +135,9 @@
 // FolderFails notes a time, from now on, in which writes to the folder of a relay may fail.
 func (r *Record) FolderFails(node int, length time.Duration) { r.note(&r.folder, node, length) }
 
+// WritesFail notes a time, from now on, in which a relay can write to no socket.
+func (r *Record) WritesFail(node int, length time.Duration) { r.note(&r.writes, node, length) }
+
 func (r *Record) note(spans *[]span, node int, length time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,6 +145,11 @@
 	*spans = append(*spans, span{node, now, now.Add(length)})
 }
 
+// covers tells whether one of some spans of a node lies over all of a time.
+func covers(spans []span, node int, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.node == node && s.from.Before(from) && s.to.After(to) })
+}
+
 // within tells whether one of some spans of a node shares a moment with a time.
 func within(spans []span, node int, from, to time.Time) bool {
 	return slices.ContainsFunc(spans, func(s span) bool { return s.node == node && s.from.Before(to) && s.to.After(from) })
@@ -190,6 +200,15 @@
 	}
 }
 
+// Responded notes that a relay said that it had handed its response to the socket.
+func (r *Record) Responded(id string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x := r.courses[id]; x != nil {
+		x.Handed = at
+	}
+}
+
 // Replied notes what came of it.
 func (r *Record) Replied(id string, reply Reply) {
 	r.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -241,8 +241,11 @@
 
 // step takes in a step of a request that a node has logged.
 func (r *run) step(s trace.Step) {
-	if s.Name == "read" {
+	switch s.Name {
+	case "read":
 		r.platform.Record.Read(s.ID, trace.Time(s.At))
+	case "response":
+		r.platform.Record.Responded(s.ID, trace.Time(s.At))
 	}
 }
 
@@ -281,6 +284,9 @@
 	if f.Kind.ofDisk() {
 		r.platform.Record.FolderFails(f.Where, f.For)
 	}
+	if f.Kind == Kind(shim.WriteDown) {
+		r.platform.Record.WritesFail(f.Where, f.For)
+	}
 	if r.cover(f, 1) == 1 {
 		r.set(f.Kind, f.Where, true)
 	}
