Soak: nodes are stopped for waits and steps only where a fault or a trace needs it

Since every step of a request was a traced write of its node, and every wait of its poller a stop: suspected to be what held it up beside the other packages' tests, not shown.

No product path changes but that variable. The package passes under the race detector, alone.

--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -6,7 +6,9 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,16 +45,25 @@
 // package lifecycle end the process, for tests.
 const strictVariable = "BASALTCROSS_STRICT"
 
-// traceVariable names the one that has each step of each request logged.
-const traceVariable = "BASALTCROSS_TRACE"
+// traceVariable names the one that has each step of each request logged, or only those that it
+// lists, separated by commas.
+const (
+	traceVariable = "BASALTCROSS_TRACE"
+	allSteps      = "1"
+)
 
 // trace logs the steps of requests, if that is asked for.
 func trace(log zerolog.Logger) lifecycle.Trace {
-	if os.Getenv(traceVariable) == "" {
+	steps := os.Getenv(traceVariable)
+	if steps == "" {
 		return nil
 	}
+	some := strings.Split(steps, ",")
 	process := os.Getpid()
 	return func(id, step, with string) {
+		if steps != allSteps && !slices.Contains(some, step) {
+			return
+		}
 		log.Info().Str("cause", tracing.Cause).Str("id", id).Str("step", step).Int64("mono_us", tracing.Now()).Int("pid", process).
 			Str(tracing.Field(step), with).Send()
 	}
--- a/internal/shim/exec.go
+++ b/internal/shim/exec.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"syscall"
 	"unsafe"
 
@@ -14,7 +15,7 @@
 
 // traced are the system calls that the tracer is asked about.
 var traced = []uint32{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FTRUNCATE, unix.SYS_OPENAT, unix.SYS_RENAMEAT,
-	unix.SYS_UNLINKAT, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_EPOLL_CTL, unix.SYS_EPOLL_PWAIT, unix.SYS_SETSOCKOPT,
+	unix.SYS_UNLINKAT, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_EPOLL_CTL, unix.SYS_SETSOCKOPT,
 	unix.SYS_GETSOCKOPT, unix.SYS_PREAD64, unix.SYS_GETDENTS64}
 
 // Offsets in struct seccomp_data.
@@ -23,8 +24,16 @@
 	offsetArg0   = 16
 )
 
+// pollVariable names the variable of the environment that has the tracer asked about waits for
+// events too.
+const pollVariable = "BASALTCROSS_SHIM_POLL"
+
 // filter asks the tracer about the traced calls, and about clock_gettime of the wall clock.
 func filter() []unix.SockFilter {
+	traced := traced
+	if os.Getenv(pollVariable) != "" {
+		traced = append(slices.Clone(traced), unix.SYS_EPOLL_PWAIT)
+	}
 	load := func(offset uint32) unix.SockFilter {
 		return unix.SockFilter{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: offset}
 	}
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,8 @@
 	State  string // the folder whose files may fail
 	Stderr io.Writer
 	Seed   uint64
+	// Poll: waits for events may be interrupted. A program waits often, and each wait is stopped.
+	Poll bool
 }
 
 // Process is a program under the shim.
@@ -186,6 +189,9 @@
 	runtime.LockOSThread() // and never unlocked: the thread goes with its tracees
 	cmd := exec.Command(p.opt.Path, p.opt.Args...)
 	cmd.Env, cmd.Dir, cmd.Stderr = p.opt.Env, p.opt.Dir, p.opt.Stderr
+	if p.opt.Poll {
+		cmd.Env = append(slices.Clone(cmd.Env), pollVariable+"=1")
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Ptrace: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		started <- err
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -133,8 +133,8 @@
 		log = io.MultiWriter(n.log, file)
 	}
 	p, err := shim.Start(shim.Options{Path: n.run.opt.Shim, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
-		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE=1"),
-		Stderr: log, Seed: seed})
+		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE="+n.run.traced()),
+		Stderr: log, Seed: seed, Poll: n.run.draws(Kind(shim.PollInterrupted))})
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -249,6 +249,22 @@
 	}
 }
 
+// judgedSteps are those that the audit needs.
+const judgedSteps = "read,response"
+
+// traced are the steps that the nodes log: each line is one more call that stops a node.
+func (r *run) traced() string {
+	if r.opt.Trace != "" {
+		return "1"
+	}
+	return judgedSteps
+}
+
+// draws tells whether a kind is among the faults of the run.
+func (r *run) draws(k Kind) bool {
+	return slices.ContainsFunc(r.opt.Faults, func(f Fault) bool { return f.Kind == k })
+}
+
 func (r *run) hit(k Kind) {
 	r.mu.Lock()
 	r.hits[k]++
