Soak: planted violations lie where no end of a process excuses them

The plant took any request of a map's order, also one whose process was killed within its client's time, which the check excuses. Plants of answers and of served messages now keep a second away from each end.

--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -385,6 +385,14 @@
 	return false
 }
 
+// endsNear tells whether a process of a node ended within a second of a moment, which excuses
+// what happened then; under mu.
+func (r *Record) endsNear(node int, at time.Time) bool {
+	return slices.ContainsFunc(r.lives, func(l *Life) bool {
+		return l.Node == node && !l.Ended.IsZero() && l.Ended.After(at.Add(-time.Second)) && l.Killed.Before(at.Add(time.Second))
+	})
+}
+
 // Plant puts one violation into the record, of the kind named, as a broken relay would
 // have left it. It reports whether there was a request to do it with.
 func (r *Record) Plant(what string) bool {
@@ -398,11 +406,12 @@
 			c.Calls = append(c.Calls, Call{At: c.Reply.At.Add(2 * time.Second), Host: "planted", Status: 200, Ran: true})
 		case what == "record-after-answer" && c.taken() && c.delivered():
 			c.Calls, c.Notices = nil, nil
-		case what == "unanswered" && c.taken() && !c.Read.IsZero() && len(c.Calls) > 0:
+		case what == "unanswered" && c.taken() && !c.Read.IsZero() && len(c.Calls) > 0 && !r.endsNear(c.Node, c.Sent):
 			c.Reply = Reply{At: c.Sent.Add(clientWaits), End: "timeout"}
 		case what == "reset-while-leaving" && c.Reply.Complete && c.Reply.Fresh && r.leavesAt(c):
 			c.Reply = Reply{At: c.Reply.At, End: "reset", Fresh: true}
-		case what == "served-and-refused" && c.taken() && c.delivered() && len(c.Notices) == 0 && c.Calls[len(c.Calls)-1].Waited > time.Second/4:
+		case what == "served-and-refused" && c.taken() && c.delivered() && len(c.Notices) == 0 && c.Calls[len(c.Calls)-1].Waited > time.Second/4 &&
+			!r.endsNear(c.Node, c.Calls[len(c.Calls)-1].At):
 			c.Notices = []Notice{{At: c.Calls[len(c.Calls)-1].Told.Add(time.Second), Result: "bounced"}}
 		case what == "second-effect" && c.Lane.Effect == AtMostOnce && c.delivered():
 			c.Calls = append(c.Calls, c.Calls[0])
