--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -16,12 +17,15 @@
 	mu     sync.Mutex
 	hold   bool // bytes come up to LongestHold later
 	resets bool // connections are reset: under a request, an answer, or at rest
+	copies bool // some of what the server writes comes a second time
 	r      *rand.Rand
 }
 
-// Hold has bytes come late, Reset has connections reset.
-func (n *Network) Hold(on bool)  { n.set(&n.hold, on) }
-func (n *Network) Reset(on bool) { n.set(&n.resets, on) }
+// Hold has bytes come late, Reset has connections reset, Repeat has what the server writes
+// come a second time.
+func (n *Network) Hold(on bool)   { n.set(&n.hold, on) }
+func (n *Network) Reset(on bool)  { n.set(&n.resets, on) }
+func (n *Network) Repeat(on bool) { n.set(&n.copies, on) }
 
 func (n *Network) set(what *bool, on bool) {
 	n.mu.Lock()
@@ -39,6 +43,32 @@
 	return hold, n.resets && n.r.IntN(3) == 0
 }
 
+const (
+	// repeatShare is the share of a server's writes that come twice while Repeat is on.
+	repeatShare = 0.08
+	// LongestRepeat is how much later a second copy comes at most.
+	LongestRepeat = 2 * time.Second
+	// repeatTogether is the grid to which some copies wait, so that several come at once.
+	repeatTogether = 250 * time.Millisecond
+)
+
+// repeatWithin are the spans within which a copy follows, each as likely as the others.
+var repeatWithin = [...]time.Duration{15 * time.Millisecond, 300 * time.Millisecond, LongestRepeat}
+
+// drawRepeat decides whether a second copy of a write follows, and after which time.
+func (n *Network) drawRepeat(now time.Time) (after time.Duration, repeats bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.copies || n.r.Float64() >= repeatShare {
+		return 0, false
+	}
+	after = time.Duration(n.r.Int64N(int64(repeatWithin[n.r.IntN(len(repeatWithin))])))
+	if n.r.IntN(4) == 0 {
+		after = now.Add(after).Truncate(repeatTogether).Add(repeatTogether).Sub(now)
+	}
+	return min(after, LongestRepeat), true
+}
+
 // listener serves connections over a network.
 type listener struct {
 	net.Listener
@@ -74,7 +104,12 @@
 	if err := f.pass(); err != nil {
 		return 0, err
 	}
-	return f.Conn.Write(b)
+	n, err := f.Conn.Write(b)
+	if after, repeats := f.network.drawRepeat(time.Now()); repeats && err == nil {
+		again := bytes.Clone(b)
+		time.AfterFunc(after, func() { _, _ = f.Conn.Write(again) })
+	}
+	return n, err
 }
 
 // pass holds bytes up, or resets the connection.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -348,6 +348,9 @@
 	case HostNetReset:
 		r.platform.Hosts[where].Network.Reset(on)
 		return
+	case HostRepeats:
+		r.platform.Hosts[where].Network.Repeat(on)
+		return
 	}
 	n := r.nodes[where]
 	switch k {
@@ -355,6 +358,8 @@
 		n.agent.Network.Hold(on)
 	case AgentNetReset:
 		n.agent.Network.Reset(on)
+	case AgentRepeats:
+		n.agent.Network.Repeat(on)
 	case AgentSilent:
 		n.agent.Silent(on)
 	case NoticesMute:
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -35,6 +35,8 @@
 	HostNetReset  Kind = "host_net_reset" // connections are reset under whatever they carry
 	AgentNetHold  Kind = "agent_net_hold"
 	AgentNetReset Kind = "agent_net_reset"
+	HostRepeats   Kind = "host_repeats"  // answers come a second time, up to 2 s later
+	AgentRepeats  Kind = "agent_repeats" // acknowledgements, lists and lines of a watch do
 	ClientsLeave  Kind = "clients_leave" // within a request
 	Crowd         Kind = "crowd"         // idle connections
 )
@@ -42,7 +44,7 @@
 // Kinds are all of them.
 func Kinds() []Kind {
 	all := []Kind{Kill, Term, TermTwice, Reload, AgentSilent, NoticesMute, HostFails, HostFull, HostHangs, HostCuts, HostForgets, HostDrains,
-		HostNetHold, HostNetReset, AgentNetHold, AgentNetReset,
+		HostNetHold, HostNetReset, AgentNetHold, AgentNetReset, HostRepeats, AgentRepeats,
 		ClientsLeave, Crowd}
 	for _, k := range shim.Kinds {
 		all = append(all, Kind(k))
@@ -108,9 +110,10 @@
 // kinds that lie over them; of every other seed, of a few kinds. Further faults, of kinds and
 // lengths that came later, are drawn apart: the others of a seed stay what they were.
 func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
-	first, further := bySeries(kinds)
+	first, further, repeating := bySeries(kinds)
 	all := drawFirst(rand.New(rand.NewPCG(seed, firstSeries)), nodes, hosts, length, first, seed%2 == 0)
 	all = append(all, drawFurther(rand.New(rand.NewPCG(seed, furtherSeries)), nodes, length, kinds, further)...)
+	all = append(all, drawRepeating(rand.New(rand.NewPCG(seed, repeatSeries)), nodes, hosts, length, repeating)...)
 	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
 	return all
 }
@@ -119,22 +122,45 @@
 const (
 	firstSeries   = 0xfa
 	furtherSeries = 0xfb
+	repeatSeries  = 0xfc
 )
 
+// repeatKinds are drawn apart too, in every series.
+var repeatKinds = []Kind{HostRepeats, AgentRepeats}
+
 // furtherKinds are drawn apart from the others.
 var furtherKinds = []Kind{Kind(shim.PollInterrupted), Kind(shim.ReadNoMemory), Kind(shim.WriteNoMemory), Kind(shim.SockoptFails),
 	Kind(shim.FileReadFails), Kind(shim.DiskDown), Kind(shim.AcceptDown), Kind(shim.WriteDown)}
 
-// bySeries tells kinds of the first series from further ones.
-func bySeries(kinds []Kind) (first, further []Kind) {
+// bySeries tells kinds of the first series from further ones and from peers that repeat.
+func bySeries(kinds []Kind) (first, further, repeating []Kind) {
 	for _, k := range kinds {
-		if slices.Contains(furtherKinds, k) {
+		switch {
+		case slices.Contains(furtherKinds, k):
 			further = append(further, k)
-		} else {
+		case slices.Contains(repeatKinds, k):
+			repeating = append(repeating, k)
+		default:
 			first = append(first, k)
 		}
 	}
-	return first, further
+	return first, further, repeating
+}
+
+// drawRepeating has peers repeat what they write, for half of the time each.
+func drawRepeating(r *rand.Rand, nodes, hosts int, length time.Duration, kinds []Kind) (all []Fault) {
+	for _, k := range kinds {
+		places := nodes
+		if k.atHost() {
+			places = hosts
+		}
+		for where := range places {
+			for at := between(r, 0, time.Second); at < length; at += between(r, time.Second, 3*time.Second) {
+				all = append(all, Fault{k, where, at, between(r, 300*time.Millisecond, 1500*time.Millisecond)})
+			}
+		}
+	}
+	return all
 }
 
 func drawFirst(r *rand.Rand, nodes, hosts int, length time.Duration, kinds []Kind, fewKinds bool) (all []Fault) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -210,3 +211,23 @@
 		t.Error(out.String())
 	}
 }
+
+// Guards against answers of hosts that come a second time and are believed of the next call on their connection: lost
+// messages, second effects, keys out of order.
+func TestSecondCopiesOfHostsAnswersAreNobodys(t *testing.T) {
+	var faults []string
+	for host := range 6 {
+		faults = append(faults, fmt.Sprintf("host_repeats@%d+0s~13s", host))
+	}
+	playWithoutFindings(t, strings.Join(append(faults, "kill@0+5s~0s", "term@1+6s~0s"), ","))
+}
+
+// Guards against the agent's acknowledgement that comes a second time and is believed of the next notices, which nobody took.
+func TestSecondCopiesOfAcknowledgementsAreNobodys(t *testing.T) {
+	faults := []string{"agent_repeats@0+0s~13s", "agent_repeats@1+0s~13s"}
+	for second := range 12 {
+		faults = append(faults, fmt.Sprintf("agent_net_reset@%d+%d.2s~400ms", second%2, second), fmt.Sprintf("host_fails@%d+%ds~800ms", second%6, second),
+			fmt.Sprintf("host_hangs@%d+%ds~1.2s", (second+2)%6, second))
+	}
+	playWithoutFindings(t, strings.Join(faults, ","))
+}
