Soak: dead for a served message is allowed where its host's answers come twice; price shown

Need: the relay can't know whose the answer was once bytes come that nobody asked for, and tells such a message as dead. The protocol page: a notice for a message that is over does no harm. The invariant "what its host has served is not told as refused" forbade it.

Change: it allows dead, and refused where a repeat does no harm, if a second copy was written to the same relay by the same host since the call began, or on the call's connection up to 5 s before, and the notice came behind it, within 5 s of the answer. All else is held as before; refused for what may not be repeated still breaks it.

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -18,6 +18,9 @@
 	onTheWay     = 2 * LongestHold         // bytes may be so long, in both directions or in two pieces
 )
 
+// doubtedFor is how long an answer may turn out to be another's.
+const doubtedFor = 5 * time.Second
+
 // soon after an answer a process has not given its call up by itself.
 const soon = 300 * time.Millisecond
 
@@ -227,7 +230,9 @@
 
 // served: a message whose host answered 200, while the relay waited for it and long before the
 // message's time, is not told as refused or failed, but by a later process where the folder failed
-// when the end had to be recorded.
+// when the end had to be recorded. Where a second copy of an answer came to its relay before the
+// notice, that can't know whose the answer was: a message may be told as dead, and
+// one whose repeat does no harm as refused. A notice for a message that is over does no harm (PROTOCOL).
 func (a *audit) served(c *Course) {
 	for _, x := range c.Calls {
 		if x.Status != 200 || x.Told.IsZero() || x.Told.Add(soon+clientWaits).After(c.Due) {
@@ -241,6 +246,10 @@
 		if unrecorded && len(c.Notices) > 0 && a.endedBetween(c.Node, x.Told, c.Notices[0].At) {
 			continue
 		}
+		told := len(c.Notices) > 0 && (c.Notices[0].Result == "dead" || c.Lane.Effect != AtMostOnce)
+		if told && x.conn != nil && x.conn.network.copiedFor(&x, c.Node, c.Notices[0].At, doubtedFor) {
+			continue
+		}
 		a.of("what its host has served is not told as refused").check(len(c.Notices) == 0, c.String)
 	}
 }
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -52,6 +52,8 @@
 	Over   time.Time // when it was answered or its connection had ended
 	Wait   time.Duration
 	Waited time.Duration // how long the relay said that it waits for the answer; 0 for nothing said
+
+	conn *faulty // that carried it
 }
 
 // Notice is one notice of a message.
@@ -225,6 +227,7 @@
 		r.strange = append(r.strange, "call of "+id)
 		return -1
 	}
+	c.conn.node.Store(int64(x.Node))
 	x.Calls = append(x.Calls, c)
 	return len(x.Calls) - 1
 }
@@ -332,6 +335,16 @@
 	return false
 }
 
+// deliveredAfter is the time from the sending to the first 200 of a host.
+func (c *Course) deliveredAfter() time.Duration {
+	for _, x := range c.Calls {
+		if x.Status == 200 && !x.Told.IsZero() {
+			return x.Told.Sub(c.Sent)
+		}
+	}
+	return 0
+}
+
 // Replies counts what clients read, by status or end.
 func (r *Record) Replies() (requests int, by map[string]int) {
 	r.mu.Lock()
@@ -352,19 +365,26 @@
 	Taken     int `json:"taken"`
 	Delivered int `json:"delivered"` // of those taken
 	Untried   int `json:"untried"`   // of those taken, ended by a notice with no call
+	Calls     int `json:"calls"`     // messages in calls
+	// After is the mean time from the sending of a message that was delivered to its host's answer.
+	After time.Duration `json:"after_ns"`
 }
 
 // Service counts until now.
 func (r *Record) Service() (s Service) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	total := time.Duration(0)
+	defer func() { s.After = total / time.Duration(max(1, s.Delivered)) }()
 	for _, c := range r.courses {
+		s.Calls += len(c.Calls)
 		if !c.taken() {
 			continue
 		}
 		s.Taken++
 		if c.delivered() {
 			s.Delivered++
+			total += c.deliveredAfter()
 		} else if len(c.Calls) == 0 && len(c.Notices) > 0 {
 			s.Untried++
 		}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +21,16 @@
 	resets bool // connections are reset: under a request, an answer, or at rest
 	copies bool // some of what the server writes comes a second time
 	r      *rand.Rand
+
+	accepted int      // connections
+	copied   []copied // in the order of their times
+}
+
+// copied is a second copy that was written.
+type copied struct {
+	at   time.Time
+	conn *faulty
+	node int // of the relay at the other end
 }
 
 // Hold has bytes come late, Reset has connections reset, Repeat has what the server writes
@@ -69,6 +81,35 @@
 	return min(after, LongestRepeat), true
 }
 
+// noteCopy notes a second copy.
+func (n *Network) noteCopy(f *faulty) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.copied = append(n.copied, copied{time.Now(), f, int(f.node.Load())})
+}
+
+// copiedFor tells whether a second copy was written, before a notice, that a relay may have taken for
+// the answer to a call, or for the one behind it: to that relay since the call began, or on its
+// connection at most so long before. The notice came at most so long after the answer.
+func (n *Network) copiedFor(c *Call, node int, notice time.Time, within time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return notice.Before(c.Told.Add(within)) && slices.ContainsFunc(n.copied, func(x copied) bool {
+		since := c.At.Add(-LongestHold)
+		if x.conn == c.conn {
+			since = c.At.Add(-within)
+		}
+		return (x.conn == c.conn || x.node == node) && x.at.After(since) && x.at.Before(notice.Add(LongestHold))
+	})
+}
+
+// Accepted counts connections.
+func (n *Network) Accepted() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.accepted
+}
+
 // listener serves connections over a network.
 type listener struct {
 	net.Listener
@@ -80,6 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
+	l.network.mu.Lock()
+	l.network.accepted++
+	l.network.mu.Unlock()
 	return &faulty{Conn: c, network: l.network}, nil
 }
 
@@ -87,6 +131,7 @@
 type faulty struct {
 	net.Conn
 	network *Network
+	node    atomic.Int64 // of the relay at the other end, once a call of it has come
 }
 
 func (f *faulty) Read(b []byte) (int, error) {
@@ -107,7 +152,10 @@
 	n, err := f.Conn.Write(b)
 	if after, repeats := f.network.drawRepeat(time.Now()); repeats && err == nil {
 		again := bytes.Clone(b)
-		time.AfterFunc(after, func() { _, _ = f.Conn.Write(again) })
+		time.AfterFunc(after, func() {
+			f.network.noteCopy(f)
+			_, _ = f.Conn.Write(again)
+		})
 	}
 	return n, err
 }
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("emulator: %w", err)
 	}
-	s := &server{http: &http.Server{Handler: h}, listener: l}
+	s := &server{http: &http.Server{Handler: h, ConnContext: withConn}, listener: l}
 	go func() { _ = s.http.Serve(listener{l, network}) }()
 	p.mu.Lock()
 	p.servers = append(p.servers, s)
@@ -62,6 +62,13 @@
 	return s, nil
 }
 
+// connKey is that of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // server is one address that is served.
 type server struct {
 	http     *http.Server
@@ -340,8 +347,9 @@
 	}
 	rec := h.platform.Record
 	waited, _ := strconv.ParseInt(r.Header.Get("X-Remaining-Ms"), 10, 32) // 0 where nothing is said
+	conn, _ := r.Context().Value(connKey{}).(*faulty)
 	for _, x := range items {
-		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID, Waited: time.Duration(waited) * time.Millisecond})
+		x.number = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID, Waited: time.Duration(waited) * time.Millisecond, conn: conn})
 		x.fate = h.draw()
 	}
 	defer func() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -62,6 +62,7 @@
 	Requests   int                 `json:"requests"`
 	Replies    map[string]int      `json:"replies"`
 	Service    emulator.Service    `json:"service"`
+	Accepted   int                 `json:"accepted"`        // connections to hosts
 	Lag        time.Duration       `json:"lag_ns"`          // how late the emulator's own timers were at most
 	Busiest    float64             `json:"busiest"`         // largest share of a core that a process used over its life
 	Known      []string            `json:"known,omitempty"` // of the broken invariants, those passed over
@@ -489,5 +490,8 @@
 	res.Busiest = r.busiest
 	res.Requests, res.Replies = r.platform.Record.Replies()
 	res.Service = r.platform.Record.Service()
+	for _, h := range r.platform.Hosts {
+		res.Accepted += h.Network.Accepted()
+	}
 	return res
 }
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -40,9 +40,10 @@
 			return nil, fmt.Errorf("soak: seed %d: %w", opt.Seed, err)
 		}
 		rep.add(res)
-		fmt.Fprintf(w, "seed %d: %d requests, %v, of %d taken %d delivered and %d given up untried, %d invariants broken, timers %s late, a node used %.0f%% of a core at most\n",
+		fmt.Fprintf(w, "seed %d: %d requests, %v, of %d taken %d delivered and %d given up untried, %d invariants broken, timers %s late, a node used %.0f%% of a core at most, %.1f connections to hosts for 1,000 messages called, delivered after %s in the mean\n",
 			res.Seed, res.Requests, res.Replies, res.Service.Taken, res.Service.Delivered, res.Service.Untried, res.Broken(),
-			res.Lag.Round(time.Millisecond), 100*res.Busiest)
+			res.Lag.Round(time.Millisecond), 100*res.Busiest, 1000*float64(res.Accepted)/float64(max(1, res.Service.Calls)),
+			res.Service.After.Round(100*time.Microsecond))
 		res.printKnown(w)
 		if res.Broken() > 0 {
 			res.print(w)
