Answers on used connections to hosts are believed as far as they are tied to their call

Cause: partner.conn.data gave whatever was read to the call that was out, so that a second copy of an answer ended the next call of its connection, and everything behind it was off by one. Bytes on a resting connection closed it, and nothing else heard of them.

Change: lifecycle.PeerConn and lifecycle.Conduct decide. Only the first call of a connection has an answer that is its own by construction, and one that names all its messages. Any other answer is likely: until the host would have answered, its message is not sent again, not refused where it may not be repeated, and the next of its key waits; a connection behind a refusal is set aside. Bytes that nobody asked for retract what is not settled by silence: what was delivered is told as dead (and recorded), what was refused may have run (choice.Retracted). From then on that host gets one call a connection, for a minute and twice as long each further time; others of its destination get that for what may not be repeated, everybody once two destinations are met; all else rests for twice as long as the copy was late. An answer before its call was written is nobody's on a used connection; one that names others' messages is skipped. Answers of a doubted host teach nothing (choice.Doubted). pool.give looks at the socket; the connection used last among the confirmed goes first. Refusals are counted (count line, peers) and logged with connection, turn and id; trace step call has the connection, turn and rest.

Why this works: believing is undone instead of prevented, so that hosts which behave pay nothing: the look and the order of idle connections cost no connection, and waits are bounded by what the host takes. Rest alone is refuted by copies after 1 s.

--- a/choice/api.go
+++ b/choice/api.go
@@ -99,6 +99,8 @@
 	Reset
 	Cancelled
 	NotSent
+	// Doubted: answered, but perhaps not this attempt. It may have run; nothing is learned of the endpoint.
+	Doubted
 )
 
 // An Event tells a Chooser what happened. The types below are the events.
@@ -131,7 +133,8 @@
 }
 
 var outcomeNames = [...]string{Served: "served", Error: "error", Refused: "refused", Timeout: "timeout", NoConnection: "no_connection",
-	Reset: "reset", Cancelled: "cancelled", NotSent: "not_sent"}
+	Reset: "reset", Cancelled: "cancelled", NotSent: "not_sent",
+	Doubted: "doubted"}
 
 // String is the outcome's name in logs and metrics.
 func (o Outcome) String() string {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,8 @@
 					c.final(m)
 				}
 			}
+		case Retracted:
+			c.retract(e)
 		case Listing:
 			c.list(e)
 		case Stop:
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -10,6 +10,7 @@
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 type attempt struct {
@@ -29,6 +30,7 @@
 	with    []*attempt // those that travel with it
 	off     bool       // called off by the module
 	gate    *gated     // it waits for its record, or did; nil for one that had not to
+	doubted bool       // its outcome was another's
 }
 
 // all are the attempts of one call.
@@ -49,13 +51,26 @@
 	c.opt.Journal.Tried(journal.Attempt{Seq: a.m.seq, N: a.n, Host: a.host, Zone: zone, At: c.opt.Journal.Stamp(), Clear: clear})
 }
 
+// clear records that an attempt had no effect, once that is confirmed.
+func (c *Core) clear(a *attempt) {
+	if a.m.unsure <= c.now || a.m.life.Repeat != lifecycle.Never {
+		c.tried(a, true)
+		return
+	}
+	c.confirm(a.m.unsure, func() {
+		if !a.m.answered && !a.m.life.MayHaveRun() {
+			c.tried(a, true)
+		}
+	})
+}
+
 // over takes in how a call ended: each of its messages has its own end.
 func (c *Core) over(a *attempt, e Ending) {
 	for i, b := range a.all() {
 		one := e
 		if one.Each = nil; i < len(e.Each) {
 			one = e.Each[i]
-			one.Took = e.Took
+			one.Took, one.Unconfirmed = e.Took, e.Unconfirmed
 		}
 		c.end(b, one)
 	}
@@ -69,6 +84,9 @@
 	}
 	m.out = nil
 	delete(c.outs, a)
+	if a.doubted {
+		e = Ending{Outcome: choice.Doubted, Took: e.Took, Wait: e.Wait}
+	}
 	if a.settle != nil {
 		whole := e.Outcome == choice.Served || e.Outcome == choice.Error || e.Outcome == choice.Refused
 		a.settle(c.now, a.passed.Load(), whole)
@@ -78,6 +96,10 @@
 	}
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
 	c.note(a.host, e)
+	served := e.Outcome == choice.Served && (c.opt.Late == 0 || c.now <= m.due-c.opt.Late)
+	if e.Unconfirmed > 0 && !m.answered {
+		c.unconfirmed(a, e, served)
+	}
 	if e.Over && !m.answered { // the platform says so: nobody is owed anything
 		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
 	}
@@ -85,9 +107,8 @@
 	m.life.Back(sure)
 	c.opt.Trace.Step(m.Identity, "result", e.Outcome.String())
 	if sure && c.harmful(m) && !m.answered {
-		c.tried(a, true)
+		c.clear(a)
 	}
-	served := e.Outcome == choice.Served && (c.opt.Late == 0 || c.now <= m.due-c.opt.Late)
 	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.n, Outcome: e.Outcome,
 		Took: e.Took, Wait: e.Wait, Done: served || m.answered, Spent: e.Spent, Report: e.Report})
 	if served {
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // recordWait is how long a call may wait for its records where the journal tells what waits:
@@ -42,12 +43,22 @@
 // tells of its endpoint.
 func (a *attempt) begun() bool { return a.gate == nil || a.gate.sock != nil }
 
-// send begins a call: an attempt, and those that travel with it. Where it has to wait for its
-// records its time-out runs from its first byte, for it measures the endpoint and not the disk.
+// send begins a call: an attempt, and those that travel with it, once the answers are confirmed
+// that it rests on.
 func (c *Core) send(a *attempt) {
 	if a == nil {
 		return
 	}
+	if until := c.confirmedBy(a); until > c.now {
+		c.delay(a, until)
+		return
+	}
+	c.sendNow(a)
+}
+
+// sendNow begins a call. Where it has to wait for its records its time-out runs from its first
+// byte, for it measures the endpoint and not the disk.
+func (c *Core) sendNow(a *attempt) {
 	call, seqs := c.call(a)
 	timeout := a.end - a.sent
 	if len(seqs) == 0 {
@@ -91,6 +102,7 @@
 		call.Idem = m.idem()
 	}
 	for _, b := range a.all() {
+		call.Once = call.Once || b.m.life.Repeat == lifecycle.Never || c.ordered(b.m)
 		if len(a.with) > 0 {
 			call.Several = append(call.Several, Item{ID: b.m.Identity, Key: b.m.Key, Head: b.m.Head, Body: b.m.Body})
 			call.Body = nil
@@ -109,6 +121,7 @@
 	if by := a.latest(); by > 0 {
 		call.Within = max(by-c.Now(), 1)
 	}
+	call.Doubted = c.doubter(a)
 	sock := c.opt.Caller.Send(call)
 	if a.gate == nil {
 		a.sock = sock
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,8 +94,13 @@
 	Body    []byte
 	Patient time.Duration // time-out, from the moment of sending
 	Within  time.Duration // nothing is written later than this after it; 0 for no such time
+	// Once: a second effect does harm, or messages of the same key go after it.
+	Once bool
 	// End takes the attempt's outcome, once, from any goroutine.
 	End func(Ending)
+	// Doubted says, from any goroutine, that the outcome was another call's; nil for nobody to
+	// be told.
+	Doubted func()
 }
 
 // Ending is how an attempt ended on its socket.
@@ -106,6 +111,8 @@
 	Over    bool          // with NotSent: the message is over, nothing more is owed
 	Spent   bool          // with NotSent: it has had all its attempts
 	Report  []float64     // load report, nil for none
+	// Unconfirmed is how long the answer may yet turn out to be another call's; 0 for never.
+	Unconfirmed time.Duration
 	// Each tells of the messages of a call apart, in their order; nil where all fared the same.
 	Each []Ending
 }
@@ -195,6 +202,9 @@
 	// no bound. Those that do not fit travel in a call of their own.
 	Together int
 	Trace    lifecycle.Trace
+	// Undelivered is told of messages that were delivered by an answer which was another call's; it
+	// must not block. nil: nobody can be told.
+	Undelivered func(identity string)
 	// Guard decides whether a message may be sent and ended; nil for one that keeps no count.
 	Guard *lifecycle.Guard
 	// Forgetful: waits and failures that endpoints told end with the process.
@@ -215,6 +225,8 @@
 	kept     bool // in the journal
 	life     lifecycle.Message
 	told     bool // its final answer has left
+	// The answer to its last call may turn out to be another's until then.
+	unsure time.Duration
 }
 
 // event is one entry of the inbox.
@@ -271,6 +283,7 @@
 	owing    map[string]string   // ids by identity: refused or failed, and not Settled
 	idle     func()              // to be called once nothing is out
 	parked   bool                // a later run goes on with what is held
+	doubts   doubts
 	spare    []event
 }
 
@@ -381,7 +394,7 @@
 	err = c.Inspect(ctx, func(int, int) {
 		all = c.ch.Sizes()
 		all["messages"], all["identities"], all["outs"], all["noted"] = len(c.msgs), c.led.Len(), len(c.outs), len(c.noted)
-		all["owing"] = len(c.owing)
+		all["owing"], all["doubts"], all["delivered"] = len(c.owing), len(c.doubts.steps), len(c.doubts.delivered)
 		all["endpoints"], all["timers"] = max(len(c.zones), len(c.kinds)), len(c.waits)
 	})
 	return all, err
@@ -487,6 +500,9 @@
 	if due := c.records.next(c); due >= 0 && (at < 0 || due < at) {
 		at = due
 	}
+	if due := c.doubts.next(); due >= 0 && (at < 0 || due < at) {
+		at = due
+	}
 	if c.draining && (at < 0 || c.lastAt < at) {
 		at = c.lastAt
 	}
@@ -531,6 +547,7 @@
 	if len(recall) > 0 {
 		c.recall(recall)
 	}
+	c.confirmDue()
 	// Only now the time-outs: an answer in the same batch goes before its own.
 	for len(c.waits) > 0 && c.waits[0].end <= c.now {
 		c.abort(c.waits[0], choice.Timeout)
@@ -744,7 +761,7 @@
 			}
 		case choice.Refuse:
 			if m := c.msgs[act.ID]; m != nil {
-				c.answer(m, ledger.Answer{Verdict: ledger.Refused, After: act.After})
+				c.refuse(m, act.After)
 			}
 		case choice.Fail:
 			if m := c.msgs[act.ID]; m != nil {
--- /dev/null
+++ b/internal/core/doubt_test.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+)
+
+// answer ends a call by an answer that is not confirmed for 100 ms.
+func (f *fakeCall) answer(o choice.Outcome) {
+	f.ended = true
+	f.End(Ending{Outcome: o, Took: 20 * ms, Unconfirmed: 100 * ms})
+}
+
+// handed is a rig with a message handed in and called.
+func handed(t *testing.T, class int) (*rig, *reply) {
+	t.Helper()
+	r, re := newRig(t), &reply{}
+	if err := r.hand("m", class, re, 6*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.at(ms)
+	if len(r.calls) != 1 {
+		t.Fatalf("%d calls", len(r.calls))
+	}
+	return r, re
+}
+
+const unsafeClass = 1
+
+// Guards against a second effect: a message is sent again at once because of a refusal that was another call's.
+func TestRefusedMessageIsSentAgainOnceItsAnswerIsConfirmed(t *testing.T) {
+	r, re := handed(t, unsafeClass)
+	r.calls[0].answer(choice.Refused)
+	for at := 2 * ms; at < 100*ms; at += ms {
+		if r.at(at); len(r.calls) > 1 || len(re.answers) > 0 {
+			t.Fatalf("at %s: %d calls, answers %v", at, len(r.calls), re.answers)
+		}
+	}
+	for at := 100 * ms; len(r.calls) == 1 && at < 5*time.Second; at += ms {
+		r.at(at)
+	}
+	if len(r.calls) != 2 {
+		t.Fatal("a confirmed refusal is not followed by another call")
+	}
+	if r.calls[1].finish(choice.Served, 0); len(r.waits) != 1 {
+		t.Errorf("%d time-outs", len(r.waits))
+	}
+	r.at(5 * time.Second)
+	if verdicts([]*reply{re}) != "delivered " || len(r.msgs)+len(r.waits)+len(r.doubts.steps) != 0 {
+		t.Errorf("answers %v, %d messages, %d time-outs, %d steps left", re.answers, len(r.msgs), len(r.waits), len(r.doubts.steps))
+	}
+}
+
+// Guards against a second effect, and a refusal of what has run, where the refusal turns out to be another call's.
+func TestMessageWhoseRefusalWasAnothersIsNotSentAgain(t *testing.T) {
+	for _, at := range []time.Duration{2 * ms, 50 * ms} { // with the answer, and while the next call waits
+		r, re := handed(t, unsafeClass)
+		r.calls[0].answer(choice.Refused)
+		if at > 2*ms {
+			r.at(2 * ms)
+		}
+		r.calls[0].Doubted()
+		for now := at; now < 7*time.Second; now += 5 * ms {
+			r.at(now)
+		}
+		if len(r.calls) != 1 || verdicts([]*reply{re}) != "failed " {
+			t.Errorf("doubted at %s: %d calls, answers %v", at, len(r.calls), re.answers)
+		}
+	}
+}
+
+// Guards against a message that is neither delivered nor ended: its 200 was another call's.
+func TestMessageWhoseDeliveryWasAnothersIsToldAsFailed(t *testing.T) {
+	for _, class := range []int{0, unsafeClass} {
+		r, re := handed(t, class)
+		var told []string
+		r.opt.Undelivered = func(identity string) { told = append(told, identity) }
+		r.calls[0].answer(choice.Served)
+		r.at(2 * ms)
+		r.calls[0].Doubted()
+		r.calls[0].Doubted()
+		r.at(300 * ms)
+		if verdicts([]*reply{re}) != "delivered " || fmt.Sprint(told) != "[m]" {
+			t.Errorf("answers %v, told %v, want m once", re.answers, told)
+		}
+		if r.at(10 * time.Second); len(r.doubts.delivered)+len(r.doubts.oldest)+len(r.doubts.keys)+len(r.doubts.steps) != 0 {
+			t.Errorf("left: %+v", r.doubts)
+		}
+	}
+}
+
+// Guards against a key out of order: the next message goes out while the one before still runs.
+func TestNextOfAKeyWaitsUntilTheAnswerIsConfirmed(t *testing.T) {
+	r, re := newRig(t), &reply{}
+	r.opt.Settings.Classes[unsafeClass].Ordered = true
+	for _, id := range []string{"m", "n"} {
+		if err := r.hand(id, unsafeClass, re, 6*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.at(ms)
+	r.calls[0].answer(choice.Served)
+	for at := 2 * ms; at < 100*ms; at += ms {
+		if r.at(at); len(r.calls) > 1 {
+			t.Fatalf("at %s the next of the key is out", at)
+		}
+	}
+	if r.at(102 * ms); len(r.calls) != 2 {
+		t.Error("the next of the key is not out once the answer is confirmed")
+	}
+}
+
+// Guards against an answer of a peer that repeats itself which is believed: it may have run.
+func TestDoubtedAnswerEndsWhatMayNotBeRepeated(t *testing.T) {
+	for class, want := range []string{"none ", "failed "} {
+		r, re := handed(t, class)
+		r.calls[0].finish(choice.Doubted, 0)
+		r.at(2 * ms)
+		if got := verdicts([]*reply{re}); got != want {
+			t.Errorf("class %d: %s, want %s", class, got, want)
+		}
+	}
+}
--- a/internal/lifecycle/message.go
+++ b/internal/lifecycle/message.go
@@ -96,6 +96,16 @@
 	}
 }
 
+// Doubt takes in that a call which had surely no effect, sent at a moment, may have run after all.
+func (m *Message) Doubt(sent time.Duration) {
+	if !m.mayRun {
+		m.mayRun, m.firstRun = true, sent
+	}
+}
+
+// MayHaveRun tells whether a call of the message may have run.
+func (m *Message) MayHaveRun() bool { return m.mayRun }
+
 // Response is what whoever handed a message in may be told now.
 type Response int
 
--- /dev/null
+++ b/internal/lifecycle/peer_test.go
@@ -0,0 +1,129 @@
+package lifecycle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// Guards against an answer that is believed of a call by its place on a used connection.
+func TestAnswersOnUsedConnectionsAreBelievedAsFarAsTheyAreTied(t *testing.T) {
+	for _, c := range []struct {
+		turn   int
+		answer PeerAnswer
+		want   Belief
+	}{
+		{1, PeerAnswer{Written: true}, Own},
+		{1, PeerAnswer{}, Own}, // nobody else has asked there
+		{2, PeerAnswer{Written: true}, Likely},
+		{2, PeerAnswer{Written: true, Names: true}, Own},
+		{2, PeerAnswer{Written: true, Foreign: true}, Nobodys},
+		{2, PeerAnswer{}, Nobodys},
+		{2, PeerAnswer{Written: true, Followed: true}, Doubtful},
+		{2, PeerAnswer{Written: true, FirstOnly: true}, Doubtful},
+		{1, PeerAnswer{Written: true, FirstOnly: true}, Own},
+	} {
+		p := PeerConn{}
+		for range c.turn - 1 {
+			p.Begin(0)
+			p.Answered(0, 0, Own, true, nil)
+		}
+		p.Begin(0)
+		if got := p.Believe(c.answer); got != c.want {
+			t.Errorf("turn %d, %+v: %d, want %d", c.turn, c.answer, got, c.want)
+		}
+	}
+}
+
+// Guards against answers that stay believed although bytes came behind them that nobody asked for, and
+// against connections that carry a call while such bytes may still come.
+func TestStrayBytesRetractWhatIsNotConfirmed(t *testing.T) {
+	var told []string
+	doubted := func(name string) func() { return func() { told = append(told, name) } }
+	p := PeerConn{}
+	call := func(at time.Duration, name string, belief Belief, served bool) time.Duration {
+		t.Helper()
+		if p.MayCarry(at, PeerRule{}) != CarryNow {
+			t.Fatalf("%s may not go out at %s", name, at)
+		}
+		p.Begin(at)
+		return p.Answered(at+10*ms, 40*ms, belief, served, doubted(name))
+	}
+	if left := call(0, "first", Own, true); left != 0 {
+		t.Errorf("the first answer is unconfirmed for %s", left)
+	}
+	call(20*ms, "confirmed", Likely, true)
+	if left := call(200*ms, "served", Likely, true); left != 30*ms {
+		t.Errorf("unconfirmed for %s, want 30ms", left)
+	}
+	call(215*ms, "refused", Likely, false)
+	if p.MayCarry(230*ms, PeerRule{}) != CarryLater || p.MayCarry(255*ms, PeerRule{}) != CarryNow {
+		t.Error("a connection behind a refusal is not set aside until it is confirmed")
+	}
+	all, late := p.Strayed(240 * ms)
+	for _, tell := range all {
+		tell()
+	}
+	if fmt.Sprint(told) != "[served refused]" || late != 15*ms {
+		t.Errorf("retracted %v, %s late", told, late)
+	}
+	if p.MayCarry(time.Hour, PeerRule{}) != CarryNever {
+		t.Error("a doubted connection carries a call")
+	}
+	for range 2 * mostUnconfirmed {
+		p.Answered(0, s, Likely, true, doubted("x"))
+	}
+	if all, _ := p.Strayed(0); len(all) != mostUnconfirmed {
+		t.Errorf("%d answers are remembered, want %d", len(all), mostUnconfirmed)
+	}
+	p.Answered(0, s, Likely, true, doubted("old"))
+	if all, _ := p.Strayed(LongestDoubt + ms); len(all) != 0 {
+		t.Error("an answer is doubted for longer than its time")
+	}
+}
+
+// Guards against a peer that broke the protocol and is trusted as before.
+func TestConductOfPeersDecidesWhatTheirConnectionsCarry(t *testing.T) {
+	c := Conduct{}
+	want := func(now time.Duration, peer string, group int, bears Bears, rule PeerRule) {
+		t.Helper()
+		if got := c.Rule(now, peer, group, bears); got != rule {
+			t.Errorf("%s at %s: %+v, want %+v", peer, now, got, rule)
+		}
+	}
+	only := PeerRule{FirstOnly: true}
+	want(0, "a", 1, Once, PeerRule{})
+	c.Saw(s, "a", 1, 400*ms)
+	want(2*s, "a", 1, Repeats, only)
+	want(2*s, "b", 1, Once, only)                        // the same destination
+	want(2*s, "b", 1, Repeats, PeerRule{Rest: 800 * ms}) // twice as long as the copy was late
+	want(2*s, "c", 2, Once, PeerRule{Rest: 800 * ms})
+	c.Saw(2*s, "c", 2, 10*s)
+	want(3*s, "d", 3, Once, only) // two destinations: no fault of one
+	want(3*s, "d", 3, Repeats, PeerRule{Rest: longestRest})
+	end := 2*s + firstSpell
+	want(end, "a", 1, Once, PeerRule{})
+	c.Saw(end, "a", 1, 0) // again: twice as long
+	want(end+firstSpell, "a", 1, Repeats, only)
+	want(end+2*firstSpell, "a", 1, Repeats, PeerRule{})
+	want(end+firstSpell, "b", 1, Repeats, PeerRule{Rest: leastRest})
+	for i := range 2 * mostPeers {
+		c.Saw(end, fmt.Sprint(i), 4, 0)
+	}
+	if len(c.peers) > mostPeers {
+		t.Errorf("%d peers are remembered", len(c.peers))
+	}
+	c = Conduct{}
+	c.Took(0, "a", 100*ms)
+	if got := c.Usual("a"); got != 200*ms {
+		t.Errorf("usual %s", got)
+	}
+	for range 1000 {
+		c.Took(0, "a", 10*ms)
+	}
+	if got := c.Usual("a"); got < 65*ms || got > 66*ms {
+		t.Errorf("usual %s after many quick answers", got)
+	}
+}
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/lifecycle"
 )
@@ -21,6 +23,7 @@
 	mu     sync.Mutex
 	conn   *conn
 	life   lifecycle.Call
+	wrote  time.Duration // when it went out, by the caller's clock; under conn.mu
 }
 
 // Send begins an attempt: on a kept connection, else on the first one that comes
@@ -57,8 +60,11 @@
 		return true
 	}
 	cn.call = k
+	k.wrote = k.caller.now()
+	cn.begin(k)
 	cn.resp.reset(k.caller.opt.Limits)
-	cn.resp.hook, cn.resp.keeps = k.caller.opt.Hook != nil, len(k.Several) > 0
+	cn.resp.hook = k.caller.opt.Hook != nil
+	cn.resp.keeps = cn.resp.hook && (len(k.Several) > 0 || cn.life.Turn() > 1)
 	if cn.sec == nil { // else the TLS layer counts its records
 		cn.size.Add(int64(len(request)))
 	}
@@ -138,7 +144,11 @@
 }
 
 // end reports an attempt's outcome, if nothing else ended it before.
-func (k *call) end(s seen, r *response) {
+func (k *call) end(s seen, r *response) { k.endBelieved(s, r, lifecycle.Own, 0) }
+
+// endBelieved is end of an attempt that was answered, as far as the answer is believed; it stays
+// unconfirmed for so long.
+func (k *call) endBelieved(s seen, r *response, belief lifecycle.Belief, unconfirmed time.Duration) {
 	k.mu.Lock()
 	first := k.life.MayEnd()
 	k.mu.Unlock()
@@ -147,32 +157,49 @@
 	}
 	k.pool.ended(k, s)
 	now := time.Now()
+	e := k.ending(s, r, now)
+	e.Took = now.Sub(k.began)
+	e.Unconfirmed = unconfirmed
+	disbelieve(&e, belief)
+	k.End(e)
+}
+
+// ending reads what an attempt's end says.
+func (k *call) ending(s seen, r *response, now time.Time) (e core.Ending) {
+	if r == nil {
+		r = &response{}
+	}
 	if h := k.caller.opt.Hook; h != nil {
-		if r == nil {
-			r = &response{}
-		}
-		e := h.ending(s, r, &k.Call)
-		e.Took = now.Sub(k.began)
-		k.End(e)
-		return
+		return h.ending(s, r, &k.Call)
 	}
-	e := core.Ending{Took: now.Sub(k.began)}
-	status, retry := 0, ""
-	if r != nil {
-		status, retry = r.status, r.retry
+	e.Outcome, e.Wait = outcome(s, r.status, r.retry, k.caller.opt.Targets[k.Partner].Promises, now)
+	return e
+}
+
+// disbelieve takes back what an answer says as far as it is not believed. A wait is heeded all the
+// same: the answer may be the call's own.
+func disbelieve(e *core.Ending, belief lifecycle.Belief) {
+	instead := choice.Doubted
+	switch belief {
+	case lifecycle.Own, lifecycle.Likely:
+		return
+	case lifecycle.Nobodys: // the call's last byte was not written: it never ran
+		instead = choice.NotSent
+	case lifecycle.Doubtful:
 	}
-	e.Outcome, e.Wait = outcome(s, status, retry, k.caller.opt.Targets[k.Partner].Promises, now)
-	k.End(e)
+	*e = core.Ending{Outcome: instead, Took: e.Took, Wait: e.Wait}
 }
 
 // Abort ends an attempt; its connection is closed.
 func (k *call) Abort() (started, ok bool) {
 	k.mu.Lock()
-	if cn := k.conn; cn != nil && !k.life.Ended() && cn.told(k) {
-		k.mu.Unlock()
-		k.end(nonsense, &response{says: 200})
-		cn.drop(k)
-		return true, false
+	if cn := k.conn; cn != nil && !k.life.Ended() {
+		if belief, told := cn.told(k); told {
+			k.mu.Unlock()
+			k.endBelieved(nonsense, &response{says: http.StatusOK}, belief, 0)
+			cn.drop(k)
+			return true, false
+		}
 	}
 	first := k.life.MayEnd()
 	cn, wrote := k.conn, k.life.Written()
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -14,6 +14,7 @@
 	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/zone"
 )
 
@@ -46,27 +47,34 @@
 	Dialed func(family, result string)
 	// Failed is told of TLS handshakes that failed; may be nil.
 	Failed func(host string, err error)
-	// Unsolicited is told of bytes that came without a request; may be nil.
-	Unsolicited func(host string)
+	// Refused is told what was refused of a peer, or of a connection to one; it must not block.
+	// May be nil.
+	Refused func(lifecycle.PeerRefusal)
+	// Trace takes each call's connection, turn on it and rest before it.
+	Trace lifecycle.Trace
+	// TrustPeers believes every answer and uses every connection again, for tests that must fail.
+	TrustPeers bool
 }
 
 // Caller holds the connections to all endpoints.
 type Caller struct {
-	opt    Options
-	engine *engine.Engine
-	mu     sync.Mutex
-	pools  map[string]*pool
-	books  map[string]*addr.Book // of endpoints with addresses of their own
-	news   chan struct{}         // closed when addresses change
-	barred map[string]bool       // endpoints that are not to be called: no spares there
-	fams   addr.Families
-	tls    *sessions
-	epoch  time.Time
-	open   atomic.Int64 // connections of all pools
-	stop   chan struct{}
-	ctx    context.Context // ends with Close
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	opt     Options
+	engine  *engine.Engine
+	mu      sync.Mutex
+	pools   map[string]*pool
+	books   map[string]*addr.Book // of endpoints with addresses of their own
+	news    chan struct{}         // closed when addresses change
+	barred  map[string]bool       // endpoints that are not to be called: no spares there
+	fams    addr.Families
+	tls     *sessions
+	epoch   time.Time
+	open    atomic.Int64  // connections of all pools
+	opened  atomic.Uint64 // since the start
+	conduct lifecycle.Conduct
+	stop    chan struct{}
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // bill says who is charged with a connection's bytes.
@@ -115,6 +123,7 @@
 func New(opt Options) (*Caller, error) {
 	c := &Caller{opt: opt, pools: map[string]*pool{}, books: map[string]*addr.Book{}, news: make(chan struct{}),
 		barred: map[string]bool{}, epoch: time.Now(), stop: make(chan struct{}), tls: newSessions(opt.Sessions)}
+	c.conduct.Refused, c.conduct.Off = opt.Refused, opt.TrustPeers
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	var err error
 	c.engine, err = engine.Start(engine.Options{Name: "partner", ReadBuffer: 16 << 10,
@@ -131,6 +140,9 @@
 	return c, nil
 }
 
+// Refusals counts what was refused of peers, by breach.
+func (c *Caller) Refusals() map[lifecycle.PeerBreach]int { return c.conduct.Counts() }
+
 // Close ends all connections.
 func (c *Caller) Close() {
 	close(c.stop)
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -2,32 +2,35 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/engine"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/secure"
 )
 
 // conn is one connection; it carries one call at a time.
 type conn struct {
-	pool *pool
-	host string
-	nb   *engine.Conn
-	out  io.Writer
-	sec  *secure.Conn // nil without TLS
-	addr addr.Address
-	book *addr.Book // nil where the endpoint has one address
-	mu   sync.Mutex
-	call *call
-	tail bool // the rest of an answer is still to come, its call has ended
-	gone atomic.Bool
-	resp response
+	pool   *pool
+	host   string
+	number uint64 // of the caller's connections
+	nb     *engine.Conn
+	out    io.Writer
+	sec    *secure.Conn // nil without TLS
+	addr   addr.Address
+	book   *addr.Book // nil where the endpoint has one address
+	mu     sync.Mutex
+	life   lifecycle.PeerConn
+	call   *call
+	tail   bool // the rest of an answer is still to come, its call has ended
+	gone   atomic.Bool
+	resp   response
 	// Since when it stands, how old it may get, since when it idles; under pool.mu.
-	born, life, since time.Duration
-	used              bool // carried a call
+	born, lasts, since time.Duration
 	// Bytes for the socket so far, and those of them that the kernel has.
 	size, sent atomic.Int64
 	bill       atomic.Pointer[bill]
@@ -45,11 +48,14 @@
 }
 
 // told tells whether the answer to a call that carries one message has begun with
-// a 200 in the platform's form: that line is true, whatever becomes of the rest.
-func (cn *conn) told(k *call) bool {
+// a 200 in the platform's form, and how far that line is believed, whatever becomes of the rest.
+func (cn *conn) told(k *call) (belief lifecycle.Belief, told bool) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	return cn.call == k && cn.resp.hook && len(k.Several) == 0 && cn.resp.says == 200
+	if cn.call != k || !cn.resp.hook || len(k.Several) > 0 || cn.resp.says != http.StatusOK {
+		return lifecycle.Nobodys, false
+	}
+	return cn.believeLast(k), true
 }
 
 // lost is how a call ends whose connection broke.
@@ -97,68 +103,123 @@
 
 // data takes in what the socket gave; it runs on the connection's goroutine.
 func (cn *conn) data(c *Caller, b []byte) {
-	cn.mu.Lock()
-	k := cn.call
-	if k == nil && cn.tail {
-		rest, err := cn.resp.feed(b)
-		whole := cn.resp.Done()
-		keep := err == nil && whole && len(rest) == 0 && cn.resp.keep
-		if whole || err != nil {
-			cn.tail = false
-		}
-		cn.mu.Unlock()
-		if keep {
-			cn.pool.give(cn)
-		} else if whole || err != nil {
-			_ = cn.nb.Close()
+	for more := true; more; {
+		cn.mu.Lock()
+		switch k := cn.call; {
+		case k != nil:
+			b, more = cn.dataFor(k, b)
+		case cn.tail:
+			cn.dataBehind(b)
+			more = false
+		default:
+			cn.mu.Unlock()
+			cn.unasked()
+			more = false
 		}
-		return
 	}
-	if k == nil { // bytes without a request: not to be trusted further
-		cn.mu.Unlock()
-		if c.opt.Unsolicited != nil {
-			c.opt.Unsolicited(cn.host)
-		}
+}
+
+// dataBehind takes in the rest of an answer whose call has ended; it takes over mu.
+func (cn *conn) dataBehind(b []byte) {
+	rest, err := cn.resp.feed(b)
+	whole := cn.resp.Done()
+	keep := err == nil && whole && cn.resp.keep
+	if whole || err != nil {
+		cn.tail = false
+	}
+	cn.mu.Unlock()
+	switch {
+	case err == nil && len(rest) > 0:
+		cn.unasked()
+	case keep:
+		cn.pool.give(cn)
+	case whole || err != nil:
 		_ = cn.nb.Close()
-		return
 	}
+}
+
+// dataFor takes in data while a call is out; it takes over mu. more tells that what is left of
+// the data follows an answer that was not this call's.
+func (cn *conn) dataFor(k *call, b []byte) (rest []byte, more bool) {
 	rest, err := cn.resp.feed(b)
 	r := cn.resp // what it says, not its parser, is used further
 	if err != nil {
-		cn.call = nil
-		cn.mu.Unlock()
-		_ = cn.nb.Close()
-		k.end(nonsense, &r)
-		return
+		cn.spoilt(k, &r)
+		return nil, false
 	}
 	if !cn.resp.Done() {
-		if r.hook && r.says == 200 && len(k.Several) == 0 && cn.sent.Load() >= cn.size.Load() {
-			cn.call, cn.tail = nil, true
-			cn.mu.Unlock()
-			cn.finish()
-			k.end(nonsense, &r)
-			return
+		if r.hook && r.says == http.StatusOK && len(k.Several) == 0 && cn.written() {
+			cn.saysAll(k, &r)
+			return nil, false
 		}
 		cn.mu.Unlock()
-		return
+		return nil, false
+	}
+	belief := cn.believe(k, len(rest) > 0)
+	if belief == lifecycle.Nobodys {
+		return cn.passOver(k, &r, rest)
 	}
+	unconfirmed := cn.answered(k, belief)
 	cn.bill.Store(nil)
 	if cn.book != nil {
 		cn.book.Answered(cn.addr)
 	}
-	keep := cn.resp.keep && len(rest) == 0
 	cn.call = nil
-	what := answered
-	if cn.sent.Load() < cn.size.Load() {
+	what, keep := answered, cn.resp.keep && belief != lifecycle.Doubtful
+	if !cn.written() {
 		what, keep = early, false
 	}
 	cn.mu.Unlock()
-	if keep {
+	switch {
+	case len(rest) > 0:
+		cn.unasked()
+	case keep:
 		cn.pool.give(cn) // first, so that the next call finds it
-	} else {
+	default:
+		_ = cn.nb.Close() // what is not confirmed is told with the end of the connection
+	}
+	k.endBelieved(what, &r, belief, unconfirmed)
+	return nil, false
+}
+
+// spoilt ends a call whose answer is none; it takes over mu.
+func (cn *conn) spoilt(k *call, r *response) {
+	belief := cn.believeLast(k)
+	cn.call = nil
+	cn.mu.Unlock()
+	_ = cn.nb.Close()
+	k.endBelieved(nonsense, r, belief, 0)
+}
+
+// saysAll ends a call by the first line of its answer; the rest is read without it. It takes over mu.
+func (cn *conn) saysAll(k *call, r *response) {
+	belief := cn.believeLast(k)
+	unconfirmed := cn.answered(k, belief)
+	cn.call, cn.tail = nil, true
+	cn.mu.Unlock()
+	cn.finish()
+	k.endBelieved(nonsense, r, belief, unconfirmed)
+}
+
+// passOver leaves an answer that is not the call's own. One that names other messages is skipped,
+// for the call's own names its messages as well; behind one that came before the call was written
+// nothing can be told apart. It takes over mu.
+func (cn *conn) passOver(k *call, r *response, rest []byte) (left []byte, more bool) {
+	c := cn.pool.c
+	now := c.now()
+	if !cn.written() {
+		cn.call = nil
+		cn.mu.Unlock()
 		_ = cn.nb.Close()
+		k.endBelieved(early, r, lifecycle.Nobodys, 0)
+		return nil, false
 	}
-	k.end(what, &r)
+	doubted := cn.life.Retract(now)
+	cn.resp.reset(c.opt.Limits)
+	cn.resp.hook, cn.resp.keeps = true, true
+	cn.mu.Unlock()
+	cn.broke(now, 0, doubted)
+	return rest, len(rest) > 0
 }
 
 // closed takes in the end of a connection.
@@ -169,15 +230,22 @@
 	r := &cn.resp
 	whole := k != nil && r.AtClose()
 	final := *r
+	belief := lifecycle.Own
+	if k != nil && final.says != 0 {
+		belief = cn.believeLast(k)
+	}
+	doubted := cn.retracted()
+	cn.life.Closed()
 	cn.mu.Unlock()
 	cn.leave()
+	tellAll(doubted)
 	switch {
 	case k == nil:
 	case whole: // content that runs to the close is whole by it
-		k.end(answered, &final)
+		k.endBelieved(answered, &final, belief, 0)
 	default:
-		if final.hook && final.says == 200 && len(k.Several) == 0 {
-			k.end(nonsense, &final)
+		if final.hook && final.says == http.StatusOK && len(k.Several) == 0 {
+			k.endBelieved(nonsense, &final, belief, 0)
 			return
 		}
 		cn.hung(k.caller)
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/addr"
-	"basaltcross.example/basaltcross/internal/engine"
-	"basaltcross.example/basaltcross/internal/secure"
 )
 
 // pool is the connections of one endpoint, and the calls that wait for one. What
@@ -61,33 +56,15 @@
 // take finds a kept connection for a call; if there is none, the call waits, and
 // one is opened if it may be.
 func (p *pool) take(k *call) (found *conn) {
-	var old, later []*conn
 	p.mu.Lock()
-	now := p.c.now()
-	for found == nil && len(p.idle) > 0 {
-		cn := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		switch {
-		case cn.nb.IsClosed() || !p.keep.Fresh(now, cn.born, cn.life, cn.since):
-			old = append(old, cn)
-		default:
-			switch cn.peek() {
-			case ready:
-				found = cn
-			case ended:
-				old = append(old, cn)
-			case unread:
-				later = append(later, cn)
-			}
-		}
-	}
-	p.idle = append(p.idle, later...)
+	found, turned := p.choose(k)
 	if found == nil {
 		p.waiting = append(p.waiting, k)
 		p.more()
+		p.awaitRest(p.c.now())
 	}
 	p.mu.Unlock()
-	closeAll(old)
+	turned.end()
 	return found
 }
 
@@ -143,7 +120,7 @@
 	d.over = true
 	waits := d.k != nil && slices.Contains(p.waiting, d.k)
 	if err == nil {
-		cn.born, cn.life = p.c.now(), p.keep.Life()
+		cn.born, cn.lasts = p.c.now(), p.keep.Life()
 	} else {
 		if cn == nil || !cn.gone.Swap(true) {
 			p.opened(-1)
@@ -163,29 +140,38 @@
 	}
 }
 
-// give hands a connection to the first call that waits, or keeps it.
+// give hands a connection to the first call that waits and may go out on it, or keeps it.
 func (p *pool) give(cn *conn) {
 	for {
 		p.mu.Lock()
 		now := p.c.now()
 		cn.since = now
-		usable := p.keep.Fresh(now, cn.born, cn.life, now) && (cn.book == nil || cn.book.Has(cn.addr))
-		if !usable || len(p.waiting) == 0 {
+		usable := p.keep.Fresh(now, cn.born, cn.lasts, now) && (cn.book == nil || cn.book.Has(cn.addr)) && !(cn.used() && cn.spent())
+		k, found := (*call)(nil), ready
+		if usable {
+			if k = p.next(now, cn); k != nil && cn.used() {
+				found = cn.peek()
+			}
+		}
+		if k == nil || found != ready {
 			most := int64(p.c.opt.Descriptors)
-			keeps := usable && !cn.gone.Load() && !p.barred && p.keep.Kept(len(p.idle)) && (most == 0 || p.c.open.Load() <= most)
+			keeps := usable && found != ended && found != unasked && !cn.gone.Load() && !p.barred && p.keep.Kept(len(p.idle)) &&
+				(most == 0 || p.c.open.Load() <= most)
 			if keeps {
 				p.idle = append(p.idle, cn)
+				p.awaitRest(now)
 			}
 			p.more()
 			p.mu.Unlock()
-			if !keeps {
+			switch {
+			case found == unasked:
+				cn.unasked()
+			case !keeps:
 				_ = cn.nb.Close()
 			}
 			return
 		}
-		k := p.waiting[0]
-		p.waiting = slices.Delete(p.waiting, 0, 1)
-		cn.used = true
+		p.unwait(k)
 		p.mu.Unlock()
 		if k.write(cn) {
 			return
@@ -201,8 +187,7 @@
 	if s != unready {
 		p.keep.Ended(p.c.now(), s == answered)
 	}
-	if i := slices.Index(p.waiting, k); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
+	if p.unwait(k) {
 		if k.dial != nil && p.connecting > len(p.waiting) {
 			k.dial.cancel() // nobody else waits for it
 		}
@@ -230,7 +215,7 @@
 	if i := slices.Index(p.idle, cn); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
 	}
-	p.keep.Spent(cn.used)
+	p.keep.Spent(cn.used())
 	p.spares()
 }
 
@@ -266,13 +251,14 @@
 				if p.open == 0 && p.out == 0 {
 					delete(c.pools, host)
 					delete(c.barred, host)
+					c.conduct.Forget(c.now(), host)
 				}
 				p.mu.Unlock()
 			}
 			c.mu.Unlock()
 			for _, p := range pools {
 				now := c.now()
-				closeAll(p.drain(func(cn *conn) bool { return !p.keep.Fresh(now, cn.born, cn.life, cn.since) }))
+				closeAll(p.drain(func(cn *conn) bool { return !p.keep.Fresh(now, cn.born, cn.lasts, cn.since) }))
 			}
 		}
 	}
@@ -361,123 +347,3 @@
 	c.mu.Unlock()
 	closeAll(old)
 }
-
-// What peek finds on an idle connection.
-const (
-	ready  = iota
-	ended  // the peer closed, or sent what nobody asked for
-	unread // TLS records wait to be read: not now
-)
-
-// peek looks whether the peer closed a connection that idles, which the engine
-// may not have noticed yet: a request into it would be lost, and may have run.
-func (cn *conn) peek() int {
-	switch found := cn.nb.Peek(); {
-	case found == engine.Nothing:
-		return ready
-	case found == engine.Bytes && cn.sec != nil:
-		return unread
-	}
-	return ended
-}
-
-// connect sets up one connection: the race of its addresses, then TLS, then the
-// engine. It never carries a byte of a request, so an address whose handshake
-// fails may be followed by another; with others left it gets half of the time.
-func (c *Caller) connect(ctx context.Context, p *pool, all time.Duration) (*conn, error) {
-	book := c.book(p.host)
-	end := time.Now().Add(all)
-	for tries := 1; ; tries++ {
-		left := time.Until(end)
-		raw, at, err := c.race(ctx, p.host, left, book)
-		if err != nil {
-			return nil, err
-		}
-		cn := &conn{pool: p, host: p.host, home: bill{class: -1, partner: p.partner}, addr: at, book: book}
-		var cfg func() *tls.Config
-		if c.opt.Hook == nil {
-			cfg = c.opt.Targets[p.partner].TLS
-		}
-		if cfg == nil {
-			return c.plain(cn, raw)
-		}
-		within, last := book.Handshake(tries, left)
-		shake, cancel := context.WithTimeout(ctx, within)
-		err = c.secure(shake, cn, raw, cfg())
-		cancel()
-		if err == nil {
-			return cn, nil
-		}
-		if c.opt.Failed != nil {
-			c.opt.Failed(p.host, err)
-		}
-		if book != nil && ctx.Err() == nil {
-			book.Failed(c.now(), at)
-		}
-		if last || ctx.Err() != nil {
-			return cn, err
-		}
-		if cn.gone.Swap(true) { // it left the pool by itself; the next one stands for it
-			p.mu.Lock()
-			p.opened(1)
-			p.mu.Unlock()
-		}
-	}
-}
-
-func (c *Caller) plain(cn *conn, raw net.Conn) (*conn, error) {
-	_, err := c.engine.Adopt(raw, func(nb *engine.Conn) engine.Handler {
-		cn.nb, cn.out = nb, nb
-		return cn
-	})
-	if err != nil {
-		return cn, errOurs
-	}
-	return cn, nil
-}
-
-func (c *Caller) secure(ctx context.Context, cn *conn, raw net.Conn, t *tls.Config) error {
-	if t.ServerName == "" {
-		t.ServerName, _, _ = net.SplitHostPort(cn.host)
-	}
-	t.ClientSessionCache = c.tls.of(cn.pool.partner, t.RootCAs, cn.host+" "+cn.addr.String())
-	return secure.Client(ctx, counted{raw, c, cn}, t, c.engine, func(nb *engine.Conn, b []byte) (int, error) {
-		cn.size.Add(int64(len(b)))
-		return nb.Write(b)
-	}, func(nb *engine.Conn, s *secure.Conn) engine.Handler {
-		cn.nb, cn.out, cn.sec = nb, s, s
-		return cn
-	}, func(b []byte) { cn.data(c, b) })
-}
-
-// sessions are TLS sessions to resume, by endpoint and address: two addresses of
-// one name may be two machines with keys of their own. With new authorities, or
-// another partner's, none is resumed.
-type sessions struct {
-	tls.ClientSessionCache
-	mu    sync.Mutex
-	roots map[int]any // by partner: the authorities last seen
-	turn  map[int]int // how often they changed
-}
-
-func newSessions(most int) *sessions {
-	return &sessions{ClientSessionCache: tls.NewLRUClientSessionCache(max(1, most)), roots: map[int]any{}, turn: map[int]int{}}
-}
-
-type scoped struct {
-	all    tls.ClientSessionCache
-	prefix string
-}
-
-func (s *sessions) of(partner int, roots any, where string) tls.ClientSessionCache {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.roots[partner] != roots {
-		s.roots[partner] = roots
-		s.turn[partner]++
-	}
-	return scoped{s.ClientSessionCache, fmt.Sprintf("%d %d %s ", partner, s.turn[partner], where)}
-}
-
-func (s scoped) Get(key string) (*tls.ClientSessionState, bool) { return s.all.Get(s.prefix + key) }
-func (s scoped) Put(key string, cs *tls.ClientSessionState)     { s.all.Put(s.prefix+key, cs) }
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -45,6 +45,9 @@
 // package lifecycle end the process, for tests.
 const strictVariable = "BASALTCROSS_STRICT"
 
+// trustVariable names the one that has every answer of a host believed, for tests that must fail.
+const trustVariable = "BASALTCROSS_TRUST_PEERS"
+
 // traceVariable names the one that has each step of each request logged, or only those that it
 // lists, separated by commas.
 const (
@@ -151,7 +154,7 @@
 	s := &cfg.Settings
 	n.caller, err = partner.New(partner.Options{Name: cfg.Name, Hook: &partner.Hook{Host: cfg.Name, Columns: s.Columns},
 		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Dial: s.DialTimeout, Descriptors: b.Hosts,
-		Unsolicited: func(host string) { n.warn("host").Str("host", host).Msg("bytes that nobody asked for") }})
+		Refused: n.refusedOf, Trace: trace(log), TrustPeers: os.Getenv(trustVariable) != ""})
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +170,7 @@
 	}
 	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, Arrivals: b.Clients, Identities: b.Identities, Keep: longest,
 		Caller: n.caller, Observer: n.watch, Journal: n.keep, Every: true, Together: bodyBytes, Forgetful: true, Late: clientWaits,
-		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard, Trace: trace(log)})
+		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard, Trace: trace(log), Undelivered: n.undelivered})
 	if err != nil {
 		return nil, err
 	}
@@ -213,6 +216,22 @@
 
 func (n *Node) warn(cause string) *zerolog.Event { return n.log.Warn().Str("cause", cause) }
 
+// undelivered tells the platform that a message has failed which was delivered by an answer that was
+// another call's: a notice for a message that is over does no harm.
+func (n *Node) undelivered(identity string) {
+	n.warn("host").Str("id", identity).Msg("delivered by an answer that was not its own")
+	n.said.Add(identity, ledger.Answer{Verdict: ledger.Failed})
+}
+
+// refusedOf logs what was refused of a host; connections that are not used again are only counted.
+func (n *Node) refusedOf(r lifecycle.PeerRefusal) {
+	if r.Breach == lifecycle.ReuseForbidden || r.Breach == lifecycle.ReuseUnrested {
+		return
+	}
+	n.warn("host").Str("breach", string(r.Breach)).Str("host", r.Peer).Uint64("connection", r.Connection).Int("turn", r.Turn).
+		Str("id", r.Message).Msg("not believed")
+}
+
 // plan decides what follows from a journal's records now: ages count until this
 // moment, not until the journal was opened.
 func plan(cfg *Config, k *journal.Kept, now journal.Run) (recover.Plan, map[string]recover.Class) {
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -18,9 +18,9 @@
 
 	mu       sync.Mutex
 	taken    int
-	answered [5]int // by verdict
-	attempts [8]int // by outcome
-	held     int    // now
+	answered [5]int                  // by verdict
+	attempts [choice.Doubted + 1]int // by outcome
+	held     int                     // now
 	out      int
 	mostHeld int // since the last saying
 	mostOut  int
@@ -92,6 +92,6 @@
 		Str("attempts", strings.Join(tries, ", ")).Int("held", w.held).Int("held_most", w.mostHeld).Int("out", w.out).
 		Int("out_most", w.mostOut).Int("clients", n.front.Connections()).Int64("at_once", f.Refused.Load()+f.Failed.Load()).
 		Int64("rejected", f.Rejected.Load()).Int64("turned_away", f.Closed.Load()).Int64("evicted", f.Evicted.Load()).
-		Interface("closes", f.Closes.Counts()).Interface("violations", n.guard.Counts()).Int("notices", n.said.Len()).Uint64("disk", n.keep.Stats().Disk).Msg("since the last such line")
-	w.taken, w.answered, w.attempts, w.mostHeld, w.mostOut = 0, [5]int{}, [8]int{}, w.held, w.out
+		Interface("closes", f.Closes.Counts()).Interface("violations", n.guard.Counts()).Interface("peers", n.caller.Refusals()).Int("notices", n.said.Len()).Uint64("disk", n.keep.Stats().Disk).Msg("since the last such line")
+	w.taken, w.answered, w.attempts, w.mostHeld, w.mostOut = 0, [5]int{}, [choice.Doubted + 1]int{}, w.held, w.out
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/keys"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/member"
 	"basaltcross.example/basaltcross/internal/mqttfront"
 	"basaltcross.example/basaltcross/internal/obs"
@@ -160,7 +161,7 @@
 		Keep: addr.KeepSettings{Idle: cfg.Relay.ConnIdle.D(), Age: cfg.PartnerCalls.ConnAge.D(),
 			Most: cfg.PartnerCalls.IdlePerHost, Spare: cfg.PartnerCalls.Spares, Connecting: cfg.PartnerCalls.Connecting},
 		Sessions: cfg.PartnerCalls.Sessions,
-		Traffic:  counted, Unsolicited: r.obs.Unsolicited, Failed: r.obs.HandshakeOut,
+		Traffic:  counted, Refused: r.refusedOf, Failed: r.obs.HandshakeOut,
 		Dialed: r.obs.Dialed})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
@@ -442,3 +443,10 @@
 var _ directory.Sink = (*core.Core)(nil)
 var _ front.Door = (*core.Core)(nil)
 var _ core.Caller = (*partner.Caller)(nil)
+
+// refusedOf counts and logs bytes that a partner sent without a request.
+func (r *Relay) refusedOf(refusal lifecycle.PeerRefusal) {
+	if refusal.Breach == lifecycle.BytesUnasked {
+		r.obs.Unsolicited(refusal.Peer)
+	}
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -35,7 +35,7 @@
 const Cause = "trace"
 
 // fields name the value of a step.
-var fields = map[string]string{"read": "connection", "taken": "number", "send": "host", "begun": "timeout", "result": "outcome", "ended": "verdict",
+var fields = map[string]string{"read": "connection", "taken": "number", "send": "host", "begun": "timeout", "call": "connection", "unconfirmed": "until", "result": "outcome", "ended": "verdict",
 	"told": "verdict", "taken_back": "number", "overdue": "said", "response": "status", "close": "reason", "error": "error"}
 
 // Field is the name of the value that a step has.
