Agent: each post of notices has a connection of its own; its answer is no other's

Cause: Notices.post kept its connection and read whatever came first: a second copy of the agent's 204 acknowledged the next batch, which nobody took where its connection was closed unread.

Change: a connection a post; lifecycle.PeerConn decides that it carries one request and that an answer counts once the request was written. The watch asks it as well: it is the first request of its connection, and its lines have revisions.

Why this works: only the first answer on a connection is its request's by construction. The agent is on the same machine: a handshake costs nothing there.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"basaltcross.example/basaltcross/internal/engine"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // Client opens connections to the agent.
@@ -59,11 +60,14 @@
 	errSilent = errors.New("agent: silent for too long")
 	errEnded  = errors.New("agent: the connection ended")
 	errMoved  = errors.New("agent: its address has changed")
+	// errNobodys: what came cannot be the answer to what was asked.
+	errNobodys = errors.New("agent: an answer to nothing that was asked")
 )
 
-// link is one connection. What it reads waits, bounded, until it is asked for.
+// link is one connection, for one request. What it reads waits, bounded, until it is asked for.
 type link struct {
 	nb    *engine.Conn
+	life  lifecycle.PeerConn // of the goroutine that asks
 	to    string
 	wake  chan struct{}
 	mu    sync.Mutex
@@ -135,7 +139,31 @@
 	}
 }
 
-func (l *link) close() { _ = l.nb.Close() }
+func (l *link) close() {
+	l.life.Closed()
+	_ = l.nb.Close()
+}
+
+// ask sends a request, the first and only one on the connection.
+func (l *link) ask(request []byte) error {
+	if l.life.MayCarry(0, lifecycle.PeerRule{FirstOnly: true}) != lifecycle.CarryNow {
+		return errNobodys
+	}
+	l.life.Begin(0)
+	if _, err := l.nb.Write(request); err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	return nil
+}
+
+// believe decides how far an answer, or a part of one, is believed of the request: as the first on
+// its connection it is the request's own once that was written.
+func (l *link) believe(followed bool) lifecycle.Belief {
+	if l.nb.Unsent() > 0 {
+		return lifecycle.Nobodys
+	}
+	return l.life.Believe(lifecycle.PeerAnswer{Written: true, Followed: followed})
+}
 
 // read waits for bytes: at most so long, until the agent moves, or ctx ends.
 func (l *link) read(ctx context.Context, within time.Duration, moved <-chan struct{}) ([]byte, error) {
--- a/internal/agent/notices.go
+++ b/internal/agent/notices.go
@@ -10,6 +10,7 @@
 
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // notice is one line to the platform.
@@ -83,12 +84,6 @@
 
 // Run hands over until ctx ends.
 func (n *Notices) Run(ctx context.Context) {
-	var l *link
-	defer func() {
-		if l != nil {
-			l.close()
-		}
-	}()
 	for fails := 0; ; {
 		batch, body := n.batch()
 		if len(batch) == 0 {
@@ -100,8 +95,8 @@
 			continue
 		}
 		addr, moved := n.client.at()
-		var err error
-		if l, err = n.post(ctx, l, addr, moved, batch, body); err == nil {
+		err := n.post(ctx, addr, moved, batch, body)
+		if err == nil {
 			fails = 0
 			n.mu.Lock()
 			n.list = n.list[len(batch):]
@@ -126,7 +121,7 @@
 			continue
 		}
 		if errors.Is(err, errEnded) && fails == 0 {
-			fails++ // a kept connection that had ended: at once on a new one
+			fails++ // the connection ended: at once on another one
 			continue
 		}
 		timer := time.NewTimer(min(backOff(fails), mostRest))
@@ -155,26 +150,17 @@
 	return batch, body
 }
 
-// post sends one batch, on the connection kept if there is one.
-func (n *Notices) post(ctx context.Context, l *link, addr string, moved <-chan struct{}, batch []notice, body []byte) (*link, error) {
-	if l != nil && l.to != addr {
-		l.close()
-		l = nil
-	}
-	var err error
-	if l == nil {
-		if l, err = n.client.dial(ctx, addr, answerTime, moved); err != nil {
-			return nil, err
-		}
-	}
-	drop := func(err error) (*link, error) {
-		l.close()
-		return nil, err
+// post sends one batch, on a connection of its own: what comes there was asked for by nothing else.
+func (n *Notices) post(ctx context.Context, addr string, moved <-chan struct{}, batch []notice, body []byte) error {
+	l, err := n.client.dial(ctx, addr, answerTime, moved)
+	if err != nil {
+		return err
 	}
+	defer l.close()
 	head := fmt.Sprintf("POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\nContent-Length: %d\r\n\r\n",
 		addr, len(body))
-	if _, err := l.nb.Write(append([]byte(head), body...)); err != nil {
-		return drop(errEnded)
+	if err := l.ask(append([]byte(head), body...)); err != nil {
+		return errEnded
 	}
 	a := &answer{}
 	a.Prefix = "HTTP/"
@@ -182,19 +168,18 @@
 	for !a.Done() {
 		b, err := l.read(ctx, answerTime, moved)
 		if err != nil {
-			return drop(err)
+			return err
 		}
 		rest, err := a.Feed(b, a)
-		if err != nil || len(rest) > 0 {
-			return drop(errors.Join(errEnded, err))
+		if err != nil {
+			return errors.Join(errEnded, err)
+		}
+		if a.Done() && l.believe(len(rest) > 0) != lifecycle.Own {
+			return errNobodys
 		}
 	}
 	if a.status != 204 {
-		return drop(fmt.Errorf("agent: %d notices were answered with %d", len(batch), a.status))
-	}
-	if !a.keep {
-		l.close()
-		l = nil
+		return fmt.Errorf("agent: %d notices were answered with %d", len(batch), a.status)
 	}
-	return l, nil
+	return nil
 }
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -13,6 +13,7 @@
 
 	"basaltcross.example/basaltcross/internal/directory"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/member"
 )
 
@@ -123,8 +124,8 @@
 	}
 	defer l.close()
 	request := "GET /discovery/hosts?watch=1&after=" + strconv.FormatInt(w.rev, 10) + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n"
-	if _, err := l.nb.Write([]byte(request)); err != nil {
-		return false, fmt.Errorf("agent: %w", err)
+	if err := l.ask([]byte(request)); err != nil {
+		return false, err
 	}
 	a := &answer{}
 	a.Prefix = "HTTP/"
@@ -151,6 +152,9 @@
 			return heard, err
 		}
 		last = time.Now()
+		if l.believe(false) != lifecycle.Own {
+			return heard, errNobodys
+		}
 		if _, err := a.Feed(b, a); err != nil {
 			return heard, err
 		}
