A client that ends its sending behind a request is answered before its connection ends

Cause: the engine ended a connection with the peer's FIN, whatever was owed on it; to the front it looked like a client that leaves.

Change: engine.HalfCloser lets a handler outlast the peer's end; hookfront does while a request is being answered and its client waits, then closes. A client that left for good is withdrawn when its time is over instead of at once, where that time is known.

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -223,6 +223,9 @@
 			a.of("no call after the notice").check(!x.At.After(c.Notices[0].At.Add(late)), c.String)
 		}
 	}
+	if c.Lane.Effect == AtMostOnce {
+		a.of("what may have run is not told as refused").check(!c.mayHaveRun() || len(c.Notices) == 0 || c.Notices[0].Result != "bounced", c.String)
+	}
 	if len(c.Notices) > 0 && c.Notices[0].Result == "bounced" {
 		a.of("a message delivered before a restart has no refusal").check(!a.forgotten(c), c.String)
 	}
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -32,6 +32,7 @@
 	Pause    time.Duration // the longest between two requests
 	Seed     uint64
 	Rude     func() bool // whether the next request is left half sent; may be nil
+	Ends     func() bool // whether the client ends its sending behind the next request; may be nil
 
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -140,8 +141,15 @@
 	if err != nil {
 		return Reply{At: time.Now(), End: endOf(err), Fresh: fresh}
 	}
+	ends := c.Ends != nil && c.Ends()
+	if tcp, ok := c.conn.(*net.TCPConn); ok && ends {
+		_ = tcp.CloseWrite()
+	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(clientWaits))
 	reply := c.read()
+	if ends {
+		c.drop()
+	}
 	reply.Fresh = fresh
 	return reply
 }
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -345,6 +345,13 @@
 	return 0
 }
 
+// mayHaveRun tells whether a call was not refused, as far as its relay can know.
+func (c *Course) mayHaveRun() bool {
+	return slices.ContainsFunc(c.Calls, func(x Call) bool {
+		return x.Status != 429 && x.Status != 503 && x.Status != 504 && x.Status != 410
+	})
+}
+
 // Replies counts what clients read, by status or end.
 func (r *Record) Replies() (requests int, by map[string]int) {
 	r.mu.Lock()
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -259,6 +259,7 @@
 	Hanging             // reads and does not answer
 	Cutting             // ends half of the connections under a request, with an answer begun or not
 	Forget              // closes every connection behind an answer, which does not say so
+	Blank               // answers some calls with a header that has no status
 )
 
 // Host is one host. Refused messages never run.
@@ -287,6 +288,7 @@
 	pause  time.Duration
 	wait   time.Duration
 	forget bool
+	blank  bool
 }
 
 // hostTime is the longest that a host which is well takes.
@@ -315,6 +317,11 @@
 		}
 	case Forget:
 		f.forget = true
+	case Blank:
+		f.blank, f.ran = x < 0.1, x < 0.05 || x >= 0.1
+		if f.blank {
+			f.status = 0
+		}
 	}
 	if h.mood == Well && x < 0.05 {
 		f.status, f.ran = 503, false
@@ -366,6 +373,10 @@
 			rec.Ran(x.ID, x.number)
 		}
 	}
+	if first.blank {
+		h.blank(w)
+		return
+	}
 	if first.status == 0 && !first.cut {
 		<-r.Context().Done()
 		return
@@ -446,6 +457,15 @@
 	}
 }
 
+// blank answers with a header that has no status.
+func (h *Host) blank(w http.ResponseWriter) {
+	if conn, buf, err := http.NewResponseController(w).Hijack(); err == nil {
+		_, _ = buf.WriteString("HTTP/1.1 \r\n\r\n")
+		_ = buf.Flush()
+		_ = conn.Close()
+	}
+}
+
 // forget closes the connection behind its answer.
 func (h *Host) forget(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).Flush()
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -22,9 +22,11 @@
 
 	mu       sync.Mutex
 	open     bool
-	why      error // it is not open any more
-	ending   bool  // nothing is written behind what waits, and then the sending side ends
-	discard  bool  // what comes is dropped
+	why      error         // it is not open any more
+	ended    chan struct{} // closed with it
+	heardAll bool          // the peer has ended its sending
+	ending   bool          // nothing is written behind what waits, and then the sending side ends
+	discard  bool          // what comes is dropped
 	dropped  int
 	pending  []byte // to be written
 	by       time.Time
@@ -78,6 +80,9 @@
 			time.Sleep(pause)
 			pause = min(2*pause, longestPause)
 		default:
+			if errors.Is(err, io.EOF) {
+				c.outlast()
+			}
 			c.mu.Lock()
 			c.abort(err)
 			c.mu.Unlock()
@@ -87,6 +92,22 @@
 	}
 }
 
+// outlast keeps a connection whose peer has ended its sending until the handler has ended it too, if
+// the handler wants that.
+func (c *Conn) outlast() {
+	h, may := c.handler.(HalfCloser)
+	if !may || !h.HalfClosed() {
+		return
+	}
+	c.mu.Lock()
+	c.heardAll = true
+	if c.ending && len(c.pending) == 0 { // both sides have ended by now
+		c.abort(io.EOF)
+	}
+	c.mu.Unlock()
+	<-c.ended
+}
+
 // passes tells an error of a read or write that says nothing of the connection: the system had
 // no memory for it at that moment.
 func passes(err error) bool { return err == syscall.ENOMEM || err == syscall.ENOBUFS }
@@ -266,6 +287,7 @@
 		return
 	}
 	c.open, c.why, c.pending = false, why, nil
+	close(c.ended)
 	for _, t := range []*time.Timer{c.retry, c.closedBy} {
 		if t != nil {
 			t.Stop()
@@ -278,8 +300,11 @@
 func (c *Conn) shut() {
 	var err error
 	closed := c.socket.Control(func(fd uintptr) { err = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-	if err = errors.Join(closed, err); err != nil {
+	switch err = errors.Join(closed, err); {
+	case err != nil:
 		c.abort(err)
+	case c.heardAll:
+		c.abort(io.EOF)
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,14 @@
 	Closed()       // once, after the last Data, on the same goroutine
 }
 
+// HalfCloser is a Handler that may still owe its peer something when that has ended its sending.
+type HalfCloser interface {
+	// HalfClosed takes in that the peer has ended its sending, and tells whether the connection
+	// is kept for what is still to be written. Its end is then the handler's to make: nothing more is
+	// read, so that a peer that leaves is noticed by a write only.
+	HalfClosed() bool
+}
+
 // Options of an Engine.
 type Options struct {
 	Name        string
@@ -61,7 +69,7 @@
 // Adopt serves a connected socket. bind makes its handler, before any data can come. On an
 // error the socket is closed, and the handler is told so.
 func (e *Engine) Adopt(raw net.Conn, bind func(*Conn) Handler) (*Conn, error) {
-	c := &Conn{engine: e, raw: raw, open: true, local: raw.LocalAddr(), remote: raw.RemoteAddr()}
+	c := &Conn{engine: e, raw: raw, open: true, ended: make(chan struct{}), local: raw.LocalAddr(), remote: raw.RemoteAddr()}
 	err := c.takeSocket()
 	c.handler = bind(c)
 	if err == nil {
--- a/internal/hookfront/conn.go
+++ b/internal/hookfront/conn.go
@@ -79,6 +79,8 @@
 	asked   atomic.Bool   // a request was answered
 	waited  time.Duration // the connection may have stood in the listener's queue so long
 	leaving atomic.Bool   // about to be closed to make room
+	// The client has ended its sending behind a request that is being answered.
+	halfClosed atomic.Bool
 
 	mu      sync.Mutex
 	req     http1.Request
@@ -140,6 +142,30 @@
 	c.withdraw()
 }
 
+// HalfClosed takes in that the client has ended its sending. Behind a request that was read it may wait for the
+// answer: that is written before the connection ends (RFC 9112, 9.6), while a client waits.
+func (c *conn) HalfClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.req.Keep = false
+	stays := !c.shut && c.life.Phase() == lifecycle.Answering && c.front.opt.Wait > 0
+	c.halfClosed.Store(stays)
+	return stays
+}
+
+// forsaken tells whether the client has ended its sending and its answer is still owed.
+func (c *conn) forsaken() bool { return c.halfClosed.Load() && c.life.Phase() == lifecycle.Answering }
+
+// forsake ends such a connection once its client waits no more, and withdraws the message.
+func (c *conn) forsake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open != nil && time.Duration(front.Now()) > c.life.By() {
+		c.withdraw()
+		c.close(lifecycle.CloseClient)
+	}
+}
+
 // withdraw says that nobody waits for the answer to the open request any more; under mu.
 func (c *conn) withdraw() {
 	if x := c.open; x != nil {
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -160,17 +160,21 @@
 }
 
 func (f *Front) shutIdle(why lifecycle.Reason, pick func(*conn) bool) {
-	var out []*conn
+	for _, c := range f.pick(pick) {
+		c.end(why)
+	}
+}
+
+// pick are the connections that a test picks.
+func (f *Front) pick(test func(*conn) bool) (out []*conn) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for c := range f.conns {
-		if pick(c) {
+		if test(c) {
 			out = append(out, c)
 		}
 	}
-	f.mu.Unlock()
-	for _, c := range out {
-		c.end(why)
-	}
+	return out
 }
 
 // gone takes a connection off the table.
@@ -193,6 +197,9 @@
 			return
 		case now := <-tick.C:
 			f.shutIdle(lifecycle.CloseIdle, func(c *conn) bool { return c.overdue(now) })
+			for _, c := range f.pick((*conn).forsaken) {
+				c.forsake()
+			}
 		}
 	}
 }
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -224,6 +224,42 @@
 	}
 }
 
+// Guards against a request that is read and closed unanswered, because its client has ended its sending behind it and
+// waits for the answer; and against a message of a client that has left for good which is held for it.
+func TestHalfClosedClientIsAnsweredWhileItWaits(t *testing.T) {
+	f, d := startWith(t, func(o *Options) { o.Connections, o.Kept, o.Wait = 10, 10, 300*time.Millisecond })
+	for _, text := range []string{hand("ends", "notice", "7", "480", "", ""), "GET /up HTTP/1.1\r\nHost: r\r\n\r\n"} {
+		c := dial(t, f)
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		if got := drained(t, c, c); !strings.HasPrefix(got, "HTTP/1.1 20") {
+			t.Errorf("%q", got)
+		}
+	}
+	<-d.came
+	d.mu.Lock()
+	d.hold = true
+	d.mu.Unlock()
+	c := dial(t, f)
+	if _, err := io.WriteString(c, hand("leaves", "notice", "7", "480", "", "")); err != nil {
+		t.Fatal(err)
+	}
+	<-d.came
+	_ = c.Close()
+	<-d.came
+	if d.mu.Lock(); fmt.Sprint(d.abandoned) != "[leaves]" {
+		t.Errorf("abandoned %v", d.abandoned)
+	}
+	d.mu.Unlock()
+	for f.Connections() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Hundreds of silent connections leave room for who asks: the longest silent go first,
 // one with a request open never.
 func TestGreedyClients(t *testing.T) {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -35,7 +35,8 @@
 	busy    bool // within a restart
 	bad     []string
 	hits    map[shim.Kind]int
-	rude    bool
+	rude    bool   // clients leave within requests
+	ending  bool   // clients end their sending behind requests
 	known   string // address of discovery in the configuration
 }
 
@@ -284,6 +285,12 @@
 	}
 }
 
+func (n *node) ends() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ending
+}
+
 func (n *node) isRude() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -136,7 +136,7 @@
 	for _, n := range r.nodes {
 		for i := range opt.Clients {
 			c := &emulator.Client{Platform: platform, Node: n.number, Addr: n.addr, Name: fmt.Sprintf("c%d-%d", n.number, i), Lanes: lanes(),
-				Left: lifetime, Pause: 40 * time.Millisecond, Seed: opt.Seed*10_000 + uint64(n.number*100+i), Rude: n.isRude}
+				Left: lifetime, Pause: 40 * time.Millisecond, Seed: opt.Seed*10_000 + uint64(n.number*100+i), Rude: n.isRude, Ends: n.ends}
 			clients.Go(func() { c.Run(load) })
 		}
 	}
@@ -330,7 +330,7 @@
 		r.hit(k)
 	}
 	moods := map[Kind]emulator.Mood{HostFails: emulator.Failing, HostFull: emulator.Full, HostHangs: emulator.Hanging, HostCuts: emulator.Cutting,
-		HostForgets: emulator.Forget}
+		HostForgets: emulator.Forget, HostBlank: emulator.Blank}
 	if mood, is := moods[k]; is {
 		if !on {
 			mood = emulator.Well
@@ -369,6 +369,10 @@
 		n.mu.Lock()
 		n.rude = on
 		n.mu.Unlock()
+	case ClientsEnd:
+		n.mu.Lock()
+		n.ending = on
+		n.mu.Unlock()
 	default:
 		n.mu.Lock()
 		p := n.process
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -37,6 +37,8 @@
 	AgentNetReset Kind = "agent_net_reset"
 	HostRepeats   Kind = "host_repeats"  // answers come a second time, up to 2 s later
 	AgentRepeats  Kind = "agent_repeats" // acknowledgements, lists and lines of a watch do
+	HostBlank     Kind = "host_blank"    // headers of answers have no status
+	ClientsEnd    Kind = "clients_end"   // they end their sending behind a request, and wait
 	ClientsLeave  Kind = "clients_leave" // within a request
 	Crowd         Kind = "crowd"         // idle connections
 )
@@ -45,7 +47,7 @@
 func Kinds() []Kind {
 	all := []Kind{Kill, Term, TermTwice, Reload, AgentSilent, NoticesMute, HostFails, HostFull, HostHangs, HostCuts, HostForgets, HostDrains,
 		HostNetHold, HostNetReset, AgentNetHold, AgentNetReset, HostRepeats, AgentRepeats,
-		ClientsLeave, Crowd}
+		HostBlank, ClientsEnd, ClientsLeave, Crowd}
 	for _, k := range shim.Kinds {
 		all = append(all, Kind(k))
 	}
@@ -110,10 +112,10 @@
 // kinds that lie over them; of every other seed, of a few kinds. Further faults, of kinds and
 // lengths that came later, are drawn apart: the others of a seed stay what they were.
 func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
-	first, further, repeating := bySeries(kinds)
+	first, further, ofPeers := bySeries(kinds)
 	all := drawFirst(rand.New(rand.NewPCG(seed, firstSeries)), nodes, hosts, length, first, seed%2 == 0)
 	all = append(all, drawFurther(rand.New(rand.NewPCG(seed, furtherSeries)), nodes, length, kinds, further)...)
-	all = append(all, drawRepeating(rand.New(rand.NewPCG(seed, repeatSeries)), nodes, hosts, length, repeating)...)
+	all = append(all, drawPeers(rand.New(rand.NewPCG(seed, peerSeries)), nodes, hosts, length, ofPeers)...)
 	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
 	return all
 }
@@ -122,33 +124,33 @@
 const (
 	firstSeries   = 0xfa
 	furtherSeries = 0xfb
-	repeatSeries  = 0xfc
+	peerSeries    = 0xfc
 )
 
-// repeatKinds are drawn apart too, in every series.
-var repeatKinds = []Kind{HostRepeats, AgentRepeats}
+// peerKinds are drawn apart too, in every series: what the other side does with answers and ends.
+var peerKinds = []Kind{HostRepeats, AgentRepeats, HostBlank, ClientsEnd}
 
 // furtherKinds are drawn apart from the others.
 var furtherKinds = []Kind{Kind(shim.PollInterrupted), Kind(shim.ReadNoMemory), Kind(shim.WriteNoMemory), Kind(shim.SockoptFails),
 	Kind(shim.FileReadFails), Kind(shim.DiskDown), Kind(shim.AcceptDown), Kind(shim.WriteDown)}
 
-// bySeries tells kinds of the first series from further ones and from peers that repeat.
-func bySeries(kinds []Kind) (first, further, repeating []Kind) {
+// bySeries tells kinds of the first series from further ones and from those of peers.
+func bySeries(kinds []Kind) (first, further, ofPeers []Kind) {
 	for _, k := range kinds {
 		switch {
 		case slices.Contains(furtherKinds, k):
 			further = append(further, k)
-		case slices.Contains(repeatKinds, k):
-			repeating = append(repeating, k)
+		case slices.Contains(peerKinds, k):
+			ofPeers = append(ofPeers, k)
 		default:
 			first = append(first, k)
 		}
 	}
-	return first, further, repeating
+	return first, further, ofPeers
 }
 
-// drawRepeating has peers repeat what they write, for half of the time each.
-func drawRepeating(r *rand.Rand, nodes, hosts int, length time.Duration, kinds []Kind) (all []Fault) {
+// drawPeers makes the faults of peers, each for half of the time.
+func drawPeers(r *rand.Rand, nodes, hosts int, length time.Duration, kinds []Kind) (all []Fault) {
 	for _, k := range kinds {
 		places := nodes
 		if k.atHost() {
