Behind a doubtful answer those before it on its connection stay open to doubt

Cause, by reading: a copy ends m, the next call goes out, the host is seen to repeat itself elsewhere, a second copy ends that call as doubtful. PeerConn.Answered counted the connection as settled then, so that its close retracted nothing.

Shown by TestStrayBytesRetractWhatIsNotConfirmed, which failed with this case before: 0 answers retracted, want 1.

The caller's table of peers is among its sizes.

--- a/internal/lifecycle/conduct.go
+++ b/internal/lifecycle/conduct.go
@@ -142,6 +142,13 @@
 	return p
 }
 
+// Len is how many peers are remembered.
+func (c *Conduct) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.peers)
+}
+
 // Forget drops what is known of a peer that went, unless it is doubted.
 func (c *Conduct) Forget(now time.Duration, peer string) {
 	c.mu.Lock()
--- a/internal/lifecycle/peer.go
+++ b/internal/lifecycle/peer.go
@@ -150,7 +150,8 @@
 	case Own: // and so were those before it
 		p.answers = nil
 		return 0
-	case Doubtful, Nobodys:
+	case Doubtful, Nobodys: // nor will those before it be settled
+		p.settled = now + LongestDoubt
 		return 0
 	case Likely:
 	}
--- a/internal/lifecycle/peer_test.go
+++ b/internal/lifecycle/peer_test.go
@@ -72,6 +72,12 @@
 	if p.MayCarry(time.Hour, PeerRule{}) != CarryNever {
 		t.Error("a doubted connection carries a call")
 	}
+	p.Answered(0, s, Likely, true, doubted("x"))
+	p.Begin(ms)
+	p.Answered(2*ms, s, Doubtful, true, nil)
+	if all := p.Retract(3 * ms); len(all) != 1 {
+		t.Errorf("%d answers are retracted behind a doubtful one, want 1", len(all))
+	}
 	for range 2 * mostUnconfirmed {
 		p.Answered(0, s, Likely, true, doubted("x"))
 	}
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -306,7 +306,7 @@
 		open += p.open
 		p.mu.Unlock()
 	}
-	return map[string]int{"pools": len(c.pools), "books": len(c.books), "barred": len(c.barred), "connections": open}
+	return map[string]int{"pools": len(c.pools), "books": len(c.books), "barred": len(c.barred), "connections": open, "peers": c.conduct.Len()}
 }
 
 // List takes in news of the endpoint list: nothing is opened in advance to an
