--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -133,8 +133,11 @@
 		// It stays open until the last byte of the process was copied, and then for the collector.
 		log = io.MultiWriter(n.log, file)
 	}
-	p, err := shim.Start(shim.Options{Path: n.run.opt.Shim, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(),
-		Env:    append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE="+n.run.traced()),
+	env := append(os.Environ(), "ROUTER_CONFIG="+n.config(), "ROUTER_STATE="+n.state(), "GOTRACEBACK=single", "BASALTCROSS_TRACE="+n.run.traced())
+	if n.run.opt.Plant == PlantTrust {
+		env = append(env, "BASALTCROSS_TRUST_PEERS=1")
+	}
+	p, err := shim.Start(shim.Options{Path: n.run.opt.Shim, Args: []string{"shim-exec", n.run.opt.Program, "node"}, Dir: n.dir, State: n.state(), Env: env,
 		Stderr: log, Seed: seed, Poll: n.run.draws(Kind(shim.PollInterrupted))})
 	if err != nil {
 		return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,9 +48,11 @@
 	PlantSilent  Plant = "unanswered"
 	PlantServed  Plant = "served-and-refused"
 	PlantReset   Plant = "reset-while-leaving"
+	// PlantTrust has the nodes believe every answer of a host, as if its own protection was off.
+	PlantTrust Plant = "peers-trusted"
 )
 
-// Plants are all of them.
+// Plants are those that are put into the record, once.
 var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice, PlantSilent, PlantServed, PlantReset}
 
 // Result of a run.
@@ -446,7 +448,7 @@
 
 // plant puts a violation there.
 func (r *run) plant() {
-	if r.opt.Plant != "" {
+	if r.opt.Plant != "" && r.opt.Plant != PlantTrust {
 		r.platform.Record.Plant(string(r.opt.Plant))
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -215,11 +215,35 @@
 // Guards against answers of hosts that come a second time and are believed of the next call on their connection: lost
 // messages, second effects, keys out of order.
 func TestSecondCopiesOfHostsAnswersAreNobodys(t *testing.T) {
+	playWithoutFindings(t, repeatingHosts()+",kill@0+5s~0s,term@1+6s~0s")
+}
+
+// repeatingHosts are the faults of six hosts that repeat their answers all the time.
+func repeatingHosts() string {
 	var faults []string
 	for host := range 6 {
 		faults = append(faults, fmt.Sprintf("host_repeats@%d+0s~13s", host))
 	}
-	playWithoutFindings(t, strings.Join(append(faults, "kill@0+5s~0s", "term@1+6s~0s"), ","))
+	return strings.Join(faults, ",")
+}
+
+// Guards against an oracle that passes over second copies: nodes that trust their hosts as they did break the rules.
+func TestNodesThatTrustRepeatingHostsAreFound(t *testing.T) {
+	t.Parallel()
+	program := build(t)
+	faults, err := ParseFaults(repeatingHosts())
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := Run(t.Context(), Options{Shim: program, Program: program, Seed: 9000, Nodes: 2, Hosts: 6, Clients: 8, Duration: 14 * time.Second,
+		Faults: faults, Plant: PlantTrust})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := "what was taken is delivered or ends in time"
+	if !slices.ContainsFunc(res.Findings, func(f *emulator.Finding) bool { return f.Invariant == lost && f.Broken > 0 }) {
+		t.Errorf("%q is not broken by nodes that trust every host", lost)
+	}
 }
 
 // Guards against the agent's acknowledgement that comes a second time and is believed of the next notices, which nobody took.
