A client that ended its sending reads its whole response

Cause: the peer's end closed a connection with what waited to be written, if the response had been handed over by then.

Change: HalfClosed keeps a connection with bytes that wait; it ends behind them, within the linger time.

Why this works: the sending side ends behind what waits (engine.Conn.endWriting), and the connection closes with it.

--- a/internal/hookfront/conn.go
+++ b/internal/hookfront/conn.go
@@ -143,14 +143,22 @@
 }
 
 // HalfClosed takes in that the client has ended its sending. Behind a request that was read it may wait for the
-// answer: that is written before the connection ends (RFC 9112, 9.6), while a client waits.
+// answer: that is written whole before the connection ends (RFC 9112, 9.6), while a client waits.
 func (c *conn) HalfClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.req.Keep = false
-	stays := !c.shut && c.life.Phase() == lifecycle.Answering && c.front.opt.Wait > 0
-	c.halfClosed.Store(stays)
-	return stays
+	if !c.shut && c.life.Phase() == lifecycle.Answering && c.front.opt.Wait > 0 {
+		c.halfClosed.Store(true)
+		return true
+	}
+	if c.nb.Unsent() == 0 {
+		return false
+	}
+	if c.life.Phase() == lifecycle.Idle { // between its response and the next request, which does not come
+		c.finish(lifecycle.CloseClient)
+	}
+	return c.shut
 }
 
 // forsaken tells whether the client has ended its sending and its answer is still owed.
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -260,6 +260,26 @@
 	}
 }
 
+// Guards against a response that is cut: its client ended its sending before the socket had taken all of it.
+func TestHalfClosedClientReadsItsWholeAnswer(t *testing.T) {
+	f, _ := startWith(t, func(o *Options) { o.Connections, o.Kept, o.Linger, o.WriteBuffer = 10, 10, time.Minute, 0 })
+	c := dial(t, f)
+	if got := ask(t, c, "GET /up HTTP/1.1\r\nHost: r\r\n\r\n"); got != 200 {
+		t.Fatal(got)
+	}
+	const large = 16 << 20 // no socket takes it at once
+	if _, err := only(t, f).nb.Write(make([]byte, large)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // for the relay to read the end
+	if got := drained(t, c, c); len(got) < large {
+		t.Errorf("%d bytes were read of %d", len(got), large)
+	}
+}
+
 // Hundreds of silent connections leave room for who asks: the longest silent go first,
 // one with a request open never.
 func TestGreedyClients(t *testing.T) {
