Partners: an early answer on a used connection proves nothing where a part may be acted on

Need: an answer before its call was written is nobody's on a used connection. In the platform's form the call never ran, for it begins with its last byte; a partner of the daemon may act on a part (outcome.go, lostPart), so that it may have run.

Change: choice.Doubted for the daemon's calls, NotSent for the node's, as it was. Found by reading the table beside; TestAnswerBeforeItsCallIsWrittenIsNobodysOnAUsedConnection holds both. The node's calls are unchanged.

--- a/internal/partner/believe_test.go
+++ b/internal/partner/believe_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/lifecycle"
 )
@@ -148,3 +149,40 @@
 		t.Errorf("%+v over %d connections", e, host.connections.Load())
 	}
 }
+
+// Guards against an answer to a later call that is believed although it came before that call was written: a second copy.
+func TestAnswerBeforeItsCallIsWrittenIsNobodysOnAUsedConnection(t *testing.T) {
+	const large = 32 << 20 // no socket takes it at once
+	for _, platform := range []bool{true, false} {
+		at := peer(t, func(conn net.Conn, r *bufio.Reader) {
+			if request(r) != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, served)
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 250\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, r)
+		})
+		c, want := hookCaller(t, at), core.Ending{Outcome: choice.NotSent, Wait: 250 * time.Millisecond}
+		if !platform {
+			c, want = caller(t, true), core.Ending{Outcome: choice.Doubted}
+			a, err := addr.Parse(at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Addresses(map[string][]addr.Address{"h": {a}})
+		}
+		doubtful(t, c, "first")
+		ended := make(chan core.Ending, 1)
+		c.Send(core.Call{ID: "m", Name: "large", Host: "h", Body: make([]byte, large), Patient: 10 * time.Second, End: func(e core.Ending) { ended <- e }})
+		e := <-ended
+		if e.Outcome != want.Outcome || e.Wait != want.Wait {
+			t.Errorf("platform %v: %+v, want %+v", platform, e, want)
+		}
+		if counts := c.Refusals(); counts[lifecycle.AnswerEarly] != 1 {
+			t.Errorf("counted %v", counts)
+		}
+	}
+}
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -160,7 +160,7 @@
 	e := k.ending(s, r, now)
 	e.Took = now.Sub(k.began)
 	e.Unconfirmed = unconfirmed
-	disbelieve(&e, belief)
+	k.disbelieve(&e, belief)
 	k.End(e)
 }
 
@@ -177,14 +177,17 @@
 }
 
 // disbelieve takes back what an answer says as far as it is not believed. A wait is heeded all the
-// same: the answer may be the call's own.
-func disbelieve(e *core.Ending, belief lifecycle.Belief) {
+// same: the answer may be the call's own. In the platform's form a call begins once its last byte has
+// arrived; a partner may act on a part.
+func (k *call) disbelieve(e *core.Ending, belief lifecycle.Belief) {
 	instead := choice.Doubted
 	switch belief {
 	case lifecycle.Own, lifecycle.Likely:
 		return
-	case lifecycle.Nobodys: // the call's last byte was not written: it never ran
-		instead = choice.NotSent
+	case lifecycle.Nobodys:
+		if k.caller.opt.Hook != nil {
+			instead = choice.NotSent
+		}
 	case lifecycle.Doubtful:
 	}
 	*e = core.Ending{Outcome: instead, Took: e.Took, Wait: e.Wait}
