Answers that served are doubted with their host, also where it fell silent or ended the connection

Change: a likely answer is settled by silence and by a further answer on its connection; until then, for 5 s at most, one that served is doubted with its host, also of connections that have ended since (256 an endpoint). Connections are retired once their answer is settled, within 0.25 s. An end by the peer before that doubts what was served. Once hosts of two destinations are met, all hosts get one call a connection, and what is open to doubt everywhere is told.

Why: nothing else tells whose such an answer was; a notice for a message that is over does no harm, a lost message does.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -70,7 +70,7 @@
 		one := e
 		if one.Each = nil; i < len(e.Each) {
 			one = e.Each[i]
-			one.Took, one.Unconfirmed = e.Took, e.Unconfirmed
+			one.Took, one.Unconfirmed, one.Unsettled = e.Took, e.Unconfirmed, e.Unsettled
 		}
 		c.end(b, one)
 	}
@@ -97,7 +97,7 @@
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
 	c.note(a.host, e)
 	served := e.Outcome == choice.Served && (c.opt.Late == 0 || c.now <= m.due-c.opt.Late)
-	if e.Unconfirmed > 0 && !m.answered {
+	if e.Unsettled > 0 && !m.answered {
 		c.unconfirmed(a, e, served)
 	}
 	if e.Over && !m.answered { // the platform says so: nobody is owed anything
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,8 +111,9 @@
 	Over    bool          // with NotSent: the message is over, nothing more is owed
 	Spent   bool          // with NotSent: it has had all its attempts
 	Report  []float64     // load report, nil for none
-	// Unconfirmed is how long the answer may yet turn out to be another call's; 0 for never.
-	Unconfirmed time.Duration
+	// Unconfirmed is how long what rests on the answer waits, Unsettled how long it may turn out to be
+	// another call's; 0 for never.
+	Unconfirmed, Unsettled time.Duration
 	// Each tells of the messages of a call apart, in their order; nil where all fared the same.
 	Each []Ending
 }
--- a/internal/emulator/course.go
+++ b/internal/emulator/course.go
@@ -147,9 +147,14 @@
 	*spans = append(*spans, span{node, now, now.Add(length)})
 }
 
-// covers tells whether one of some spans of a node lies over all of a time.
+// covers tells whether spans of a node, in the order of their beginnings, lie over all of a time.
 func covers(spans []span, node int, from, to time.Time) bool {
-	return slices.ContainsFunc(spans, func(s span) bool { return s.node == node && s.from.Before(from) && s.to.After(to) })
+	for _, s := range spans {
+		if s.node == node && s.from.Before(from) && s.to.After(from) {
+			from = s.to
+		}
+	}
+	return from.After(to)
 }
 
 // within tells whether one of some spans of a node shares a moment with a time.
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -88,19 +88,18 @@
 	n.copied = append(n.copied, copied{time.Now(), f, int(f.node.Load())})
 }
 
-// copiedFor tells whether a second copy was written, before a notice, that a relay may have taken for
-// the answer to a call, or for the one behind it: to that relay since the call began, or on its
-// connection at most so long before. The notice came at most so long after the answer.
-func (n *Network) copiedFor(c *Call, node int, notice time.Time, within time.Duration) bool {
+// copiedTo tells whether a second copy was written to a relay between two moments.
+func (n *Network) copiedTo(node int, from, to time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return notice.Before(c.Told.Add(within)) && slices.ContainsFunc(n.copied, func(x copied) bool {
-		since := c.At.Add(-LongestHold)
-		if x.conn == c.conn {
-			since = c.At.Add(-within)
-		}
-		return (x.conn == c.conn || x.node == node) && x.at.After(since) && x.at.Before(notice.Add(LongestHold))
-	})
+	return slices.ContainsFunc(n.copied, func(x copied) bool { return x.node == node && x.at.After(from) && x.at.Before(to) })
+}
+
+// copiedOn tells whether one was written on a connection between two moments.
+func (f *faulty) copiedOn(from, to time.Time) bool {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	return slices.ContainsFunc(f.network.copied, func(x copied) bool { return x.conn == f && x.at.After(from) && x.at.Before(to) })
 }
 
 // Accepted counts connections.
@@ -132,6 +131,16 @@
 	net.Conn
 	network *Network
 	node    atomic.Int64 // of the relay at the other end, once a call of it has come
+	broken  atomic.Int64 // when the server's side ended it, Unix time in nanoseconds; 0 for not
+}
+
+// breaks notes that the server's side ends the connection.
+func (f *faulty) breaks() { f.broken.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// brokeBefore tells whether the server's side ended the connection behind a moment and before a notice.
+func (f *faulty) brokeBefore(behind, notice time.Time) bool {
+	at := f.broken.Load()
+	return at != 0 && at > behind.UnixNano() && at < notice.Add(LongestHold).UnixNano()
 }
 
 func (f *faulty) Read(b []byte) (int, error) {
@@ -167,6 +176,7 @@
 	if !reset {
 		return nil
 	}
+	f.breaks()
 	if tcp, ok := f.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -445,6 +445,9 @@
 		return
 	}
 	defer conn.Close()
+	if f, ok := conn.(*faulty); ok {
+		f.breaks()
+	}
 	if status != 0 {
 		_, _ = buf.WriteString("HTTP/1.1 2")
 		_ = buf.Flush()
@@ -460,6 +463,9 @@
 // blank answers with a header that has no status.
 func (h *Host) blank(w http.ResponseWriter) {
 	if conn, buf, err := http.NewResponseController(w).Hijack(); err == nil {
+		if f, ok := conn.(*faulty); ok {
+			f.breaks()
+		}
 		_, _ = buf.WriteString("HTTP/1.1 \r\n\r\n")
 		_ = buf.Flush()
 		_ = conn.Close()
@@ -470,6 +476,9 @@
 func (h *Host) forget(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).Flush()
 	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if f, ok := conn.(*faulty); ok {
+			f.breaks()
+		}
 		_ = conn.Close()
 	}
 }
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -401,6 +401,13 @@
 	return End
 }
 
+// EndedHere tells whether the connection was closed on this side, and not by its peer or an error.
+func (c *Conn) EndedHere() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Is(c.why, net.ErrClosed)
+}
+
 // LocalAddr is the connection's own address.
 func (c *Conn) LocalAddr() net.Addr { return c.local }
 
--- a/internal/lifecycle/conduct.go
+++ b/internal/lifecycle/conduct.go
@@ -101,10 +101,17 @@
 }
 
 // Saw takes in that a peer sent what nobody asked for, so long after its last answer. From
-// then on its connections carry one call each.
-func (c *Conduct) Saw(now time.Duration, peer string, group int, late time.Duration) {
+// then on its connections carry one call each. It tells whether that is no fault of one peer, as of now.
+func (c *Conduct) Saw(now time.Duration, peer string, group int, late time.Duration) (general bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := c.doubtedGroups(now) > 1
+	c.saw(now, peer, group, late)
+	return !before && c.doubtedGroups(now) > 1
+}
+
+// saw is Saw under mu.
+func (c *Conduct) saw(now time.Duration, peer string, group int, late time.Duration) {
 	if now >= c.until {
 		c.late = 0
 	}
@@ -159,19 +166,18 @@
 }
 
 // Rule is what may go out on the connections of a peer. One that is doubted gets one call a
-// connection. What must not have a second effect gets that at the other peers of its
-// destination too, and everywhere once peers of two destinations are doubted: then it is no
-// fault of one peer. All else rests between two calls while any peer is doubted.
+// connection. So do all once peers of two destinations are doubted, for then it is no fault of one
+// peer. Before that, what must not have a second effect gets that at the other peers of the same
+// destination, and all else rests between two calls.
 func (c *Conduct) Rule(now time.Duration, peer string, group int, bears Bears) PeerRule {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.Off || now >= c.until {
 		return PeerRule{}
 	}
-	if p := c.peers[peer]; p != nil && now < p.until {
-		return PeerRule{FirstOnly: true}
-	}
-	if bears == Once && (now < c.groups[group] || c.doubtedGroups(now) > 1) {
+	p := c.peers[peer]
+	doubted := p != nil && now < p.until
+	if doubted || c.doubtedGroups(now) > 1 || bears == Once && now < c.groups[group] {
 		return PeerRule{FirstOnly: true}
 	}
 	return PeerRule{Rest: min(max(2*c.late, leastRest), longestRest)}
--- a/internal/lifecycle/peer.go
+++ b/internal/lifecycle/peer.go
@@ -1,6 +1,9 @@
 package lifecycle
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // PeerPhase is what a connection to a peer does.
 type PeerPhase int
@@ -28,14 +31,16 @@
 	sent      time.Duration // the last call went out
 	ended     time.Duration // its answer came
 	confirmed time.Duration // what waits for that answer to be its own goes on then
-	settled   time.Duration // it is its own if nothing else has come by then
 	aside     bool          // the connection carries no call before it is confirmed
+	settled   time.Duration // of the last answer
 	answers   []unconfirmed // since the connection was in step for sure
 }
 
 // unconfirmed is an answer that may turn out to be another's.
 type unconfirmed struct {
 	at      time.Duration
+	settled time.Duration // it is its call's own if nothing has come by then, or if the peer is silent
+	served  bool
 	doubted func()
 }
 
@@ -93,14 +98,20 @@
 // Confirmed tells whether nothing waits for an answer on the connection to be confirmed.
 func (p *PeerConn) Confirmed(now time.Duration) bool { return p.phase == PeerNew || now >= p.confirmed }
 
+// Unsettled is how long a resting connection should be kept from its end, because an answer on it may
+// turn out to be another's; bounded.
+func (p *PeerConn) Unsettled(now time.Duration) time.Duration {
+	if p.phase != PeerResting {
+		return 0
+	}
+	return max(0, min(p.settled, p.ended+longestConfirmation)-now)
+}
+
 // Begin takes in that a call goes out, and returns how long the connection had rested.
 func (p *PeerConn) Begin(now time.Duration) (rested time.Duration) {
 	if p.turn > 0 {
 		rested = now - p.ended
 	}
-	if now >= p.settled {
-		p.answers = nil
-	}
 	p.phase, p.sent = PeerInUse, now
 	p.turn++
 	return rested
@@ -143,17 +154,17 @@
 // silence until the peer would have answered, usual after the sending at the latest; doubted
 // is called if bytes come before that which nobody asked for. What does not say that the call
 // was served sets the connection aside, for a bounded time. It returns how long what rests on
-// the answer should wait.
-func (p *PeerConn) Answered(now, usual time.Duration, belief Belief, served bool, doubted func()) time.Duration {
+// the answer should wait, and how long it may turn out to be another's.
+func (p *PeerConn) Answered(now, usual time.Duration, belief Belief, served bool, doubted func()) (wait, unsettled time.Duration) {
 	p.phase, p.ended, p.confirmed, p.settled, p.aside = PeerResting, now, now, now, false
 	switch belief {
 	case Own: // and so were those before it
 		p.answers = nil
-		return 0
-	case Doubtful, Nobodys: // nor will those before it be settled
-		p.settled = now + LongestDoubt
-		return 0
-	case Likely:
+		return 0, 0
+	case Doubtful, Nobodys:
+		return 0, 0
+	case Likely: // the peer answers: it isn't at work on a call from before the silence
+		p.answers = slices.DeleteFunc(p.answers, func(a unconfirmed) bool { return a.settled <= p.sent })
 	}
 	p.settled = max(now, p.sent+min(usual, LongestDoubt))
 	p.confirmed = max(now, p.sent+min(usual, longestConfirmation))
@@ -162,9 +173,9 @@
 		if len(p.answers) == mostUnconfirmed {
 			p.answers = append(p.answers[:0], p.answers[1:]...)
 		}
-		p.answers = append(p.answers, unconfirmed{now, doubted})
+		p.answers = append(p.answers, unconfirmed{now, p.settled, served, doubted})
 	}
-	return p.confirmed - now
+	return p.confirmed - now, p.settled - now
 }
 
 // Strayed takes in bytes that no call asked for, and returns what has to be told that the
@@ -176,14 +187,29 @@
 	return doubted, now - p.ended
 }
 
-// Retract returns what has to be told of the answers that are not confirmed: the peer sent what
-// nobody asked for, here or elsewhere.
-func (p *PeerConn) Retract(now time.Duration) (doubted []func()) {
-	if p.phase != PeerInUse && now >= p.settled {
-		p.answers = nil
-	}
+// Retract returns what has to be told of the answers that may have been others': the peer sent what
+// nobody asked for, here or elsewhere. Silence since then tells nothing of what was served: the peer
+// may be silent on the call.
+func (p *PeerConn) Retract(now time.Duration) []func() {
+	return p.pick(func(a unconfirmed) bool { return now < a.settled || a.served && now-a.at <= LongestDoubt })
+}
+
+// Broke returns what has to be told where the peer ends the connection: it may have been at work on
+// a call that a copy had ended. That is told of answers that said that the call was served, for such
+// a message would be lost. What was refused stays refused.
+func (p *PeerConn) Broke(now time.Duration) []func() {
+	return p.pick(func(a unconfirmed) bool { return now < a.settled && a.served })
+}
+
+// Left returns what would have to be told if the peer is doubted later, of a connection that ends.
+func (p *PeerConn) Left() []func() {
+	return p.pick(func(a unconfirmed) bool { return a.served })
+}
+
+// pick takes the answers out, and returns those that a test picks.
+func (p *PeerConn) pick(test func(unconfirmed) bool) (doubted []func()) {
 	for _, a := range p.answers {
-		if now-a.at <= LongestDoubt {
+		if test(a) {
 			doubted = append(doubted, a.doubted)
 		}
 	}
--- a/internal/partner/believe.go
+++ b/internal/partner/believe.go
@@ -65,8 +65,15 @@
 	return c.conduct.Rule(c.now(), cn.host, cn.pool.partner, lifecycle.Repeats).FirstOnly
 }
 
-// answered takes in a call's answer, and returns how long it stays unconfirmed; under mu.
-func (cn *conn) answered(k *call, belief lifecycle.Belief) time.Duration {
+// believed is how far an answer is believed, how long what rests on it waits, and how long it may turn
+// out to be another's.
+type believed struct {
+	belief          lifecycle.Belief
+	wait, unsettled time.Duration
+}
+
+// answered takes in a call's answer; under mu.
+func (cn *conn) answered(k *call, belief lifecycle.Belief) believed {
 	c := cn.pool.c
 	now := c.now()
 	if belief == lifecycle.Own || belief == lifecycle.Likely {
@@ -79,7 +86,8 @@
 			k.Doubted()
 		}
 	}
-	return cn.life.Answered(now, c.conduct.Usual(cn.host), belief, served, doubted)
+	wait, unsettled := cn.life.Answered(now, c.conduct.Usual(cn.host), belief, served, doubted)
+	return believed{belief, wait, unsettled}
 }
 
 // unasked takes in bytes that no call asked for: the connection is closed, the peer is doubted,
@@ -101,25 +109,104 @@
 	}
 }
 
-// broke takes in that the peer sent what no call asked for, so late, and tells what is doubted. The
-// idle connections that were used are closed, and what is not confirmed there is doubted as well.
+// remember keeps the answers of a connection that ended which served their calls: the peer may have been
+// silent on them, so that nothing there told whose they were.
+func (p *pool) remember(now time.Duration, all []func()) {
+	p.recent.Lock()
+	defer p.recent.Unlock()
+	for _, doubted := range all {
+		p.served = append(p.served, likely{now, doubted})
+	}
+	old := 0
+	for old < len(p.served) && (now-p.served[old].at > lifecycle.LongestDoubt || len(p.served)-old > mostServed) {
+		old++
+	}
+	p.served = p.served[old:]
+}
+
+// forgetServed takes out the likely answers of late.
+func (p *pool) forgetServed(now time.Duration) (doubted []func()) {
+	p.recent.Lock()
+	defer p.recent.Unlock()
+	for _, a := range p.served {
+		if now-a.at <= lifecycle.LongestDoubt {
+			doubted = append(doubted, a.doubted)
+		}
+	}
+	p.served = nil
+	return doubted
+}
+
+// broke takes in that the peer sent what no call asked for, so late, and tells what is doubted: on
+// this connection, and of this peer's others; of all peers' where it is no fault of one.
 func (cn *conn) broke(now, late time.Duration, doubted []func()) {
-	cn.pool.c.conduct.Saw(now, cn.host, cn.pool.partner, late)
-	for _, other := range cn.pool.drain((*conn).used) {
-		other.mu.Lock()
-		doubted = append(doubted, other.life.Retract(now)...)
-		other.mu.Unlock()
-		_ = other.nb.Close()
+	c := cn.pool.c
+	pools := []*pool{cn.pool}
+	if c.conduct.Saw(now, cn.host, cn.pool.partner, late) {
+		pools = c.allPools()
+	}
+	for _, p := range pools {
+		doubted = append(doubted, p.retract(now)...)
 	}
 	tellAll(doubted)
 }
 
-// retracted is what is doubted of a connection that ended, if its peer is; under mu.
+// retract closes the idle connections that were used, and returns what is doubted of them and of
+// those that have ended of late.
+func (p *pool) retract(now time.Duration) []func() {
+	doubted := p.forgetServed(now)
+	for _, cn := range p.drain((*conn).used) {
+		cn.mu.Lock()
+		doubted = append(doubted, cn.life.Retract(now)...)
+		cn.mu.Unlock()
+		_ = cn.nb.Close()
+	}
+	return doubted
+}
+
+// retire closes a connection of which nothing more is wanted, once its last answer is settled.
+func (cn *conn) retire() {
+	cn.mu.Lock()
+	after := cn.life.Unsettled(cn.pool.c.now())
+	cn.mu.Unlock()
+	if after > 0 && !cn.pool.c.conduct.Off {
+		time.AfterFunc(after, func() { _ = cn.nb.Close() })
+		return
+	}
+	_ = cn.nb.Close()
+}
+
+func retireAll(conns []*conn) {
+	for _, cn := range conns {
+		cn.retire()
+	}
+}
+
+// peerEnded closes a connection of which a look found that the peer has ended it.
+func (cn *conn) peerEnded() {
+	cn.mu.Lock()
+	doubted := cn.life.Broke(cn.pool.c.now())
+	cn.mu.Unlock()
+	_ = cn.nb.Close()
+	if !cn.pool.c.conduct.Off {
+		tellAll(doubted)
+	}
+}
+
+// retracted is what is doubted of a connection that ended. Of one that this side ends the rest is
+// remembered; under mu.
 func (cn *conn) retracted() []func() {
-	if cn.life.Turn() < 2 || !cn.spent() {
+	now := cn.pool.c.now()
+	switch {
+	case cn.life.Turn() < 2 || cn.pool.c.conduct.Off:
 		return nil
+	case cn.spent():
+		return cn.life.Retract(now)
+	case !cn.nb.EndedHere():
+		return cn.life.Broke(now)
 	}
-	return cn.life.Retract(cn.pool.c.now())
+	cn.pool.remember(now, cn.life.Left())
+	return nil
 }
 
 func tellAll(doubted []func()) {
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -144,11 +144,10 @@
 }
 
 // end reports an attempt's outcome, if nothing else ended it before.
-func (k *call) end(s seen, r *response) { k.endBelieved(s, r, lifecycle.Own, 0) }
+func (k *call) end(s seen, r *response) { k.endBelieved(s, r, believed{belief: lifecycle.Own}) }
 
-// endBelieved is end of an attempt that was answered, as far as the answer is believed; it stays
-// unconfirmed for so long.
-func (k *call) endBelieved(s seen, r *response, belief lifecycle.Belief, unconfirmed time.Duration) {
+// endBelieved is end of an attempt that was answered, as far as the answer is believed.
+func (k *call) endBelieved(s seen, r *response, how believed) {
 	k.mu.Lock()
 	first := k.life.MayEnd()
 	k.mu.Unlock()
@@ -159,8 +158,8 @@
 	now := time.Now()
 	e := k.ending(s, r, now)
 	e.Took = now.Sub(k.began)
-	e.Unconfirmed = unconfirmed
-	k.disbelieve(&e, belief)
+	e.Unconfirmed, e.Unsettled = how.wait, how.unsettled
+	k.disbelieve(&e, how.belief)
 	k.End(e)
 }
 
@@ -199,7 +198,7 @@
 	if cn := k.conn; cn != nil && !k.life.Ended() {
 		if belief, told := cn.told(k); told {
 			k.mu.Unlock()
-			k.endBelieved(nonsense, &response{says: http.StatusOK}, belief, 0)
+			k.endBelieved(nonsense, &response{says: http.StatusOK}, believed{belief: belief})
 			cn.drop(k)
 			return true, false
 		}
--- a/internal/partner/choose.go
+++ b/internal/partner/choose.go
@@ -34,13 +34,17 @@
 
 // refused are idle connections that a look has turned down.
 type refused struct {
-	old     []*conn // closed by the peer, or too old
+	old     []*conn // too old
+	ended   []*conn // by the peer
 	strayed []*conn // bytes stand on them that no call asked for
 }
 
 // end closes them; not under the pool's lock.
 func (r *refused) end() {
-	closeAll(r.old)
+	retireAll(r.old)
+	for _, cn := range r.ended {
+		cn.peerEnded()
+	}
 	for _, cn := range r.strayed {
 		cn.unasked()
 	}
@@ -66,7 +70,7 @@
 		case ready:
 			found = cn
 		case ended:
-			turned.old = append(turned.old, cn)
+			turned.ended = append(turned.ended, cn)
 		case unasked:
 			turned.strayed = append(turned.strayed, cn)
 		case unread:
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -159,7 +159,7 @@
 	if belief == lifecycle.Nobodys {
 		return cn.passOver(k, &r, rest)
 	}
-	unconfirmed := cn.answered(k, belief)
+	how := cn.answered(k, belief)
 	cn.bill.Store(nil)
 	if cn.book != nil {
 		cn.book.Answered(cn.addr)
@@ -178,7 +178,7 @@
 	default:
 		_ = cn.nb.Close() // what is not confirmed is told with the end of the connection
 	}
-	k.endBelieved(what, &r, belief, unconfirmed)
+	k.endBelieved(what, &r, how)
 	return nil, false
 }
 
@@ -188,17 +188,17 @@
 	cn.call = nil
 	cn.mu.Unlock()
 	_ = cn.nb.Close()
-	k.endBelieved(nonsense, r, belief, 0)
+	k.endBelieved(nonsense, r, believed{belief: belief})
 }
 
 // saysAll ends a call by the first line of its answer; the rest is read without it. It takes over mu.
 func (cn *conn) saysAll(k *call, r *response) {
 	belief := cn.believeLast(k)
-	unconfirmed := cn.answered(k, belief)
+	how := cn.answered(k, belief)
 	cn.call, cn.tail = nil, true
 	cn.mu.Unlock()
 	cn.finish()
-	k.endBelieved(nonsense, r, belief, unconfirmed)
+	k.endBelieved(nonsense, r, how)
 }
 
 // passOver leaves an answer that is not the call's own. One that names other messages is skipped,
@@ -211,7 +211,7 @@
 		cn.call = nil
 		cn.mu.Unlock()
 		_ = cn.nb.Close()
-		k.endBelieved(early, r, lifecycle.Nobodys, 0)
+		k.endBelieved(early, r, believed{belief: lifecycle.Nobodys})
 		return nil, false
 	}
 	doubted := cn.life.Retract(now)
@@ -242,10 +242,10 @@
 	switch {
 	case k == nil:
 	case whole: // content that runs to the close is whole by it
-		k.endBelieved(answered, &final, belief, 0)
+		k.endBelieved(answered, &final, believed{belief: belief})
 	default:
 		if final.hook && final.says == http.StatusOK && len(k.Several) == 0 {
-			k.endBelieved(nonsense, &final, belief, 0)
+			k.endBelieved(nonsense, &final, believed{belief: belief})
 			return
 		}
 		cn.hung(k.caller)
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -27,8 +27,20 @@
 	out        int     // calls not ended
 	waiting    []*call // those of them without a connection, first come first
 	barred     bool
+
+	recent sync.Mutex // innermost
+	served []likely   // of late, the oldest first
+}
+
+// likely is an answer on a used connection that said that its call was served.
+type likely struct {
+	at      time.Duration
+	doubted func()
 }
 
+// mostServed likely answers of one endpoint are remembered.
+const mostServed = 256
+
 // dialing is one connection being set up.
 type dialing struct {
 	cancel context.CancelFunc
@@ -166,8 +178,10 @@
 			switch {
 			case found == unasked:
 				cn.unasked()
+			case found == ended:
+				cn.peerEnded()
 			case !keeps:
-				_ = cn.nb.Close()
+				cn.retire()
 			}
 			return
 		}
@@ -233,6 +247,16 @@
 	return out
 }
 
+// allPools are those of all endpoints.
+func (c *Caller) allPools() (all []*pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		all = append(all, p)
+	}
+	return all
+}
+
 // sweep closes connections that idled too long or are too old.
 func (c *Caller) sweep() {
 	defer c.done.Done()
@@ -258,18 +282,12 @@
 			c.mu.Unlock()
 			for _, p := range pools {
 				now := c.now()
-				closeAll(p.drain(func(cn *conn) bool { return !p.keep.Fresh(now, cn.born, cn.lasts, cn.since) }))
+				retireAll(p.drain(func(cn *conn) bool { return !p.keep.Fresh(now, cn.born, cn.lasts, cn.since) }))
 			}
 		}
 	}
 }
 
-func closeAll(conns []*conn) {
-	for _, cn := range conns {
-		_ = cn.nb.Close()
-	}
-}
-
 // CloseIdle closes the kept connections of an endpoint.
 func (c *Caller) CloseIdle(host string) {
 	c.mu.Lock()
@@ -279,7 +297,7 @@
 		p.mu.Lock()
 		p.keep.Dismissed(c.now())
 		p.mu.Unlock()
-		closeAll(p.drain(func(*conn) bool { return true }))
+		retireAll(p.drain(func(*conn) bool { return true }))
 	}
 }
 
@@ -345,5 +363,5 @@
 		p.mu.Unlock()
 	}
 	c.mu.Unlock()
-	closeAll(old)
+	retireAll(old)
 }
--- a/internal/partner/race.go
+++ b/internal/partner/race.go
@@ -45,7 +45,7 @@
 	close(c.news)
 	c.news = make(chan struct{})
 	c.mu.Unlock()
-	closeAll(old)
+	retireAll(old)
 }
 
 // Book is what is known of an endpoint's addresses, nil if it has one only.
@@ -77,7 +77,7 @@
 		return
 	}
 	cn.book.Hung(c.now(), cn.addr)
-	closeAll(cn.pool.drain(func(o *conn) bool { return o.addr == cn.addr }))
+	retireAll(cn.pool.drain(func(o *conn) bool { return o.addr == cn.addr }))
 }
 
 type dialed struct {
