The next of a key does not wait for an answer that served; a price that was not held

Change: the next of a key waits only behind an answer that did not serve. What that leaves: before a host is met, a copied 200 may let the next of a key out while the one before still runs.

Only an end or a reset by the peer doubts what was served, not an error on this side.

--- a/internal/core/doubt.go
+++ b/internal/core/doubt.go
@@ -69,12 +69,13 @@
 }
 
 // unconfirmed takes in the end of an attempt by an answer that is not confirmed: the message is not
-// sent again, nor refused where it may not be repeated, nor does the next of its key go out, before it is.
+// sent again, nor refused where it may not be repeated, before it is. Nor does the next of its key go
+// out, unless it was served: keys whose messages come quickly would wait for nothing but silence.
 func (c *Core) unconfirmed(a *attempt, e Ending, served bool) {
 	m := a.m
 	m.unsure = c.now + e.Unconfirmed
 	c.opt.Trace.Step(m.Identity, "unconfirmed", e.Unconfirmed.String())
-	if c.ordered(m) {
+	if c.ordered(m) && !served {
 		key := orderKey{m.Partner, m.Key}
 		if c.doubts.keys == nil {
 			c.doubts.keys = map[orderKey]confirmedBy{}
--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -277,7 +277,7 @@
 	if x.conn == nil || told.Result != "dead" && c.Lane.Effect == AtMostOnce || told.At.After(x.Told.Add(doubtedFor)) {
 		return false
 	}
-	from, to := x.At.Add(-LongestHold), told.At.Add(LongestHold)
+	from, to := x.At.Add(-LongestHold-soon), told.At.Add(LongestHold) // reads may fail for a while
 	if x.conn.copiedOn(x.At.Add(-doubtedFor), to) || told.Result == "dead" && x.conn.brokeBefore(x.Begun, told.At) {
 		return true
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -401,11 +401,11 @@
 	return End
 }
 
-// EndedHere tells whether the connection was closed on this side, and not by its peer or an error.
-func (c *Conn) EndedHere() bool {
+// EndedByPeer tells whether the peer has ended the connection, and not this side or an error of its own.
+func (c *Conn) EndedByPeer() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return errors.Is(c.why, net.ErrClosed)
+	return errors.Is(c.why, io.EOF) || errors.Is(c.why, syscall.ECONNRESET) || errors.Is(c.why, syscall.EPIPE)
 }
 
 // LocalAddr is the connection's own address.
--- a/internal/partner/believe.go
+++ b/internal/partner/believe.go
@@ -202,7 +202,7 @@
 		return nil
 	case cn.spent():
 		return cn.life.Retract(now)
-	case !cn.nb.EndedHere():
+	case cn.nb.EndedByPeer():
 		return cn.life.Broke(now)
 	}
 	cn.pool.remember(now, cn.life.Left())
