A wait told in an answer that no call asked for is heeded

Cause, by trace (c0-3-34): a copied 200 ended the call after 2.8 ms; its own answer, 429 with a wait of 300 ms, came after 7.3 ms as bytes that nobody asked for, and went unread. The message was told as dead, and the host called again.

Change: whole answers among such bytes are read for their wait, which goes to the module as choice.Waited and takes back calls that have not begun; bytes that a look finds are read by the connection's goroutine. A copy's wait is heeded as well: it can't be told from an own one, and costs a pause.

Shown by TestWaitOfAnUnaskedAnswerIsKept and, in it, TestBytesNobodyAskedForRetractTheLastAnswer.

--- a/internal/core/doubt.go
+++ b/internal/core/doubt.go
@@ -255,3 +255,18 @@
 		c.sendNow(a)
 	})
 }
+
+// Waits takes in a wait that an endpoint told in an answer which no call had asked for: it may be the own
+// answer of a call that ended before. It is heeded like any other.
+func (c *Core) Waits(host string, partner int, wait time.Duration) {
+	_ = c.put(event{call: func() {
+		c.batch = append(c.batch, choice.Waited{Host: host, Left: wait})
+		hosts := map[string]bool{host: true}
+		if !c.kind(host).Apart {
+			for a := range c.outs {
+				hosts[a.host] = hosts[a.host] || a.partner == partner
+			}
+		}
+		c.recall(hosts)
+	}})
+}
--- a/internal/core/doubt_test.go
+++ b/internal/core/doubt_test.go
@@ -125,3 +125,24 @@
 		}
 	}
 }
+
+// Guards against calls within a wait that an answer told which a copy had made nobody's.
+func TestWaitOfAnUnaskedAnswerIsKept(t *testing.T) {
+	r, re := newRig(t), &reply{}
+	r.Waits("a", 0, 300*ms)
+	r.at(ms)
+	if err := r.hand("m", 0, re, 6*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for at := 2 * ms; at < 300*ms; at += ms {
+		if r.at(at); len(r.calls) > 0 {
+			t.Fatalf("called at %s", at)
+		}
+	}
+	for at := 300 * ms; len(r.calls) == 0 && at < 5*time.Second; at += ms {
+		r.at(at)
+	}
+	if len(r.calls) == 0 {
+		t.Error("not called after the wait")
+	}
+}
--- a/internal/partner/believe.go
+++ b/internal/partner/believe.go
@@ -91,9 +91,13 @@
 }
 
 // unasked takes in bytes that no call asked for: the connection is closed, the peer is doubted,
-// and so are the last answers on the connection.
-func (cn *conn) unasked() {
+// and so are the last answers on the connection. A wait that the bytes tell is heeded: they may be the
+// own answer of a call that a copy had ended.
+func (cn *conn) unasked(b []byte) {
 	c := cn.pool.c
+	if wait := c.waitIn(b); wait > 0 && c.opt.Waits != nil {
+		c.opt.Waits(cn.host, cn.pool.partner, wait)
+	}
 	cn.mu.Lock()
 	if cn.life.Phase() == lifecycle.PeerDoubted {
 		cn.mu.Unlock()
@@ -109,6 +113,26 @@
 	}
 }
 
+// waitIn is the longest wait that whole answers among some bytes tell.
+func (c *Caller) waitIn(b []byte) (longest time.Duration) {
+	now := time.Now()
+	for len(b) > 0 {
+		r := response{}
+		r.reset(c.opt.Limits)
+		r.hook = c.opt.Hook != nil
+		rest, err := r.feed(b)
+		if err != nil || !r.Done() {
+			return longest
+		}
+		wait := waitMs(r.wait)
+		if c.opt.Hook == nil && (r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable) {
+			wait, _ = retryWait(r.retry, now)
+		}
+		longest, b = max(longest, wait), rest
+	}
+	return longest
+}
+
 // remember keeps the answers of a connection that ended which served their calls: the peer may have been
 // silent on them, so that nothing there told whose they were.
 func (p *pool) remember(now time.Duration, all []func()) {
--- a/internal/partner/believe_test.go
+++ b/internal/partner/believe_test.go
@@ -83,16 +83,21 @@
 func TestBytesNobodyAskedForRetractTheLastAnswer(t *testing.T) {
 	host := script(t, served, turnedAway)
 	c := hookCaller(t, host.addr)
+	waits := make(chan time.Duration, 1)
+	c.opt.Waits = func(_ string, _ int, wait time.Duration) { waits <- wait }
 	first, _ := doubtful(t, c, "first")
 	c.conduct.Took(c.now(), "h", time.Minute) // the second answer is not confirmed before the bytes come
 	second, doubted := doubtful(t, c, "second")
 	if first.Outcome != choice.Served || first.Unconfirmed != 0 || second.Outcome != choice.Refused || second.Unconfirmed == 0 {
 		t.Fatalf("%+v, then %+v", first, second)
 	}
-	host.more <- served
+	host.more <- "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 250\r\nContent-Length: 0\r\n\r\n"
 	if name := <-doubted; name != "second" {
 		t.Errorf("%s is doubted", name)
 	}
+	if wait := <-waits; wait != 250*time.Millisecond { // it may be the own answer of the second call
+		t.Errorf("%s is heeded, want 250ms", wait)
+	}
 	until(t, "closed", func() bool { return c.Connections("h") == 0 })
 	for i := range 3 {
 		if e, _ := doubtful(t, c, "later"); e.Outcome != choice.Served || e.Unconfirmed != 0 {
--- a/internal/partner/caller.go
+++ b/internal/partner/caller.go
@@ -50,6 +50,8 @@
 	// Refused is told what was refused of a peer, or of a connection to one; it must not block.
 	// May be nil.
 	Refused func(lifecycle.PeerRefusal)
+	// Waits is told of waits in answers that no call asked for; it must not block. May be nil.
+	Waits func(host string, partner int, wait time.Duration)
 	// Trace takes each call's connection, turn on it and rest before it.
 	Trace lifecycle.Trace
 	// TrustPeers believes every answer and uses every connection again, for tests that must fail.
--- a/internal/partner/choose.go
+++ b/internal/partner/choose.go
@@ -34,9 +34,8 @@
 
 // refused are idle connections that a look has turned down.
 type refused struct {
-	old     []*conn // too old
-	ended   []*conn // by the peer
-	strayed []*conn // bytes stand on them that no call asked for
+	old   []*conn // too old
+	ended []*conn // by the peer
 }
 
 // end closes them; not under the pool's lock.
@@ -45,9 +44,6 @@
 	for _, cn := range r.ended {
 		cn.peerEnded()
 	}
-	for _, cn := range r.strayed {
-		cn.unasked()
-	}
 }
 
 // choose takes the idle connection out on which a call goes, nil if there is none; under mu.
@@ -71,8 +67,7 @@
 			found = cn
 		case ended:
 			turned.ended = append(turned.ended, cn)
-		case unasked:
-			turned.strayed = append(turned.strayed, cn)
+		case unasked: // its goroutine reads what they say, and closes it
 		case unread:
 			later = append(later, cn)
 		}
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -113,7 +113,7 @@
 			more = false
 		default:
 			cn.mu.Unlock()
-			cn.unasked()
+			cn.unasked(b)
 			more = false
 		}
 	}
@@ -130,7 +130,7 @@
 	cn.mu.Unlock()
 	switch {
 	case err == nil && len(rest) > 0:
-		cn.unasked()
+		cn.unasked(rest)
 	case keep:
 		cn.pool.give(cn)
 	case whole || err != nil:
@@ -172,7 +172,7 @@
 	cn.mu.Unlock()
 	switch {
 	case len(rest) > 0:
-		cn.unasked()
+		cn.unasked(rest)
 	case keep:
 		cn.pool.give(cn) // first, so that the next call finds it
 	default:
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -176,8 +176,7 @@
 			p.more()
 			p.mu.Unlock()
 			switch {
-			case found == unasked:
-				cn.unasked()
+			case found == unasked: // its goroutine reads what they say, and closes it
 			case found == ended:
 				cn.peerEnded()
 			case !keeps:
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -154,7 +154,7 @@
 	s := &cfg.Settings
 	n.caller, err = partner.New(partner.Options{Name: cfg.Name, Hook: &partner.Hook{Host: cfg.Name, Columns: s.Columns},
 		Limits: http1.Limits{Header: headerBytes, Body: bodyBytes}, Keep: b.Keep, Dial: s.DialTimeout, Descriptors: b.Hosts,
-		Refused: n.refusedOf, Trace: trace(log), TrustPeers: os.Getenv(trustVariable) != ""})
+		Refused: n.refusedOf, Waits: func(host string, dest int, wait time.Duration) { n.core.Waits(host, dest, wait) }, Trace: trace(log), TrustPeers: os.Getenv(trustVariable) != ""})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,7 +161,7 @@
 		Keep: addr.KeepSettings{Idle: cfg.Relay.ConnIdle.D(), Age: cfg.PartnerCalls.ConnAge.D(),
 			Most: cfg.PartnerCalls.IdlePerHost, Spare: cfg.PartnerCalls.Spares, Connecting: cfg.PartnerCalls.Connecting},
 		Sessions: cfg.PartnerCalls.Sessions,
-		Traffic:  counted, Refused: r.refusedOf, Failed: r.obs.HandshakeOut,
+		Traffic:  counted, Refused: r.refusedOf, Waits: func(host string, at int, wait time.Duration) { r.core.Waits(host, at, wait) }, Failed: r.obs.HandshakeOut,
 		Dialed: r.obs.Dialed})
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
