What was delivered by a copy is told as dead once that is recorded

Cause, by reading: core.undeliver told at once, and the record of the end waited for a folder that failed.

Change: it waits for its records like any final answer, until the message's time at the latest.

TestUndeliveredIsToldOnceThatIsRecorded failed before: told before its record is written.

--- a/internal/core/doubt.go
+++ b/internal/core/doubt.go
@@ -183,11 +183,21 @@
 	}
 	delete(c.doubts.delivered, b.id)
 	c.opt.Trace.Step(x.end.Identity, "ended", ledger.Failed.String())
+	told := false
+	tell := func() {
+		if !told {
+			told = true
+			c.opt.Undelivered(x.end.Identity)
+		}
+	}
 	if x.kept {
 		x.end.At = c.opt.Journal.Stamp()
 		c.opt.Journal.Ended(x.end)
 	}
-	c.opt.Undelivered(x.end.Identity)
+	c.durable(x.kept, tell, x.end.Seq) // else the next process might send it after that
+	if !told {
+		c.confirm(x.until, tell)
+	}
 }
 
 // mayHaveRun takes in that a message whose call was refused may have run all the same. A further call
--- a/internal/core/doubt_test.go
+++ b/internal/core/doubt_test.go
@@ -146,3 +146,31 @@
 		t.Error("not called after the wait")
 	}
 }
+
+// Guards against a message that is sent after it was told as dead: the next process does not know of that.
+func TestUndeliveredIsToldOnceThatIsRecorded(t *testing.T) {
+	for _, heals := range []bool{true, false} {
+		j := newFailingDisk()
+		r := kept(t, j)
+		told := 0
+		r.opt.Undelivered = func(string) { told++ }
+		d := &decider{}
+		r.submit(t, "m", d)
+		if len(r.calls) != 1 {
+			t.Fatalf("%d calls", len(r.calls))
+		}
+		r.calls[0].answer(choice.Served)
+		r.at(r.now + ms)
+		j.failing = true
+		r.calls[0].Doubted()
+		if r.at(r.now + ms); told != 0 {
+			t.Error("told before its record is written")
+		}
+		if heals {
+			j.heal()
+		}
+		if r.at(r.now + 6*time.Second); told != 1 { // at the message's time at the latest
+			t.Errorf("heals %v: told %d times, want once", heals, told)
+		}
+	}
+}
