A half-closed client is withdrawn by when its request was read, not by how late that may be

Cause, by reading: a request that may have stood in the listener's queue counts as up to 0.4 s late, which is a bound; a client that had ended its sending was taken for one that waits no more at the next look, every 0.1 s, if its answer had not left by then.

Test: TestHalfClosedClientOfALateConnectionIsAnswered failed before (abandoned [late]).

Change: it is withdrawn when its time has passed since its last byte was read.

--- a/internal/hookfront/conn.go
+++ b/internal/hookfront/conn.go
@@ -164,11 +164,12 @@
 // forsaken tells whether the client has ended its sending and its answer is still owed.
 func (c *conn) forsaken() bool { return c.halfClosed.Load() && c.life.Phase() == lifecycle.Answering }
 
-// forsake ends such a connection once its client waits no more, and withdraws the message.
+// forsake ends such a connection once its client surely waits no more, and withdraws the message. How long the
+// request may have stood unread is no more than a bound.
 func (c *conn) forsake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open != nil && time.Duration(front.Now()) > c.life.By() {
+	if c.open != nil && time.Duration(front.Now()-c.since.Load()) > c.front.opt.Wait {
 		c.withdraw()
 		c.close(lifecycle.CloseClient)
 	}
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -260,6 +260,37 @@
 	}
 }
 
+// Guards against a request that is closed unanswered because its connection may have stood in the listener's queue for
+// longer than its client waits: that is a bound, and the client has just sent.
+func TestHalfClosedClientOfALateConnectionIsAnswered(t *testing.T) {
+	f, d := startWith(t, func(o *Options) { o.Connections, o.Kept, o.Wait, o.Request = 10, 10, time.Minute, 2*time.Minute })
+	d.hold = true
+	c := dial(t, f)
+	for f.Connections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	late := only(t, f)
+	late.mu.Lock()
+	late.waited = time.Hour
+	late.mu.Unlock()
+	if _, err := io.WriteString(c, hand("late", "notice", "7", "480", "", "")); err != nil {
+		t.Fatal(err)
+	}
+	<-d.came
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	for !late.halfClosed.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	late.forsake()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.abandoned) > 0 {
+		t.Errorf("abandoned %v", d.abandoned)
+	}
+}
+
 // Guards against a response that is cut: its client ended its sending before the socket had taken all of it.
 func TestHalfClosedClientReadsItsWholeAnswer(t *testing.T) {
 	f, _ := startWith(t, func(o *Options) { o.Connections, o.Kept, o.Linger, o.WriteBuffer = 10, 10, time.Minute, 0 })
--- a/internal/lifecycle/exchange.go
+++ b/internal/lifecycle/exchange.go
@@ -50,9 +50,6 @@
 // ID is that of the request, or of the connection.
 func (e *Exchange) ID() string { return e.id }
 
-// By is until when the client of the request that is being answered waits; 0 for no such time.
-func (e *Exchange) By() time.Duration { return e.by }
-
 // MayAnswer decides whether a response may be written now: to a request that was read, or to
 // what is no request and will not become one. The connection rests after it. One that leaves
 // after its client's time is counted, and leaves all the same.
