--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,7 +68,6 @@
 type link struct {
 	nb    *engine.Conn
 	life  lifecycle.PeerConn // of the goroutine that asks
-	to    string
 	wake  chan struct{}
 	mu    sync.Mutex
 	buf   []byte
@@ -101,7 +100,7 @@
 		}
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	l := &link{to: addr, wake: make(chan struct{}, 1)}
+	l := &link{wake: make(chan struct{}, 1)}
 	_, err = c.engine.Adopt(raw, func(nb *engine.Conn) engine.Handler {
 		l.nb = nb
 		return l
@@ -196,7 +195,6 @@
 type answer struct {
 	http1.Parser
 	status  int
-	keep    bool
 	content func([]byte) error
 }
 
@@ -205,16 +203,10 @@
 	if _, err := fmt.Sscanf(line, "%s %d", &version, &a.status); err != nil || version != "HTTP/1.1" {
 		return http1.Malformed("status line %.40q", line)
 	}
-	a.keep = true
 	return nil
 }
 
-func (a *answer) Field(name, value string) error {
-	if (name == "Connection" || name == "connection") && http1.Closes(value) {
-		a.keep = false
-	}
-	return nil
-}
+func (a *answer) Field(string, string) error { return nil }
 
 func (a *answer) Head() (http1.Framing, error) {
 	switch {
