Lifecycle decides how a refusal ends and what waits behind an unconfirmed answer

Read once more: core changed the module's refusal into a failure, held it back and let the next of a key go by conditions of its own; what may be answered is package lifecycle's to decide. Message.Refusal, Unconfirmed and ConfirmedBy hold it now, core carries it out. A message that may have run fails at once instead of at its confirmation.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -53,11 +53,11 @@
 
 // clear records that an attempt had no effect, once that is confirmed.
 func (c *Core) clear(a *attempt) {
-	if a.m.unsure <= c.now || a.m.life.Repeat != lifecycle.Never {
+	if a.m.life.ConfirmedBy() <= c.now || a.m.life.Repeat != lifecycle.Never {
 		c.tried(a, true)
 		return
 	}
-	c.confirm(a.m.unsure, func() {
+	c.confirm(a.m.life.ConfirmedBy(), func() {
 		if !a.m.answered && !a.m.life.MayHaveRun() {
 			c.tried(a, true)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -226,8 +226,6 @@
 	kept     bool // in the journal
 	life     lifecycle.Message
 	told     bool // its final answer has left
-	// The answer to its last call may turn out to be another's until then.
-	unsure time.Duration
 }
 
 // event is one entry of the inbox.
--- a/internal/core/doubt.go
+++ b/internal/core/doubt.go
@@ -73,15 +73,15 @@
 // out, unless it was served: keys whose messages come quickly would wait for nothing but silence.
 func (c *Core) unconfirmed(a *attempt, e Ending, served bool) {
 	m := a.m
-	m.unsure = c.now + e.Unconfirmed
+	until := c.now + e.Unconfirmed
 	c.opt.Trace.Step(m.Identity, "unconfirmed", e.Unconfirmed.String())
-	if c.ordered(m) && !served {
+	if nextWaits := m.life.Unconfirmed(until, served); nextWaits && c.ordered(m) {
 		key := orderKey{m.Partner, m.Key}
 		if c.doubts.keys == nil {
 			c.doubts.keys = map[orderKey]confirmedBy{}
 		}
-		c.doubts.keys[key] = max(c.doubts.keys[key], m.unsure)
-		c.confirm(m.unsure, func() {
+		c.doubts.keys[key] = max(c.doubts.keys[key], until)
+		c.confirm(until, func() {
 			if c.doubts.keys[key] <= c.now {
 				delete(c.doubts.keys, key)
 			}
@@ -216,23 +216,27 @@
 	c.batch = append(c.batch, choice.Retracted{ID: m.id, Since: c.now - sent})
 }
 
-// refuse ends a message as refused, once that is sure.
+// refuse ends a message that the module refuses as far as that may be promised. A run that ends waits
+// for no answer to be confirmed.
 func (c *Core) refuse(m *message, after time.Duration) {
-	if m.unsure > c.now && m.life.Repeat == lifecycle.Never && !c.draining {
-		c.confirm(m.unsure, func() { c.refuse(m, after) })
-		return
+	now := c.now
+	if c.draining {
+		now = max(now, m.life.ConfirmedBy())
 	}
-	if m.life.MayHaveRun() && m.life.Repeat == lifecycle.Never {
+	switch m.life.Refusal(now) {
+	case lifecycle.RefuseLater:
+		c.confirm(m.life.ConfirmedBy(), func() { c.refuse(m, after) })
+	case lifecycle.FailInstead:
 		c.answer(m, ledger.Answer{Verdict: ledger.Failed})
-		return
+	case lifecycle.RefuseNow:
+		c.answer(m, ledger.Answer{Verdict: ledger.Refused, After: after})
 	}
-	c.answer(m, ledger.Answer{Verdict: ledger.Refused, After: after})
 }
 
 // confirmedBy is when all answers are confirmed that the sending of a call rests on.
 func (c *Core) confirmedBy(a *attempt) (at time.Duration) {
 	for _, b := range a.all() {
-		at = max(at, b.m.unsure)
+		at = max(at, b.m.life.ConfirmedBy())
 		if c.ordered(b.m) {
 			at = max(at, c.doubts.keys[orderKey{b.m.Partner, b.m.Key}])
 		}
--- a/internal/lifecycle/message.go
+++ b/internal/lifecycle/message.go
@@ -38,6 +38,7 @@
 	mayRun   bool
 	firstRun time.Duration // of the calls that may have run
 	sent     time.Duration // of the call that is out
+	unsure   time.Duration // the answer to the last call may be another's until then
 	told     bool
 }
 
@@ -106,6 +107,41 @@
 // MayHaveRun tells whether a call of the message may have run.
 func (m *Message) MayHaveRun() bool { return m.mayRun }
 
+// Unconfirmed takes in that the answer to the last call may turn out to be another's, and that what
+// rests on it waits until a moment. It decides whether the next message of the same key waits too:
+// behind one that was served it would wait for nothing but silence.
+func (m *Message) Unconfirmed(until time.Duration, served bool) (nextWaits bool) {
+	m.unsure = until
+	return !served
+}
+
+// ConfirmedBy is when the answer to the last call counts as its own: nothing is sent again before.
+func (m *Message) ConfirmedBy() time.Duration { return m.unsure }
+
+// Refusal is how a message ends that is to be refused.
+type Refusal int
+
+// The ways.
+const (
+	RefuseNow   Refusal = iota
+	RefuseLater         // once the answer to its last call is confirmed
+	FailInstead         // a call may have run, and a repeat does harm
+)
+
+// Refusal decides how a message ends that is to be refused now: the refusal promises that nothing
+// ran, or that a repeat does no harm.
+func (m *Message) Refusal(now time.Duration) Refusal {
+	switch {
+	case m.Repeat != Never:
+		return RefuseNow
+	case m.mayRun:
+		return FailInstead
+	case now < m.unsure:
+		return RefuseLater
+	}
+	return RefuseNow
+}
+
 // Response is what whoever handed a message in may be told now.
 type Response int
 
--- a/internal/lifecycle/peer_test.go
+++ b/internal/lifecycle/peer_test.go
@@ -156,3 +156,31 @@
 		t.Errorf("usual %s after many quick answers", got)
 	}
 }
+
+// Guards against a refusal that promises that nothing ran, told because of an answer that was another call's.
+func TestRefusalWaitsForItsAnswerToBeConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		repeat Repeat
+		now    time.Duration
+		mayRun bool
+		want   Refusal
+	}{
+		{Never, s, false, RefuseLater},
+		{Never, 2 * s, false, RefuseNow},
+		{Never, s, true, FailInstead},
+		{Never, 2 * s, true, FailInstead},
+		{Freely, s, true, RefuseNow},
+		{InWindow, s, false, RefuseNow},
+	} {
+		m := Message{Repeat: c.repeat}
+		if m.Unconfirmed(2*s, true) || !m.Unconfirmed(2*s, false) {
+			t.Error("the next of a key waits behind what did not serve alone")
+		}
+		if c.mayRun {
+			m.Doubt(0)
+		}
+		if got := m.Refusal(c.now); got != c.want {
+			t.Errorf("%+v: %d", c, got)
+		}
+	}
+}
