Review case 2: a copied answer makes the relay lose messages that it took on

Rule: no message is lost. A host writes one of 20 of its 200s twice; on a busy connection the copy counts as the answer to the next message, and each answer from then on for the one behind.

--- a/review/src/case2/main.go
+++ b/review/src/case2/main.go
@@ -1,52 +1,74 @@
-// Case 2: clients that stop in the middle of a request take a relay over its limit on memory.
+// Case 2: a second copy of an answer makes the relay take later messages for delivered, and they end
+// neither with a delivery in time nor with a notice.
 package main
 
 import (
 	"fmt"
-	"net"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"basaltcross.example/review/kit"
 )
 
 const (
-	memoryMB = 32                     // of "32 to 192 MB"
-	sockets  = 1024                   // of "256 to 1,024 descriptors"
-	bad      = 320                    // bad clients, a connection each: under a third of the descriptors
-	good     = 4                      // usual clients
-	bodySize = 64 << 10               // "A body holds at most 64 KiB"
-	begin    = 3 * time.Second        // of the trouble
-	length   = 15 * time.Second       // of the run
-	sample   = 20 * time.Millisecond  // between two looks at the memory
-	rest     = 200 * time.Millisecond // of a usual client between two requests
+	relays  = 3
+	latency = 10 * time.Millisecond   // one way; the site's page has 8 to 30 ms
+	work    = 450 * time.Millisecond  // mean of a message at the host, exponential
+	left    = 1200 * time.Millisecond // X-Remaining-Ms
+	every   = 70 * time.Millisecond   // between two messages of a relay: 130% of what its slots carry
+	copied  = 0.05                    // share of the answers that the host writes twice
+	behind  = 2 * time.Millisecond    // from an answer to its second copy
+	grace   = 550 * time.Millisecond  // after its time, from which a message is lost
+	length  = 20 * time.Second
 )
 
-// stopWithin sends a hand-in but its last byte, waits for the relay's error or close, and comes again.
-func stopWithin(rec *kit.Recorder, r *kit.Relay, n int, end time.Duration, ended *atomic.Int64) {
-	for k := 0; rec.Now() < end && !r.Ended(); k++ {
-		c, err := net.DialTimeout("tcp", r.Listen, time.Second)
-		if err != nil {
-			time.Sleep(50 * time.Millisecond)
-			continue
-		}
-		request := kit.Message{ID: fmt.Sprintf("bad-%d-%d", n, k), Lane: "trip-status", Dest: 1, Remaining: 4 * time.Second,
-			Body: make([]byte, bodySize)}.Request()
-		_, _ = c.Write(request[:len(request)-1])
-		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
-		answer := make([]byte, 4096)
-		for {
-			if _, err := c.Read(answer); err != nil {
-				break
-			}
-		}
-		_ = c.Close()
-		ended.Add(1)
+// message is what clients, the host and the platform saw of one message.
+type message struct {
+	handedIn  time.Duration
+	taken     bool
+	delivered time.Duration // first line with 200 written to the relay, 0 for never
+	notice    time.Duration // 0 for none
+}
+
+type platform struct {
+	rec      *kit.Recorder
+	trouble  bool
+	mu       sync.Mutex
+	messages map[string]*message
+	copies   int
+}
+
+// serve is the host.
+func (p *platform) serve(c *kit.Call) bool {
+	id := c.IDs[0]
+	p.rec.Line("host runs %s (call %d on %s)", id, c.Turn, c.Conn.RemoteAddr())
+	time.Sleep(time.Duration(float64(work) * rand.ExpFloat64()))
+	if _, err := c.Conn.Write(kit.Response(200, "", "")); err != nil {
+		p.rec.Line("host can't answer %s: the connection has ended", id)
+		return false
 	}
+	p.rec.Line("host answered %s: 200", id)
+	p.mu.Lock()
+	if m := p.messages[id]; m != nil && m.delivered == 0 {
+		m.delivered = p.rec.Now()
+	}
+	p.mu.Unlock()
+	if !p.trouble || rand.Float64() >= copied {
+		return true
+	}
+	time.Sleep(behind)
+	if kit.Unread(c.Conn) { // something else waits on the connection
+		return true
+	}
+	kit.Respond(c.Conn, 200, "", "")
+	p.rec.Line("host wrote a second copy of its answer for %s", id)
+	p.mu.Lock()
+	p.copies++
+	p.mu.Unlock()
+	return true
 }
 
 func run(root, folder string) (int, error) {
@@ -59,75 +81,106 @@
 		return 2, err
 	}
 	defer os.RemoveAll(dir)
-	host, err := kit.NewHost(rec, func(c *kit.Call) bool {
-		time.Sleep(100 * time.Millisecond)
-		kit.RespondAll(c, "delivered")
-		rec.Line("host ran and answered %v", c.IDs)
-		return true
-	})
-	if err != nil {
-		return 2, err
-	}
-	agent, err := kit.NewAgent(rec, []kit.Target{{UID: "s-1", Endpoint: host.Addr(), Zone: "akl-dc1", Kind: "small", Dest: 1,
-		State: "up", Rate: 100}})
+	p := &platform{rec: rec, trouble: os.Getenv("TROUBLE") != "0", messages: map[string]*message{}}
+	host, err := kit.NewHost(rec, p.serve)
 	if err != nil {
 		return 2, err
 	}
 	settings := kit.Settings([]kit.Class{
-		{Name: "trip-status", Aim: 4, GiveUp: 12, Effect: "idempotent", Group: "all", Late: 0.5, Window: 5, Worth: 2}}, nil)
-	r, err := kit.NewRelay(rec, "n0", root, dir, kit.Limits{Cores: 0.5, MemoryMB: memoryMB, Sockets: sockets, DiskMB: 3}, settings, agent)
-	if err != nil {
-		return 2, err
-	}
-	defer r.Kill()
-	if err := r.Start(); err != nil {
-		return 2, err
+		{Name: "ride-charge", Aim: 1, GiveUp: 4, Effect: "at_most_once", Group: "all", Late: 0.5, Window: 5, Worth: 1},
+	}, func(m map[string]any) { m["fleet-size"] = relays })
+	var all []*kit.Relay
+	defer func() {
+		for _, r := range all {
+			r.Kill()
+		}
+	}()
+	for i := range relays {
+		network, err := kit.NewNetwork(host.Addr(), latency)
+		if err != nil {
+			return 2, err
+		}
+		agent, err := kit.NewAgent(rec, []kit.Target{{UID: "s-1", Endpoint: network.Addr(), Zone: "akl-dc1", Kind: "small", Dest: 1,
+			State: "up", Rate: 40}})
+		if err != nil {
+			return 2, err
+		}
+		r, err := kit.NewRelay(rec, fmt.Sprint("n", i), root, filepath.Join(dir, fmt.Sprint("n", i)),
+			kit.Limits{Cores: 1, MemoryMB: 128, Sockets: 512, DiskMB: 3}, settings, agent)
+		if err != nil {
+			return 2, err
+		}
+		all = append(all, r)
+		if err := r.Start(); err != nil {
+			return 2, err
+		}
 	}
-	end := rec.Now() + length
 	var clients sync.WaitGroup
-	for i := range good {
+	end := rec.Now() + length
+	for i, r := range all {
 		clients.Go(func() {
 			c := kit.NewClient(r.Listen)
 			defer c.Close()
-			for n := 0; rec.Now() < end && !r.Ended(); n++ {
-				id := fmt.Sprintf("good-%d-%d", i, n)
-				rec.Line("client hands in %s: %d", id, c.HandIn(kit.Message{ID: id, Lane: "trip-status", Dest: 1,
-					Remaining: 4 * time.Second, Body: []byte("status")}))
-				time.Sleep(rest)
+			for n := 0; rec.Now() < end; n++ {
+				id := fmt.Sprintf("charge-%d-%d", i, n)
+				m := &message{handedIn: rec.Now()}
+				p.mu.Lock()
+				p.messages[id] = m
+				p.mu.Unlock()
+				status := c.HandIn(kit.Message{ID: id, Lane: "ride-charge", Dest: 1, Remaining: left, Body: []byte("charge")})
+				rec.Line("client hands in %s: %d", id, status)
+				p.mu.Lock()
+				m.taken = status == 202 || status == 200
+				p.mu.Unlock()
+				time.Sleep(every)
 			}
 		})
 	}
-	var rounds atomic.Int64
-	if os.Getenv("TROUBLE") != "0" {
-		for i := range bad {
-			clients.Go(func() {
-				time.Sleep(begin)
-				stopWithin(rec, r, i, end, &rounds)
-			})
+	clients.Wait()
+	time.Sleep(left + 5*time.Second)
+	for _, r := range all {
+		if r.Ended() {
+			return 2, fmt.Errorf("a relay ended by itself")
+		}
+		for _, n := range r.Agent.Notices() {
+			p.mu.Lock()
+			if m := p.messages[n.Ref]; m != nil && m.notice == 0 {
+				m.notice = n.At
+			}
+			p.mu.Unlock()
+		}
+		for _, line := range r.LogLines(`"cause":"host"`, `"cause":"violation"`) {
+			rec.Line("log: %s", line)
 		}
 	}
-	peak, killed := 0, false
-	for looks := 0; rec.Now() < end; looks++ {
-		now := r.AnonymousKB()
-		if peak = max(peak, now); looks%25 == 0 {
-			rec.Line("the relay's anonymous memory: %d KiB", now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken, lost := 0, 0
+	for id, m := range p.messages {
+		if !m.taken {
+			continue
 		}
-		if now > memoryMB<<10 { // the platform's part: "Over memory_mb the relay is killed"
-			rec.Line("the relay's anonymous memory is %d KiB, its limit %d KiB: killed", now, memoryMB<<10)
-			r.Signal(syscall.SIGKILL)
-			killed = true
-			break
+		taken++
+		due := m.handedIn + left + grace
+		if m.delivered > 0 && m.delivered <= due || m.notice > 0 && m.notice <= due {
+			continue
 		}
-		if r.Ended() {
-			break
+		lost++
+		text := "never delivered"
+		if m.delivered > 0 {
+			text = fmt.Sprintf("delivered %.2f s after its time", (m.delivered - m.handedIn - left).Seconds())
 		}
-		time.Sleep(sample)
+		if m.notice > 0 {
+			text += fmt.Sprintf(", notice %.2f s after its time", (m.notice - m.handedIn - left).Seconds())
+		} else {
+			text += ", no notice"
+		}
+		rec.Line("lost: %s: taken on, %s", id, text)
+		fmt.Printf("lost: %s: taken on, %s\n", id, text)
 	}
-	crashed := killed || r.Ended()
-	clients.Wait()
-	rec.Line("peak %d KiB, limit %d KiB; %d requests of bad clients ended; crashed: %v", peak, memoryMB<<10, rounds.Load(), crashed)
-	fmt.Printf("peak of anonymous memory %d KiB, limit %d KiB; crashed: %v\n", peak, memoryMB<<10, crashed)
-	if crashed {
+	rec.Line("%d messages taken on, %d second copies, %d messages lost", taken, p.copies, lost)
+	fmt.Printf("%d messages taken on, %d second copies, %d messages lost\n", taken, p.copies, lost)
+	if lost > 0 {
 		return 1, nil
 	}
 	return 0, nil
