--- a/review/src/case1/main.go
+++ b/review/src/case1/main.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	relays   = 6
+	relays   = 10
 	partners = 8                      // partners 1 to 8 take charges, partner 9 takes the rest
 	latency  = 10 * time.Millisecond  // one way; the site's page has 8 to 30 ms
 	work     = 600 * time.Millisecond // of a charge
