--- a/review/src/kit/kit.go
+++ b/review/src/kit/kit.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -203,6 +204,7 @@
 	Limits            Limits
 	Settings          map[string]any
 	Agent             *Agent
+	Discovery         string
 	rec               *Recorder
 	cmd               *exec.Cmd
 	name              string
@@ -235,7 +237,7 @@
 // Start starts the relay with the command of the deploy file and waits until it is ready.
 func (r *Relay) Start() error {
 	r.starts++
-	config, err := json.MarshalIndent(map[string]any{"name": r.name, "listen": r.Listen, "discovery": r.Agent.Addr(),
+	config, err := json.MarshalIndent(map[string]any{"name": r.name, "listen": r.Listen, "discovery": cmp.Or(r.Discovery, r.Agent.Addr()),
 		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": r.Limits, "known": r.Agent.List(),
 		"settings": r.Settings}, "", " ")
 	if err != nil {
