--- a/review/src/case1/main.go
+++ b/review/src/case1/main.go
@@ -110,6 +110,7 @@
 	other, err := kit.NewHost(rec, func(c *kit.Call) bool {
 		time.Sleep(30 * time.Millisecond)
 		kit.RespondAll(c, "delivered")
+		rec.Line("host ran and answered %v: 200", c.IDs)
 		return true
 	})
 	if err != nil {
@@ -158,8 +159,9 @@
 				c := kit.NewClient(r.Listen)
 				defer c.Close()
 				for n := 0; rec.Now() < end; n++ {
-					c.HandIn(kit.Message{ID: fmt.Sprintf("status-%d-%d-%d", i, k, n), Lane: "trip-status", Dest: partners + 1,
-						Remaining: 4 * time.Second, Body: []byte("status")})
+					id := fmt.Sprintf("status-%d-%d-%d", i, k, n)
+					rec.Line("client hands in %s: %d", id, c.HandIn(kit.Message{ID: id, Lane: "trip-status", Dest: partners + 1,
+						Remaining: 4 * time.Second, Body: []byte("status")}))
 					time.Sleep(200 * time.Millisecond)
 				}
 			})
--- a/review/src/case3/main.go
+++ b/review/src/case3/main.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,14 +37,18 @@
 		}
 		request := kit.Message{ID: fmt.Sprintf("bad-%d-%d", n, k), Lane: "trip-status", Dest: 1, Remaining: 4 * time.Second,
 			Body: make([]byte, bodySize)}.Request()
-		_, _ = c.Write(request[:len(request)-1])
+		sent, _ := c.Write(request[:len(request)-1])
 		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
 		answer := make([]byte, 4096)
+		got := 0
 		for {
-			if _, err := c.Read(answer); err != nil {
+			k, err := c.Read(answer[got:])
+			if got += k; err != nil {
 				break
 			}
 		}
+		status, _, _ := strings.Cut(string(answer[:got]), "\r\n")
+		rec.Line("bad client %d sent %d of %d bytes, got %q and the close", n, sent, len(request), status)
 		_ = c.Close()
 		ended.Add(1)
 	}
