--- a/review/src/case2/main.go
+++ b/review/src/case2/main.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	relays  = 3
+	relays  = 8
 	latency = 10 * time.Millisecond   // one way; the site's page has 8 to 30 ms
 	work    = 450 * time.Millisecond  // mean of a message at the host, exponential
 	left    = 1200 * time.Millisecond // X-Remaining-Ms
@@ -101,7 +101,7 @@
 			return 2, err
 		}
 		agent, err := kit.NewAgent(rec, []kit.Target{{UID: "s-1", Endpoint: network.Addr(), Zone: "akl-dc1", Kind: "small", Dest: 1,
-			State: "up", Rate: 40}})
+			State: "up", Rate: 120}})
 		if err != nil {
 			return 2, err
 		}
