--- a/choice/choice.go
+++ b/choice/choice.go
@@ -90,8 +90,6 @@
 					c.giveFinalAnswer(m)
 				}
 			}
-		case Retracted:
-			c.retract(e)
 		case HostUpdate:
 			c.updateHosts(e)
 		case Stop:
@@ -676,7 +674,8 @@
 		d.latencies.addAbandoned()
 		c.handleFailure(h, e.Outcome, e.Took)
 	}
-	sure := e.Outcome == Served || e.Outcome == Refused || e.Outcome == NoConnection || e.Outcome == NotSent
+	sure := e.Outcome == Served ||
+		!e.Unproven && (e.Outcome == Refused || e.Outcome == NoConnection || e.Outcome == NotSent)
 	if !sure {
 		if m.unsureAt = c.now; !m.mayHaveRun {
 			m.mayHaveRun, m.firstRunAt, m.firstRunZone = true, k.sentAt, h.Zone
--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -108,10 +108,17 @@
 			t.Fatalf("%d calls in flight with %d slots", out, s.Workers)
 		}
 	}
-	finish := func(id string, o Outcome, told time.Duration) Event {
+	finish := func(id string, o Outcome, told time.Duration, unproven bool) Event {
 		l := states[id]
 		h := hostByAddr[l.inFlightTo]
-		e := Result{ID: id, Host: l.inFlightTo, Attempt: l.attempts - 1, Outcome: o, Took: 30 * ms, Done: o == Served || l.finished}
+		e := Result{ID: id, Host: l.inFlightTo, Attempt: l.attempts - 1, Outcome: o, Took: 30 * ms, Done: o == Served || l.finished,
+			Unproven: unproven}
+		if unproven && (o == Refused || o == NoConnection || o == NotSent) {
+			l.mayHaveRun = true
+			if l.key != "" {
+				l.unsureAt = now
+			}
+		}
 		switch o {
 		case Served:
 			l.finished = true
@@ -148,8 +155,9 @@
 			for _, id := range ids {
 				if states[id].inFlightTo != "" {
 					o := Outcome(arg % int(NotSent+1))
-					step(finish(id, o, time.Duration(arg/8)*50*ms))
-					if l := states[id]; l.finished || o == Timeout || o == Reset || o == Cancelled {
+					unproven := arg >= 128
+					step(finish(id, o, time.Duration(arg/8)*50*ms, unproven))
+					if l := states[id]; l.finished || unproven || o == Timeout || o == Reset || o == Cancelled {
 						if l.key != "" && l.finished && l.unsureAt > 0 {
 							blockedUntil[l.key] = max(blockedUntil[l.key], l.unsureAt+s.Rules.OrderSettle)
 						}
@@ -170,7 +178,7 @@
 				var due []Event
 				for _, id := range ids {
 					if l := states[id]; l.inFlightTo != "" && now >= l.due {
-						due = append(due, finish(id, Timeout, 0))
+						due = append(due, finish(id, Timeout, 0, false))
 					}
 				}
 				step(append(due, Woken{})...)
--- a/choice/retracted_test.go
+++ b/choice/unproven_test.go
@@ -5,19 +5,21 @@
 	"time"
 )
 
-// TestRetractedRefusal guards against sending a message again, or refusing it, although its refusal belonged to
+// TestUnprovenRefusal guards against sending a message again, or refusing it, although its refusal may belong to
 // another call and it may have run: a message that may be repeated waits for its next attempt, within its window; any
 // other fails in the same step.
-func TestRetractedRefusal(t *testing.T) {
+func TestUnprovenRefusal(t *testing.T) {
 	for _, x := range []struct {
-		class Class
-		since time.Duration
-		fails bool
+		class   Class
+		outcome Outcome
+		took    time.Duration
+		fails   bool
 	}{
-		{Class{Effect: Unsafe}, 0, true},
-		{Class{Effect: Safe}, 0, false},
-		{Class{Effect: Keyed, Window: time.Second}, 500 * time.Millisecond, false},
-		{Class{Effect: Keyed, Window: time.Second}, 1500 * time.Millisecond, true},
+		{Class{Effect: Unsafe}, Refused, time.Second, true},
+		{Class{Effect: Unsafe}, NotSent, time.Second, true},
+		{Class{Effect: Safe}, Refused, time.Second, false},
+		{Class{Effect: Keyed, Window: time.Second}, Refused, 500 * time.Millisecond, false},
+		{Class{Effect: Keyed, Window: time.Second}, Refused, 1500 * time.Millisecond, true},
 	} {
 		x.class.Aim, x.class.Deadline, x.class.Worth = time.Second, 6*time.Second, 1
 		c, err := New(Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * time.Millisecond, RefuseOnlyNeverRan: true, ReportLimitIndex: -1,
@@ -27,10 +29,9 @@
 			t.Fatal(err)
 		}
 		c.Step(0, []Event{HostUpdate{Full: true, Hosts: []Host{{Addr: "a", State: Ready}}}, Arrival{ID: "m", TimeLeft: 6 * time.Second}})
-		now := 2 * time.Second
-		c.Step(now, []Event{Result{ID: "m", Host: "a", Outcome: Refused, RetryAfter: time.Second}})
 		failed, refused := false, false
-		for _, a := range c.Step(now+time.Millisecond, []Event{Retracted{ID: "m", Since: x.since}, Retracted{ID: "unknown"}}) {
+		for _, a := range c.Step(x.took, []Event{Result{ID: "m", Host: "a", Outcome: x.outcome, Took: x.took,
+			RetryAfter: time.Second, Unproven: true}}) {
 			switch a.(type) {
 			case Fail:
 				failed = true
@@ -39,7 +40,7 @@
 			}
 		}
 		if failed != x.fails || refused {
-			t.Errorf("%+v: failed %v, refused %v, want a failure if not repeatable", x.class, failed, refused)
+			t.Errorf("%+v, %s: failed %v, refused %v, want a failure if not repeatable", x.class, x.outcome, failed, refused)
 		}
 	}
 }
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -10,7 +10,6 @@
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
-	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // attempt is one attempt of a message. The attempts of a call with several messages are linked
@@ -56,26 +55,13 @@
 		At: c.opt.Journal.Stamp(), NeverRan: clear})
 }
 
-// clear records that an attempt had no effect, once its outcome is confirmed.
-func (c *Core) clear(a *attempt) {
-	if a.msg.state.ConfirmedBy() <= c.now || a.msg.state.Repeat != lifecycle.NotRepeatable {
-		c.recordAttempt(a, true)
-		return
-	}
-	c.schedule(a.msg.state.ConfirmedBy(), func() {
-		if !a.msg.answered && !a.msg.state.MayHaveRun() {
-			c.recordAttempt(a, true)
-		}
-	})
-}
-
 // endCall processes the end of a call: it ends the attempt of each of its messages.
 func (c *Core) endCall(a *attempt, e Ending) {
 	for i, b := range a.members() {
 		one := e
 		if one.Each = nil; i < len(e.Each) {
 			one = e.Each[i]
-			one.Took, one.ConfirmAfter, one.RetractableFor = e.Took, e.ConfirmAfter, e.RetractableFor
+			one.Took = e.Took
 		}
 		c.endAttempt(b, one)
 	}
@@ -102,21 +88,25 @@
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
 	c.recordHost(a.host, e)
 	served := e.Outcome == choice.Served && (c.opt.LateMargin == 0 || c.now <= m.deadline-c.opt.LateMargin)
-	if e.RetractableFor > 0 && !m.answered {
-		c.handleUnconfirmed(a, e, served)
+	if e.Unproven {
+		c.opt.Trace.Step(m.Identity, "unproven", e.Outcome.String())
+	}
+	if e.Unproven && served && !m.answered {
+		c.rememberDelivered(m, a.attemptNo)
 	}
 	if e.Abandon && !m.answered { // the platform has abandoned the message: no answer is due
 		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
 	}
-	noEffect := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent
+	noEffect := !e.Unproven &&
+		(e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent)
 	m.state.CallEnded(noEffect)
 	c.opt.Trace.Step(m.Identity, "result", e.Outcome.String())
 	if noEffect && c.recordsAttempts(m) && !m.answered {
-		c.clear(a)
+		c.recordAttempt(a, true)
 	}
 	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.attemptNo, Outcome: e.Outcome,
 		Took: e.Took, RetryAfter: e.Wait, Done: served || m.answered, NoMoreAttempts: e.AttemptsUsedUp,
-		Report: e.LoadReport})
+		Unproven: e.Unproven, Report: e.LoadReport})
 	if served {
 		c.answer(m, ledger.Answer{Verdict: ledger.Delivered})
 	}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -13,7 +13,7 @@
 // The value is the tolerance that the platform allows for every time limit on sockets.
 const maxRecordWait = 50 * time.Millisecond
 
-// delayedCall delays a call until its records are on disk or the answers it relies on are confirmed.
+// delayedCall delays a call until its records are on disk.
 type delayedCall struct {
 	handle    Attempt // the call, once it was sent; nil before
 	cancelled bool    // ended before it was sent
@@ -43,21 +43,12 @@
 // it says anything about its endpoint.
 func (a *attempt) dispatched() bool { return a.gate == nil || a.gate.handle != nil }
 
-// send sends the call of an attempt, as soon as the outcomes that it relies on are confirmed.
+// send sends the call of an attempt, as soon as its records are on disk. The time-out of a call that
+// waits for its records starts with the first byte, since it measures the endpoint and not the disk.
 func (c *Core) send(a *attempt) {
 	if a == nil {
 		return
 	}
-	if until := c.confirmedBy(a); until > c.now {
-		c.delayCall(a, until)
-		return
-	}
-	c.sendNow(a)
-}
-
-// sendNow sends a call, as soon as its records are on disk. The time-out of a call that waits for
-// its records starts with the first byte, since it measures the endpoint and not the disk.
-func (c *Core) sendNow(a *attempt) {
 	call, seqs := c.buildCall(a)
 	timeout := a.timeoutAt - a.sentAt
 	if len(seqs) == 0 {
@@ -102,7 +93,8 @@
 		call.IdempotencyKey = m.idempotencyKey()
 	}
 	for _, b := range a.members() {
-		call.NoDuplicates = call.NoDuplicates || b.msg.state.Repeat == lifecycle.NotRepeatable || c.ordered(b.msg)
+		call.NotRepeatable = call.NotRepeatable || b.msg.state.Repeat == lifecycle.NotRepeatable
+		call.Ordered = call.Ordered || c.ordered(b.msg)
 		if len(a.followers) > 0 {
 			call.Items = append(call.Items, Item{Identity: b.msg.Identity, Key: b.msg.Key, Head: b.msg.Head,
 				Body: b.msg.Body})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,9 +99,9 @@
 	Body           []byte
 	Timeout        time.Duration // time-out, counted from Send
 	WriteWithin    time.Duration // latest time of the first write, counted from Send; 0 for none
-	// NoDuplicates marks a call of which a duplicate or an outcome taken from the wrong response
-	// does harm: a message must not be repeated, or other messages of its key wait for it.
-	NoDuplicates bool
+	// NotRepeatable marks a call with a message that must not take effect twice, Ordered one with a
+	// message for which others of its key wait.
+	NotRepeatable, Ordered bool
 	// End receives the outcome of the attempt, once, from any goroutine.
 	End func(Ending)
 	// Retract withdraws, from any goroutine, an outcome that was passed to End: the response
@@ -117,13 +117,21 @@
 	Abandon        bool          // with NotSent: the message is abandoned, no answer is due
 	AttemptsUsedUp bool          // with NotSent: the message has used up its attempts
 	LoadReport     []float64     // load report, nil for none
-	// ConfirmAfter is how long steps that rely on the outcome are delayed, since the response may prove to
-	// belong to another call; RetractableFor is how long the outcome may still be retracted. 0 for neither.
-	ConfirmAfter, RetractableFor time.Duration
+	Unproven       bool          // the response may belong to another call; see MarkUnproven
 	// Each holds the results of the messages of a call, in their order; nil if they are all the same.
 	Each []Ending
 }
 
+// MarkUnproven marks an outcome whose response may belong to another call of its connection: the
+// message may have run, whatever the response says of that, and nothing that can't be undone rests
+// on it. The message is not abandoned and its attempts are not used up.
+func (e *Ending) MarkUnproven() {
+	e.Unproven, e.Abandon, e.AttemptsUsedUp = true, false, false
+	for i := range e.Each {
+		e.Each[i].MarkUnproven()
+	}
+}
+
 // Attempt is a call in progress.
 type Attempt interface {
 	// Abort ends the attempt on its socket. started reports whether any byte was
@@ -291,7 +299,7 @@
 	unsettledIDs    map[string]string    // ids of refused or failed messages without Settled, by identity
 	onIdle          func()               // called once no attempt is in progress
 	parked          bool                 // the messages held are left to a later run
-	retractions     retractions
+	unproven        unprovenDeliveries
 	spareInbox      []event // inbox of the previous step, for reuse
 }
 
@@ -410,7 +418,7 @@
 		all["messages"], all["identities"], all["outs"], all["noted"] =
 			len(c.byID), c.identityLedger.Len(), len(c.inFlight), len(c.recordedHosts)
 		all["owing"], all["doubts"], all["delivered"] =
-			len(c.unsettledIDs), len(c.retractions.steps), len(c.retractions.delivered)
+			len(c.unsettledIDs), len(c.unproven.steps), len(c.unproven.delivered)
 		all["endpoints"], all["timers"] = max(len(c.zones), len(c.kinds)), len(c.timeouts)
 	})
 	return all, err
@@ -519,7 +527,7 @@
 	if due := c.pendingSteps.next(c); due >= 0 && (at < 0 || due < at) {
 		at = due
 	}
-	if due := c.retractions.next(); due >= 0 && (at < 0 || due < at) {
+	if due := c.unproven.next(); due >= 0 && (at < 0 || due < at) {
 		at = due
 	}
 	if c.draining && (at < 0 || c.journalDeadline < at) {
--- a/internal/core/retraction_test.go
+++ b/internal/core/unproven_test.go
@@ -8,10 +8,12 @@
 	"basaltcross.example/basaltcross/choice"
 )
 
-// finishUnconfirmed ends a call with a response that is unconfirmed for 100 ms.
-func (f *fakeCall) finishUnconfirmed(o choice.Outcome) {
+// finishUnproven ends a call with a response that may belong to another call.
+func (f *fakeCall) finishUnproven(o choice.Outcome) {
 	f.ended = true
-	f.End(Ending{Outcome: o, Took: 20 * ms, ConfirmAfter: 100 * ms, RetractableFor: 100 * ms})
+	e := Ending{Outcome: o, Took: 20 * ms}
+	e.MarkUnproven()
+	f.End(e)
 }
 
 // sentMessage returns a rig with a message that was handed in and sent.
@@ -30,92 +32,87 @@
 
 const unsafeClass = 1
 
-// Guards against a second effect: a message is sent again at once because of a refusal that belongs to another
-// call.
-func TestRefusedMessageIsSentAgainOnceItsOutcomeIsConfirmed(t *testing.T) {
-	r, re := sentMessage(t, unsafeClass)
-	r.calls[0].finishUnconfirmed(choice.Refused)
-	for at := 2 * ms; at < 100*ms; at += ms {
-		if r.at(at); len(r.calls) > 1 || len(re.answers) > 0 {
-			t.Fatalf("at %s: %d calls, answers %v", at, len(r.calls), re.answers)
-		}
-	}
-	for at := 100 * ms; len(r.calls) == 1 && at < 5*time.Second; at += ms {
-		r.at(at)
-	}
-	if len(r.calls) != 2 {
-		t.Fatal("not sent again after the refusal is confirmed")
-	}
-	if r.calls[1].finish(choice.Served, 0); len(r.timeouts) != 1 {
-		t.Errorf("%d time-outs", len(r.timeouts))
-	}
-	r.at(5 * time.Second)
-	if verdicts([]*reply{re}) != "delivered " || len(r.byID)+len(r.timeouts)+len(r.retractions.steps) != 0 {
-		t.Errorf("answers %v, %d messages, %d time-outs, %d steps left", re.answers, len(r.byID), len(r.timeouts),
-			len(r.retractions.steps))
-	}
-}
-
-// Guards against a second effect, and against a refusal of a message that has run, if the refusal proves to belong
-// to another call.
-func TestMessageWithARetractedRefusalIsNotSentAgain(t *testing.T) {
-	for _, at := range []time.Duration{2 * ms, 50 * ms} { // together with the response, and while the next call waits
-		r, re := sentMessage(t, unsafeClass)
-		r.calls[0].finishUnconfirmed(choice.Refused)
-		if at > 2*ms {
-			r.at(2 * ms)
+// Guards against a second effect, and against a refusal of a message that has run, on the strength of a
+// refusal that may belong to another call. A message that must not be repeated fails at once; any other is
+// sent again.
+func TestUnprovenRefusalCountsAsMayHaveRun(t *testing.T) {
+	for class, want := range []string{"none ", "failed "} {
+		r, re := sentMessage(t, class)
+		r.calls[0].finishUnproven(choice.Refused)
+		r.at(2 * ms)
+		if got := verdicts([]*reply{re}); got != want {
+			t.Errorf("class %d: %s, want %s", class, got, want)
 		}
 		r.calls[0].Retract()
-		for now := at; now < 7*time.Second; now += 5 * ms {
-			r.at(now)
+		for at := 3 * ms; at < 5*time.Second && len(r.calls) == 1; at += ms {
+			r.at(at)
 		}
-		if len(r.calls) != 1 || verdicts([]*reply{re}) != "failed " {
-			t.Errorf("retracted at %s: %d calls, answers %v", at, len(r.calls), re.answers)
+		if again := len(r.calls) - 1; again != 1-class {
+			t.Errorf("class %d: sent again %d times, want %d", class, again, 1-class)
 		}
 	}
 }
 
+// Guards against a second effect if the response proves to belong to another call before its outcome is
+// processed.
+func TestOutcomeRetractedBeforeItIsProcessed(t *testing.T) {
+	r, re := sentMessage(t, unsafeClass)
+	r.calls[0].Retract()
+	r.calls[0].finish(choice.Refused, 0)
+	for now := 2 * ms; now < 7*time.Second; now += 5 * ms {
+		r.at(now)
+	}
+	if len(r.calls) != 1 || verdicts([]*reply{re}) != "failed " {
+		t.Errorf("%d calls, answers %v", len(r.calls), re.answers)
+	}
+}
+
 // Guards against a message that is answered as delivered but was not: the response of status 200 belonged to another
 // call.
 func TestRetractedDeliveryIsReportedAsFailed(t *testing.T) {
 	for _, class := range []int{0, unsafeClass} {
 		r, re := sentMessage(t, class)
-		var told []string
-		r.opt.DeliveryRetracted = func(identity string) { told = append(told, identity) }
-		r.calls[0].finishUnconfirmed(choice.Served)
+		var retracted []string
+		r.opt.DeliveryRetracted = func(identity string) { retracted = append(retracted, identity) }
+		r.calls[0].finishUnproven(choice.Served)
 		r.at(2 * ms)
 		r.calls[0].Retract()
 		r.calls[0].Retract()
 		r.at(300 * ms)
-		if verdicts([]*reply{re}) != "delivered " || fmt.Sprint(told) != "[m]" {
-			t.Errorf("answers %v, reported %v, want m once", re.answers, told)
+		if verdicts([]*reply{re}) != "delivered " || fmt.Sprint(retracted) != "[m]" {
+			t.Errorf("answers %v, reported %v, want m once", re.answers, retracted)
 		}
-		if r.at(10 * time.Second); len(r.retractions.delivered)+len(r.retractions.deliveredOrder)+
-			len(r.retractions.heldKeys)+len(r.retractions.steps) != 0 {
-			t.Errorf("state left after the end: %+v", r.retractions)
+		if r.at(10 * time.Second); len(r.unproven.delivered)+len(r.unproven.steps) != 0 {
+			t.Errorf("state left after the end: %+v", r.unproven)
 		}
 	}
 }
 
-// Guards against messages of a key out of order: the next one is sent while the one before, which a response to
-// another call has ended as failed, may still run.
-func TestNextMessageOfAKeyWaitsUntilTheOutcomeIsConfirmed(t *testing.T) {
-	r, re := newRig(t), &reply{}
-	r.opt.Settings.Classes[unsafeClass].Ordered = true
-	for _, id := range []string{"m", "n"} {
-		if err := r.handIn(id, unsafeClass, re, 6*time.Second); err != nil {
-			t.Fatal(err)
+// Guards against messages of a key out of order: the next one is sent at once while the one before may still
+// run, since a response that may belong to another call has ended it.
+func TestNextMessageOfAKeyWaitsBehindAnUnprovenOutcome(t *testing.T) {
+	for _, outcome := range []choice.Outcome{choice.Error, choice.Refused} {
+		r, re := newRig(t), &reply{}
+		r.opt.Settings.Classes[unsafeClass].Ordered = true
+		for _, id := range []string{"m", "n"} {
+			if err := r.handIn(id, unsafeClass, re, 6*time.Second); err != nil {
+				t.Fatal(err)
+			}
 		}
-	}
-	r.at(ms)
-	r.calls[0].finishUnconfirmed(choice.Error)
-	for at := 2 * ms; at < 100*ms; at += ms {
-		if r.at(at); len(r.calls) > 1 {
-			t.Fatalf("the next message of the key is sent at %s", at)
+		r.at(ms)
+		r.calls[0].finishUnproven(outcome)
+		settled := 2*ms + r.opt.Settings.Rules.OrderSettle
+		for at := 2 * ms; at < settled; at += ms {
+			if r.at(at); len(r.calls) > 1 {
+				t.Fatalf("%s: the next message of the key is sent at %s", outcome, at)
+			}
+		}
+		for at := settled; at < 5*time.Second && len(r.calls) < 2; at += ms {
+			r.at(at)
+		}
+		if len(r.calls) != 2 {
+			t.Errorf("%s: the next message of the key is not sent", outcome)
 		}
-	}
-	if r.at(102 * ms); len(r.calls) != 2 {
-		t.Error("the next message of the key is not sent after the outcome is confirmed")
 	}
 }
 
@@ -167,7 +164,7 @@
 		if len(r.calls) != 1 {
 			t.Fatalf("%d calls", len(r.calls))
 		}
-		r.calls[0].finishUnconfirmed(choice.Served)
+		r.calls[0].finishUnproven(choice.Served)
 		r.at(r.now + ms)
 		j.failing = true
 		r.calls[0].Retract()
--- a/internal/lifecycle/distrust.go
+++ b/internal/lifecycle/distrust.go
@@ -12,7 +12,8 @@
 // The requirements of calls.
 const (
 	NoRequirement Requirement = iota // a second effect does no harm, and no message waits for this one
-	OnceOrOrdered                    // a second effect does harm, or messages with the same ordering key follow
+	Ordered                          // a second effect does no harm; messages with the same ordering key follow
+	Once                             // a second effect does harm
 )
 
 // PeerRefusalReason is the reason why an answer or a connection of a peer was refused.
@@ -176,17 +177,25 @@
 // one call. The same holds for all peers while peers of two or more destinations are distrusted,
 // since the cause is then not a single peer. With one such destination, calls whose second effect
 // does harm get single-use connections at its other peers as well, and on all other connections a
-// minimum idle time separates two calls.
+// minimum idle time separates two calls. A call whose second effect does harm goes only where a refusal
+// is proved to be its own, however far the peer is trusted.
 func (c *PeerTrust) Rule(now time.Duration, peer string, destination int, requirement Requirement) PeerRule {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	rule := c.trustRule(now, peer, destination, requirement)
+	rule.ProvableRefusal = requirement == Once && !c.TrustAll
+	return rule
+}
+
+// trustRule returns what follows from the trust in a peer alone. The caller holds mu.
+func (c *PeerTrust) trustRule(now time.Duration, peer string, destination int, requirement Requirement) PeerRule {
 	if c.TrustAll || now >= c.distrustEnd {
 		return PeerRule{}
 	}
 	p := c.peers[peer]
 	distrusted := p != nil && now < p.distrustEnd
 	if distrusted || c.distrustedDestinations(now) > 1 ||
-		requirement == OnceOrOrdered && now < c.destinations[destination] {
+		requirement != NoRequirement && now < c.destinations[destination] {
 		return PeerRule{SingleUse: true}
 	}
 	return PeerRule{MinIdle: min(max(2*c.duplicateDelay, minIdleTime), maxIdleTime)}
--- a/internal/lifecycle/message.go
+++ b/internal/lifecycle/message.go
@@ -35,12 +35,11 @@
 	// RespondBy is the deadline for the answer to the client's hand-in, 0 for none.
 	RespondBy time.Duration
 
-	stage       Stage
-	mayHaveRun  bool          // an earlier call may have taken effect
-	firstRun    time.Duration // start of the first call that may have taken effect
-	sentAt      time.Duration // start of the latest call
-	confirmedBy time.Duration // end of the time in which the latest answer may belong to another call
-	answered    bool          // the final answer has been given
+	stage      Stage
+	mayHaveRun bool          // an earlier call may have taken effect
+	firstRun   time.Duration // start of the first call that may have taken effect
+	sentAt     time.Duration // start of the latest call
+	answered   bool          // the final answer has been given
 }
 
 // Restore sets the state known from before a restart: whether a call may have taken effect, and
@@ -98,53 +97,12 @@
 	}
 }
 
-// SetMayHaveRun records that a call that was thought to have had no effect, sent at the given time,
-// may have had one.
-func (m *Message) SetMayHaveRun(sent time.Duration) {
-	if !m.mayHaveRun {
-		m.mayHaveRun, m.firstRun = true, sent
-	}
-}
-
 // MayHaveRun reports whether a call of the message may have taken effect.
 func (m *Message) MayHaveRun() bool { return m.mayHaveRun }
 
-// AwaitConfirmation records that the answer to the latest call may belong to another call until the
-// given time, and that actions based on the answer wait until then. nextWaits reports whether the
-// next message of the same key must wait too. Behind a message that was served it need not: only
-// the absence of further bytes confirms an answer, so it would wait that time out for nothing.
-func (m *Message) AwaitConfirmation(until time.Duration, served bool) (nextWaits bool) {
-	m.confirmedBy = until
-	return !served
-}
-
-// ConfirmedBy returns when the answer to the latest call counts as its own. The message is not sent
-// again before.
-func (m *Message) ConfirmedBy() time.Duration { return m.confirmedBy }
-
-// Refusal states how a message ends that should be refused.
-type Refusal int
-
-// The outcomes of a refusal.
-const (
-	RefuseNow   Refusal = iota
-	RefuseLater         // refuse once the answer to the latest call is confirmed
-	FailInstead         // answer failed: a call may have taken effect, and a repeat does harm
-)
-
-// Refusal decides how a message ends that should be refused now. A refusal promises the client that
-// nothing took effect, or that a repeat does no harm.
-func (m *Message) Refusal(now time.Duration) Refusal {
-	switch {
-	case m.Repeat != NotRepeatable:
-		return RefuseNow
-	case m.mayHaveRun:
-		return FailInstead
-	case now < m.confirmedBy:
-		return RefuseLater
-	}
-	return RefuseNow
-}
+// FailsInsteadOfRefusal reports whether a message that should be refused fails instead. A refusal
+// promises the client that nothing took effect, or that a repeat does no harm.
+func (m *Message) FailsInsteadOfRefusal() bool { return m.mayHaveRun && m.Repeat == NotRepeatable }
 
 // Response is the answer that the hand-in of a message may get now.
 type Response int
--- a/internal/lifecycle/peer.go
+++ b/internal/lifecycle/peer.go
@@ -22,35 +22,49 @@
 func (p PeerPhase) String() string { return peerPhaseNames[p] }
 
 // PeerConn is the state of one connection to a peer that answers calls in the order of sending and
-// does not name the call in its answer. Only the answer to the first call on a connection certainly
-// belongs to that call: any later answer may be a duplicate of the one before it. The owner guards
-// a PeerConn with one lock. All times are readings of one monotonic clock.
+// does not name the call in its answer. A peer may send an answer twice. The copy then looks like the
+// answer to a later call, and each further answer on the connection may belong to the call before the
+// one in progress, for as long as the peer works.
+//
+// An answer is proved to belong to its call if it is the first on its connection, if it names the
+// messages of its call, or if all answers before it are proved and it differs from each of them, so
+// that it can't be a copy. No span of time proves anything. The owner guards a PeerConn with one lock.
+// All times are readings of one monotonic clock.
 type PeerConn struct {
-	phase                PeerPhase
-	calls                int                 // number of calls so far
-	sentAt               time.Duration       // start of the latest call
-	answeredAt           time.Duration       // arrival of the latest answer
-	confirmedAt          time.Duration       // when actions that wait for the latest answer's confirmation go on
-	waitsForConfirmation bool                // no call is carried before the latest answer is confirmed
-	settledAt            time.Duration       // when the latest answer can no longer turn out to belong to another call
-	answers              []unconfirmedAnswer // answers since the connection was last certainly synchronized
+	phase      PeerPhase
+	calls      int                 // number of calls so far
+	sentAt     time.Duration       // start of the latest call
+	answeredAt time.Duration       // arrival of the latest answer
+	settledAt  time.Duration       // when the peer would have answered the latest call
+	unproven   int                 // answers since the last one that was proved
+	seen       []AnswerDigest      // different answers so far, but those that named their messages
+	refused    bool                // one of them was no success
+	incomplete bool                // one of them is not known completely, or they are too many
+	answers    []unconfirmedAnswer // unproven answers that said their call was served
 }
 
+// AnswerDigest identifies the bytes of a complete answer: equal answers have equal digests. 0 stands
+// for an answer that is not known completely.
+type AnswerDigest uint64
+
 // unconfirmedAnswer is an answer that may turn out to belong to another call.
 type unconfirmedAnswer struct {
 	answeredAt time.Duration
-	settledAt  time.Duration // confirmed if nothing arrives by then, or the peer never answers the call
-	served     bool
+	settledAt  time.Duration // when the peer would have answered the call
 	retract    func()
 }
 
 const (
-	// maxUnconfirmed bounds the unconfirmed answers remembered for one connection.
-	maxUnconfirmed = 16
-	// RetractionWindow is how long an answer may turn out to belong to another call.
+	// maxUnproven is the number of unproven answers after which a connection is not used again. It
+	// bounds how many answers a single copy can shift, and how many are remembered.
+	maxUnproven = 16
+	// maxSeen bounds the different answers remembered to recognize copies.
+	maxSeen = 8
+	// RetractionWindow is how long an answer is remembered to be retracted.
 	RetractionWindow = 5 * time.Second
-	// maxConfirmation bounds how long any action waits for an answer to be confirmed.
-	maxConfirmation = 250 * time.Millisecond
+	// maxSettleTime bounds how long a connection that is not needed any more stays open because bytes
+	// may follow its last answer.
+	maxSettleTime = 250 * time.Millisecond
 )
 
 // Carry states whether a connection may carry a call.
@@ -63,10 +77,12 @@
 	CarryNever
 )
 
-// PeerRule is what the relay's trust in a peer allows on its connections.
+// PeerRule is what a call requires of its connection, and what the relay's trust in the peer allows.
 type PeerRule struct {
 	SingleUse bool          // a connection carries a single call
 	MinIdle   time.Duration // minimum idle time between two calls on a connection
+	// ProvableRefusal states that a refusal of the call must be proved to be its own.
+	ProvableRefusal bool
 }
 
 // Phase returns the current phase of the connection, Calls the number of calls on it so far.
@@ -78,7 +94,9 @@
 	switch {
 	case p.phase == PeerNew:
 		return CarryNow
-	case p.phase != PeerIdle || rule.SingleUse:
+	case p.phase != PeerIdle || rule.SingleUse || p.unproven >= maxUnproven:
+		return CarryNever
+	case rule.ProvableRefusal && !p.ProvesRefusal():
 		return CarryNever
 	case now < p.ReusableAt(rule):
 		return CarryLater
@@ -87,26 +105,27 @@
 }
 
 // ReusableAt returns when an idle connection may carry a call again.
-func (p *PeerConn) ReusableAt(rule PeerRule) time.Duration {
-	until := p.answeredAt + rule.MinIdle
-	if p.waitsForConfirmation {
-		until = max(until, p.confirmedAt)
-	}
-	return until
+func (p *PeerConn) ReusableAt(rule PeerRule) time.Duration { return p.answeredAt + rule.MinIdle }
+
+// ProvesRefusal reports whether a refusal of the next call would be proved to be its own: there was
+// no answer yet, or all were proved and none was a refusal.
+func (p *PeerConn) ProvesRefusal() bool {
+	return p.calls == 0 || p.unproven == 0 && !p.incomplete && !p.refused
 }
 
-// Confirmed reports that nothing waits for an answer on the connection to be confirmed.
-func (p *PeerConn) Confirmed(now time.Duration) bool {
-	return p.phase == PeerNew || now >= p.confirmedAt
+// provesOwn reports whether an answer to a later call can't be a copy of an earlier one, nor belong to
+// an earlier call.
+func (p *PeerConn) provesOwn(digest AnswerDigest) bool {
+	return p.unproven == 0 && !p.incomplete && digest != 0 && !slices.Contains(p.seen, digest)
 }
 
-// UnsettledFor returns how much longer an idle connection should stay open because an answer on it
-// may turn out to belong to another call. It is at most maxConfirmation after the answer.
+// UnsettledFor returns how much longer an idle connection should stay open because bytes may follow
+// its last answer. It is at most maxSettleTime after the answer.
 func (p *PeerConn) UnsettledFor(now time.Duration) time.Duration {
 	if p.phase != PeerIdle {
 		return 0
 	}
-	return max(0, min(p.settledAt, p.answeredAt+maxConfirmation)-now)
+	return max(0, min(p.settledAt, p.answeredAt+maxSettleTime)-now)
 }
 
 // Begin records the start of a call and returns how long the connection had been idle.
@@ -124,19 +143,20 @@
 
 // The degrees of certainty.
 const (
-	Certain   Attribution = iota // the answer belongs to the call in progress
-	Likely                       // probably, but the answer may yet turn out to belong to another call
-	Doubtful                     // the answer may belong to another call, so the call may have taken effect
+	Certain   Attribution = iota // the answer is proved to belong to the call in progress
+	Likely                       // the answer may belong to another call: nothing proves it
+	Doubtful                     // the answer probably belongs to another call, so the call may have taken effect
 	Unmatched                    // the answer does not belong to the call
 )
 
 // PeerAnswer holds what is known about an answer on its arrival.
 type PeerAnswer struct {
-	Written       bool // the call's last byte was written before the answer arrived
-	NamesCall     bool // the answer names the messages of the call
-	NamesOther    bool // the answer names messages of another call
-	TrailingBytes bool // further bytes arrived behind the answer
-	Distrusted    bool // the peer is known for unsolicited bytes
+	Written       bool         // the call's last byte was written before the answer arrived
+	NamesCall     bool         // the answer names the messages of the call
+	NamesOther    bool         // the answer names messages of another call
+	TrailingBytes bool         // further bytes arrived behind the answer
+	Distrusted    bool         // the peer is known for unsolicited bytes
+	Digest        AnswerDigest // 0 if the answer is malformed or not complete
 }
 
 // Attribute decides how certainly an answer belongs to the call in progress.
@@ -148,38 +168,62 @@
 		return Certain
 	case a.TrailingBytes || a.Distrusted:
 		return Doubtful
+	case p.provesOwn(a.Digest):
+		return Certain
 	}
 	return Likely
 }
 
-// Answered records the answer to the call in progress. A likely answer is confirmed if no
-// unsolicited bytes arrive until the peer would have answered, at the latest expected after the call
-// was sent; retract is called if such bytes arrive before. An answer that doesn't say that the call
-// was served keeps the connection from carrying calls until the answer is confirmed, which takes a
-// bounded time. Answered returns how long actions based on the answer should wait, and how long the
-// answer may turn out to belong to another call.
-func (p *PeerConn) Answered(now, expected time.Duration, belief Attribution, served bool, retract func()) (
-	wait, unsettled time.Duration) {
-	p.phase, p.answeredAt, p.confirmedAt, p.settledAt, p.waitsForConfirmation = PeerIdle, now, now, now, false
-	switch belief {
-	case Certain: // earlier answers on the connection are certain as well
-		p.answers = nil
-		return 0, 0
-	case Doubtful, Unmatched:
-		return 0, 0
-	case Likely: // the peer has answered, so it isn't still processing an earlier call
-		p.answers = slices.DeleteFunc(p.answers, func(a unconfirmedAnswer) bool { return a.settledAt <= p.sentAt })
+// ReceivedAnswer describes an answer that ended the call in progress.
+type ReceivedAnswer struct {
+	Attribution Attribution
+	NamesCall   bool // the answer names the messages of the call, so that no other call takes it for its own
+	Digest      AnswerDigest
+	Success     bool          // the status says that the call was processed
+	Served      bool          // the answer ended the call as served
+	Expected    time.Duration // time after the sending in which the peer answers a call
+	Retract     func()        // called if the answer proves to belong to another call; nil for none
+}
+
+// Answered records the answer to the call in progress. An unproven answer that said the call was
+// served is remembered, to be retracted if unsolicited bytes show that it belonged to another call.
+func (p *PeerConn) Answered(now time.Duration, a ReceivedAnswer) {
+	p.phase, p.answeredAt, p.settledAt = PeerIdle, now, now
+	if !a.NamesCall {
+		p.remember(a.Digest)
+		p.refused = p.refused || !a.Success
 	}
-	p.settledAt = max(now, p.sentAt+min(expected, RetractionWindow))
-	p.confirmedAt = max(now, p.sentAt+min(expected, maxConfirmation))
-	p.waitsForConfirmation = !served
-	if retract != nil {
-		if len(p.answers) == maxUnconfirmed {
-			p.answers = append(p.answers[:0], p.answers[1:]...)
-		}
-		p.answers = append(p.answers, unconfirmedAnswer{now, p.settledAt, served, retract})
+	if a.Attribution == Certain { // earlier answers on the connection are certain as well
+		p.unproven, p.answers = 0, nil
+		return
 	}
-	return p.confirmedAt - now, p.settledAt - now
+	p.unproven++
+	if a.Attribution != Likely {
+		return
+	}
+	// The peer has answered, so it isn't still processing an earlier call.
+	p.answers = slices.DeleteFunc(p.answers, func(b unconfirmedAnswer) bool { return b.settledAt <= p.sentAt })
+	p.settledAt = max(now, p.sentAt+min(a.Expected, RetractionWindow))
+	if a.Served && a.Retract != nil && len(p.answers) < maxUnproven {
+		p.answers = append(p.answers, unconfirmedAnswer{now, p.settledAt, a.Retract})
+	}
+}
+
+// remember remembers an answer, so that a copy of it is recognized.
+func (p *PeerConn) remember(digest AnswerDigest) {
+	switch {
+	case digest == 0 || len(p.seen) == maxSeen:
+		p.incomplete = true
+	case !slices.Contains(p.seen, digest):
+		p.seen = append(p.seen, digest)
+	}
+}
+
+// AnswerCompleted records the digest of the latest answer, once all of it has arrived after its first
+// line ended the call.
+func (p *PeerConn) AnswerCompleted(digest AnswerDigest) {
+	p.incomplete = false
+	p.remember(digest)
 }
 
 // ReceivedUnsolicited records unsolicited bytes. It returns the callbacks of all answers since the
@@ -192,26 +236,21 @@
 }
 
 // Retract returns the callbacks of the answers that may have belonged to other calls, after the
-// peer sent unsolicited bytes on this or another connection. For an answer that said the call was
-// served, the absence of bytes since then proves nothing: the peer may never answer the call
-// itself.
+// peer sent unsolicited bytes on this or another connection.
 func (p *PeerConn) Retract(now time.Duration) []func() {
-	return p.take(func(a unconfirmedAnswer) bool {
-		return now < a.settledAt || a.served && now-a.answeredAt <= RetractionWindow
-	})
+	return p.take(func(a unconfirmedAnswer) bool { return now-a.answeredAt <= RetractionWindow })
 }
 
 // RetractOnPeerClose returns the callbacks to run when the peer closes the connection: it may still
-// have been processing a call that a duplicate answer had ended. Only answers that said the call
-// was served are returned, since such a message would be lost. A refusal is not retracted.
+// have been processing a call that a copy of another answer had ended.
 func (p *PeerConn) RetractOnPeerClose(now time.Duration) []func() {
-	return p.take(func(a unconfirmedAnswer) bool { return now < a.settledAt && a.served })
+	return p.take(func(a unconfirmedAnswer) bool { return now < a.settledAt })
 }
 
 // TakeServed returns, for a connection that ends, the callbacks to run if the peer becomes
 // distrusted later.
 func (p *PeerConn) TakeServed() []func() {
-	return p.take(func(a unconfirmedAnswer) bool { return a.served })
+	return p.take(func(unconfirmedAnswer) bool { return true })
 }
 
 // take removes all unconfirmed answers and returns the callbacks of those that match.
--- a/internal/partner/attribution.go
+++ b/internal/partner/attribution.go
@@ -30,13 +30,13 @@
 	if conduct.TrustAll {
 		return lifecycle.Certain
 	}
-	names, foreign := cn.resp.matchMessages(k)
-	belief := cn.state.Attribute(lifecycle.PeerAnswer{Written: cn.allSent(), NamesCall: names, NamesOther: foreign,
-		TrailingBytes: followed, Distrusted: cn.firstCallOnly()})
+	names := cn.resp.matchMessages(k)
+	belief := cn.state.Attribute(lifecycle.PeerAnswer{Written: cn.allSent(), NamesCall: names.call, NamesOther: names.other,
+		TrailingBytes: followed, Distrusted: cn.firstCallOnly(), Digest: cn.resp.digest()})
 	switch belief {
 	case lifecycle.Unmatched:
 		breach := lifecycle.AnswerEarly
-		if foreign {
+		if names.other {
 			breach = lifecycle.AnswerForeign
 		}
 		cn.reportBreach(breach, k)
@@ -66,30 +66,38 @@
 	return c.conduct.Rule(c.now(), cn.host, cn.pool.partner, lifecycle.NoRequirement).SingleUse
 }
 
-// attribution is how certain it is that a response answers its call, how long anything that depends
-// on it has to wait, and how long it may still turn out to answer another call.
-type attribution struct {
-	belief          lifecycle.Attribution
-	wait, unsettled time.Duration
-}
-
 // recordAnswer records that k was answered. The caller holds cn.mu.
-func (cn *conn) recordAnswer(k *call, belief lifecycle.Attribution) attribution {
+func (cn *conn) recordAnswer(k *call, belief lifecycle.Attribution) {
 	c := cn.pool.caller
 	now := c.now()
 	if belief == lifecycle.Certain || belief == lifecycle.Likely {
 		c.conduct.RecordAnswerTime(now, cn.host, now-k.writtenAt)
 	}
-	served := len(k.Items) == 0 && cn.resp.firstStatus >= http.StatusOK &&
-		cn.resp.firstStatus < http.StatusMultipleChoices
 	doubted := func() {
 		cn.reportBreach(lifecycle.AnswerRetracted, k)
 		if k.Retract != nil {
 			k.Retract()
 		}
 	}
-	wait, unsettled := cn.state.Answered(now, c.conduct.ExpectedAnswerTime(cn.host), belief, served, doubted)
-	return attribution{belief, wait, unsettled}
+	cn.state.Answered(now, lifecycle.ReceivedAnswer{Attribution: belief, NamesCall: cn.resp.matchMessages(k).call,
+		Digest: cn.resp.digest(), Success: cn.resp.success(), Served: cn.resp.served(k),
+		Expected: c.conduct.ExpectedAnswerTime(cn.host), Retract: doubted})
+}
+
+// success reports whether the status says that the request was processed.
+func (r *response) success() bool {
+	return r.firstStatus >= http.StatusOK && r.firstStatus < http.StatusMultipleChoices
+}
+
+// served reports whether the response ends a call as served. The response to a call with several
+// messages does so only if it names them.
+func (r *response) served(k *call) bool { return len(k.Items) == 0 && r.success() }
+
+// mayCarryOn reports whether the connection may carry another call behind the response to k. Behind an
+// unproven response that doesn't end its call as served, the peer may still be processing that call:
+// closing the connection gives the call up before its message is called again.
+func (r *response) mayCarryOn(k *call, belief lifecycle.Attribution) bool {
+	return r.reusable && (belief == lifecycle.Certain || belief == lifecycle.Likely && r.served(k))
 }
 
 // unsolicited handles bytes that no call asked for: it closes the connection, distrusts the peer,
@@ -275,31 +283,48 @@
 	return all
 }
 
-// bears returns whether the messages of the call may be repeated.
-func (k *call) bears() lifecycle.Requirement {
-	if k.NoDuplicates {
-		return lifecycle.OnceOrOrdered
+// requirement returns what the messages of the call require of its connection.
+func (k *call) requirement() lifecycle.Requirement {
+	switch {
+	case k.NotRepeatable:
+		return lifecycle.Once
+	case k.Ordered:
+		return lifecycle.Ordered
 	}
 	return lifecycle.NoRequirement
 }
 
-// matchMessages reports whether a response names the messages of the call, all of them and no
-// others; foreign reports whether it names any other.
-func (r *response) matchMessages(k *call) (matches, foreign bool) {
+// messageMatch is what the messages named by a response have to do with those of a call.
+type messageMatch struct {
+	call  bool // it names the messages of the call, all of them and no others
+	other bool // it names another message
+}
+
+// matchMessages compares the messages that a complete response names with those of the call.
+func (r *response) matchMessages(k *call) messageMatch {
+	if r.names == nil {
+		match := r.compareMessages(k)
+		r.names = &match
+	}
+	return *r.names
+}
+
+// compareMessages does the work of matchMessages.
+func (r *response) compareMessages(k *call) messageMatch {
 	if !r.hook || !r.Done() || r.status != http.StatusOK {
-		return false, false
+		return messageMatch{}
 	}
 	var ends []struct {
 		ID string `json:"id"`
 	}
 	if json.Unmarshal(r.content, &ends) != nil || len(ends) == 0 {
-		return false, false
+		return messageMatch{}
 	}
 	own := k.messageNames()
 	for _, end := range ends {
 		if !slices.Contains(own, end.ID) {
-			return false, end.ID != ""
+			return messageMatch{other: end.ID != ""}
 		}
 	}
-	return len(ends) == len(own), false
+	return messageMatch{call: len(ends) == len(own)}
 }
--- a/internal/partner/attribution_test.go
+++ b/internal/partner/attribution_test.go
@@ -66,11 +66,17 @@
 // sendDoubtable sends one call, and returns its end and a channel that receives its name if its
 // answer is retracted.
 func sendDoubtable(t *testing.T, c *Caller, name string, several ...core.Item) (core.Ending, chan string) {
+	t.Helper()
+	return sendCall(t, c, core.Call{Identity: name, Items: several})
+}
+
+// sendCall is sendDoubtable for a call that is given in part.
+func sendCall(t *testing.T, c *Caller, call core.Call) (core.Ending, chan string) {
 	t.Helper()
 	ended, doubted := make(chan core.Ending, 1), make(chan string, 1)
-	c.Send(core.Call{ID: "m", Identity: name, Host: "h", Body: []byte("body"), Timeout: 10 * time.Second,
-		Items: several,
-		End:   func(e core.Ending) { ended <- e }, Retract: func() { doubted <- name }})
+	call.ID, call.Host, call.Body, call.Timeout = "m", "h", []byte("body"), 10*time.Second
+	call.End, call.Retract = func(e core.Ending) { ended <- e }, func() { doubted <- call.Identity }
+	c.Send(call)
 	select {
 	case e := <-ended:
 		return e, doubted
@@ -84,16 +90,15 @@
 // the answer may have belonged to an earlier call, and against a host that sent such bytes and is
 // trusted as before.
 func TestUnsolicitedBytesRetractTheLastAnswer(t *testing.T) {
-	host := startScripted(t, servedResponse, refusedResponse)
+	host := startScripted(t, servedResponse)
 	c := hookCaller(t, host.addr)
 	waits := make(chan time.Duration, 1)
 	c.opt.UnsolicitedWait = func(_ string, _ int, wait time.Duration) { waits <- wait }
 	first, _ := sendDoubtable(t, c, "first")
-	// A usual answer time of a minute: the second answer is still unconfirmed when the bytes come.
+	// A usual answer time of a minute: the second answer is still unsettled when the bytes come.
 	c.conduct.RecordAnswerTime(c.now(), "h", time.Minute)
 	second, doubted := sendDoubtable(t, c, "second")
-	if first.Outcome != choice.Served || first.ConfirmAfter != 0 ||
-		second.Outcome != choice.Refused || second.ConfirmAfter == 0 {
+	if first.Outcome != choice.Served || first.Unproven || second.Outcome != choice.Served || !second.Unproven {
 		t.Fatalf("first call ended with %+v, second with %+v", first, second)
 	}
 	host.unasked <- "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 250\r\nContent-Length: 0\r\n\r\n"
@@ -105,7 +110,7 @@
 	}
 	waitFor(t, "closed", func() bool { return c.Connections("h") == 0 })
 	for i := range 3 {
-		if e, _ := sendDoubtable(t, c, "later"); e.Outcome != choice.Served || e.ConfirmAfter != 0 {
+		if e, _ := sendDoubtable(t, c, "later"); e.Outcome != choice.Served || e.Unproven {
 			t.Errorf("call %d after the unsolicited bytes: %+v", i, e)
 		}
 	}
@@ -117,16 +122,57 @@
 	}
 }
 
-// Guards against a call that goes out on a connection right after a refusal that may have belonged
-// to another call.
-func TestConnectionIsNotReusedAfterAnUnconfirmedRefusal(t *testing.T) {
-	host := startScripted(t, servedResponse, refusedResponse, servedResponse)
+// Guards against a copy of a refusal that counts as proof that the next call on the connection did not
+// run: a message that must not be repeated goes where no answer can be a copy, and any other counts as
+// one that may have run, whose call is given up with its connection.
+func TestCopyOfARefusalProvesNothing(t *testing.T) {
+	host := startScripted(t, refusedResponse)
 	c := hookCaller(t, host.addr)
-	sendDoubtable(t, c, "first")
-	c.conduct.RecordAnswerTime(c.now(), "h", time.Minute)
-	sendDoubtable(t, c, "refused")
-	if e, _ := sendDoubtable(t, c, "next"); e.Outcome != choice.Served || host.connections.Load() != 2 {
-		t.Errorf("%+v over %d connections, want Served over 2", e, host.connections.Load())
+	if e, _ := sendDoubtable(t, c, "first"); e.Outcome != choice.Refused || e.Unproven {
+		t.Fatalf("the first answer on a connection: %+v", e)
+	}
+	once, _ := sendCall(t, c, core.Call{Identity: "once", NotRepeatable: true})
+	if once.Outcome != choice.Refused || once.Unproven || host.connections.Load() != 2 {
+		t.Errorf("%+v over %d connections, want a proved refusal over 2", once, host.connections.Load())
+	}
+	e, _ := sendDoubtable(t, c, "second")
+	if e.Outcome != choice.Refused || !e.Unproven || host.connections.Load() != 2 {
+		t.Errorf("%+v over %d connections, want an unproven refusal over 2", e, host.connections.Load())
+	}
+	waitFor(t, "closed", func() bool { return c.Connections("h") == 1 })
+}
+
+// Guards against a needless connection for each message that must not be repeated: a refusal behind a
+// delivery can't be a copy of it, until a second delivery may have been one.
+func TestRefusalBehindADeliveryIsProved(t *testing.T) {
+	host := startScripted(t, servedResponse, refusedResponse, servedResponse, servedResponse)
+	c := hookCaller(t, host.addr)
+	for i, want := range []struct {
+		outcome     choice.Outcome
+		unproven    bool
+		connections int64
+	}{
+		{choice.Served, false, 1}, {choice.Refused, false, 1}, // the third could be refused by a copy: a new connection
+		{choice.Served, false, 2}, {choice.Refused, false, 2},
+	} {
+		e, _ := sendCall(t, c, core.Call{Identity: fmt.Sprint("once", i), NotRepeatable: true})
+		if e.Outcome != want.outcome || e.Unproven != want.unproven || host.connections.Load() != want.connections {
+			t.Errorf("call %d: %+v over %d connections, want %+v", i, e, host.connections.Load(), want)
+		}
+	}
+}
+
+// Guards against an answer that takes a message off the relay's hands on the strength of a copy: 410 says
+// that nothing is owed any more, 504 that all attempts are used up.
+func TestCopyOfAnEndNeitherAbandonsNorUsesUp(t *testing.T) {
+	for _, status := range []string{"410 G", "504 T"} {
+		host := startScripted(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		c := hookCaller(t, host.addr)
+		first, _ := sendDoubtable(t, c, "first")
+		second, _ := sendDoubtable(t, c, "second")
+		if !first.Abandon && !first.AttemptsUsedUp || second.Abandon || second.AttemptsUsedUp || !second.Unproven {
+			t.Errorf("%s: first call ended with %+v, second with %+v", status, first, second)
+		}
 	}
 }
 
@@ -140,7 +186,7 @@
 	}
 	e, _ := sendDoubtable(t, c, "", core.Item{Identity: "c"}, core.Item{Identity: "d"})
 	if len(e.Each) != 2 || e.Each[0].Outcome != choice.Refused || e.Each[1].Outcome != choice.Refused ||
-		e.ConfirmAfter != 0 {
+		e.Unproven || e.Each[0].Unproven {
 		t.Errorf("%+v, want both messages refused", e)
 	}
 	if counts := c.Refusals(); counts[lifecycle.AnswerForeign] != 1 {
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -143,10 +143,10 @@
 }
 
 // end reports the outcome of the call, unless it has already ended.
-func (k *call) end(ev event, r *response) { k.endWith(ev, r, attribution{belief: lifecycle.Certain}) }
+func (k *call) end(ev event, r *response) { k.endWith(ev, r, lifecycle.Certain) }
 
 // endWith is end for a call that was answered, with the attribution of its answer.
-func (k *call) endWith(ev event, r *response, attr attribution) {
+func (k *call) endWith(ev event, r *response, belief lifecycle.Attribution) {
 	k.mu.Lock()
 	first := k.state.MayEnd()
 	k.mu.Unlock()
@@ -157,8 +157,7 @@
 	now := time.Now()
 	e := k.ending(ev, r, now)
 	e.Took = now.Sub(k.began)
-	e.ConfirmAfter, e.RetractableFor = attr.wait, attr.unsettled
-	k.discount(&e, attr.belief)
+	k.discount(&e, belief)
 	k.End(e)
 }
 
@@ -174,13 +173,17 @@
 	return e
 }
 
-// discount replaces the outcome of an answer that may not be the call's own. Its wait is kept,
-// because it may be the call's own after all. In the platform's format a host does not run a call
-// before it has received its last byte; a partner may act on part of a request.
+// discount replaces the outcome of an answer that is probably not the call's own, and marks that of
+// one that may not be. Its wait is kept, because it may be the call's own after all. In the platform's
+// format a host does not run a call before it has received its last byte; a partner may act on part of
+// a request.
 func (k *call) discount(e *core.Ending, belief lifecycle.Attribution) {
 	instead := choice.Doubted
 	switch belief {
-	case lifecycle.Certain, lifecycle.Likely:
+	case lifecycle.Certain:
+		return
+	case lifecycle.Likely:
+		e.MarkUnproven()
 		return
 	case lifecycle.Unmatched:
 		if k.caller.opt.Hook != nil {
@@ -198,7 +201,7 @@
 	if cn := k.conn; cn != nil && !k.state.Ended() {
 		if belief, decided := cn.sawOK(k); decided {
 			k.mu.Unlock()
-			k.endWith(malformed, &response{firstStatus: http.StatusOK}, attribution{belief: belief})
+			k.endWith(malformed, &response{firstStatus: http.StatusOK}, belief)
 			cn.drop(k)
 			return true, false
 		}
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -128,6 +128,7 @@
 	keep := err == nil && whole && cn.resp.reusable
 	if whole || err != nil {
 		cn.readingRest = false
+		cn.state.AnswerCompleted(cn.resp.digest())
 	}
 	cn.mu.Unlock()
 	switch {
@@ -161,13 +162,13 @@
 	if belief == lifecycle.Unmatched {
 		return cn.skipForeign(k, &r, rest)
 	}
-	attr := cn.recordAnswer(k, belief)
+	cn.recordAnswer(k, belief)
 	cn.account.Store(nil)
 	if cn.selector != nil {
 		cn.selector.Answered(cn.addr)
 	}
 	cn.call = nil
-	ev, keep := answered, cn.resp.reusable && belief != lifecycle.Doubtful
+	ev, keep := answered, cn.resp.mayCarryOn(k, belief)
 	if !cn.allSent() {
 		ev, keep = answeredEarly, false
 	}
@@ -180,7 +181,7 @@
 	default:
 		_ = cn.sock.Close() // unconfirmed answers are retracted when the connection has closed
 	}
-	k.endWith(ev, &r, attr)
+	k.endWith(ev, &r, belief)
 	return nil, false
 }
 
@@ -191,18 +192,18 @@
 	cn.call = nil
 	cn.mu.Unlock()
 	_ = cn.sock.Close()
-	k.endWith(malformed, r, attribution{belief: belief})
+	k.endWith(malformed, r, belief)
 }
 
 // endAtStatusLine ends a call by the status line of its response, the rest of which is read without
 // the call. It is called with cn.mu held and unlocks it.
 func (cn *conn) endAtStatusLine(k *call, r *response) {
 	belief := cn.attributeLast(k)
-	attr := cn.recordAnswer(k, belief)
+	cn.recordAnswer(k, belief)
 	cn.call, cn.readingRest = nil, true
 	cn.mu.Unlock()
 	cn.boundRest()
-	k.endWith(malformed, r, attr)
+	k.endWith(malformed, r, belief)
 }
 
 // skipForeign handles a response that is not the call's own. A response that names other messages
@@ -216,7 +217,7 @@
 		cn.call = nil
 		cn.mu.Unlock()
 		_ = cn.sock.Close()
-		k.endWith(answeredEarly, r, attribution{belief: lifecycle.Unmatched})
+		k.endWith(answeredEarly, r, lifecycle.Unmatched)
 		return nil, false
 	}
 	doubted := cn.state.Retract(now)
@@ -247,10 +248,10 @@
 	switch {
 	case k == nil:
 	case whole: // content delimited by the close is complete now
-		k.endWith(answered, &final, attribution{belief: belief})
+		k.endWith(answered, &final, belief)
 	default:
 		if final.hook && final.firstStatus == http.StatusOK && len(k.Items) == 0 {
-			k.endWith(malformed, &final, attribution{belief: belief})
+			k.endWith(malformed, &final, belief)
 			return
 		}
 		cn.markHung(k.caller)
--- a/internal/partner/response.go
+++ b/internal/partner/response.go
@@ -1,12 +1,17 @@
 package partner
 
 import (
+	"hash/maphash"
 	"strconv"
 	"strings"
 
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
+// digestSeed is the seed of all digests of responses.
+var digestSeed = maphash.MakeSeed()
+
 // response is the state of one response while it is parsed. Its content is discarded unless
 // keepContent is set.
 type response struct {
@@ -22,12 +27,24 @@
 	content     []byte
 	reusable    bool // the connection may carry another call
 	http10      bool // HTTP/1.0
+	hash        maphash.Hash
+	names       *messageMatch // see matchMessages; nil before
 }
 
 func (r *response) reset(l http1.Limits) {
 	r.Parser.Prefix = "HTTP/"
 	r.Parser.Reset(l)
 	*r = response{Parser: r.Parser}
+	r.hash.SetSeed(digestSeed)
+}
+
+// digest returns the digest of a complete response, from its status, fields and content; 0 if it is
+// not complete.
+func (r *response) digest() lifecycle.AnswerDigest {
+	if !r.Done() {
+		return 0
+	}
+	return lifecycle.AnswerDigest(r.hash.Sum64())
 }
 
 func (r *response) feed(b []byte) (rest []byte, err error) {
@@ -57,11 +74,20 @@
 	r.wait, r.loadReport, r.overSlots = "", "", false
 	r.http10 = version == "HTTP/1.0"
 	r.reusable = !r.http10
+	r.addToDigest(line)
 	return nil
 }
 
+// addToDigest adds a text and a separator to the digest.
+func (r *response) addToDigest(text string) {
+	_, _ = r.hash.WriteString(text) // never fails
+	_ = r.hash.WriteByte(0)
+}
+
 // Field handles one header field.
 func (r *response) Field(name, value string) error {
+	r.addToDigest(name)
+	r.addToDigest(value)
 	switch {
 	case strings.EqualFold(name, "connection"):
 		r.reusable = r.reusable && !http1.HasCloseOption(value)
@@ -90,6 +116,7 @@
 
 // Content keeps or discards a piece of the content.
 func (r *response) Content(b []byte) error {
+	_, _ = r.hash.Write(b) // never fails
 	if r.keepContent {
 		r.content = append(r.content, b...)
 	}
--- a/internal/partner/reuse.go
+++ b/internal/partner/reuse.go
@@ -82,28 +82,29 @@
 
 // rule returns what the peer's conduct allows for a call.
 func (p *pool) rule(now time.Duration, k *call) lifecycle.PeerRule {
-	return p.caller.conduct.Rule(now, p.host, p.partner, k.bears())
+	return p.caller.conduct.Rule(now, p.host, p.partner, k.requirement())
 }
 
 // bestIdle returns the index of the idle connection that a call should go out on: the most recently
-// used one whose answers are confirmed, or else the one that has been idle longest; negative if
-// there is none. The caller holds p.mu.
+// used one on which a refusal would be proved if the call requires that, and otherwise one on which it
+// would not, which leaves the others to the calls that require it; negative if there is none. The caller
+// holds p.mu.
 func (p *pool) bestIdle(now time.Duration, rule lifecycle.PeerRule) int {
-	longest := -1
+	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		cn := p.idle[i]
 		cn.mu.Lock()
-		may, confirmed := cn.state.MayCarry(now, rule), cn.state.Confirmed(now)
+		may, reserved := cn.state.MayCarry(now, rule), cn.state.ProvesRefusal()
 		cn.mu.Unlock()
 		switch {
 		case may != lifecycle.CarryNow:
-		case confirmed:
+		case reserved == rule.ProvableRefusal:
 			return i
-		default:
-			longest = i
+		case best < 0:
+			best = i
 		}
 	}
-	return longest
+	return best
 }
 
 // reportNoReuse reports that there are idle connections and none may carry the call. The caller
