--- a/internal/addr/poolpolicy.go
+++ b/internal/addr/poolpolicy.go
@@ -93,6 +93,12 @@
 // MayKeepIdle reports whether one more idle connection may be kept.
 func (k *PoolPolicy) MayKeepIdle(idle int) bool { return idle < k.settings.MaxIdle }
 
+// MayReplace reports whether an idle connection may be closed when one is opened beside it, since there
+// are more open ones than the recent peak of concurrent calls.
+func (k *PoolPolicy) MayReplace(now time.Duration, open int) bool {
+	return float64(open) > math.Ceil(k.decayedPeak(now))
+}
+
 // MayDial reports whether a call that found no idle connection opens one, rather than waiting for one
 // that is being set up or in use.
 func (k *PoolPolicy) MayDial(connecting int) bool {
--- a/internal/lifecycle/peer.go
+++ b/internal/lifecycle/peer.go
@@ -57,7 +57,7 @@
 const (
 	// maxUnproven is the number of unproven answers after which a connection is not used again. It
 	// bounds how many answers a single copy can shift, and how many are remembered.
-	maxUnproven = 16
+	maxUnproven = 64
 	// maxSeen bounds the different answers remembered to recognize copies.
 	maxSeen = 8
 	// RetractionWindow is how long an answer is remembered to be retracted.
@@ -94,7 +94,7 @@
 	switch {
 	case p.phase == PeerNew:
 		return CarryNow
-	case p.phase != PeerIdle || rule.SingleUse || p.unproven >= maxUnproven:
+	case p.phase != PeerIdle || rule.SingleUse || p.UsedUp():
 		return CarryNever
 	case rule.ProvableRefusal && !p.ProvesRefusal():
 		return CarryNever
@@ -104,6 +104,9 @@
 	return CarryNow
 }
 
+// UsedUp reports whether the connection carries no further call because of the answers on it.
+func (p *PeerConn) UsedUp() bool { return p.unproven >= maxUnproven }
+
 // ReusableAt returns when an idle connection may carry a call again.
 func (p *PeerConn) ReusableAt(rule PeerRule) time.Duration { return p.answeredAt + rule.MinIdle }
 
--- a/internal/partner/attribution_test.go
+++ b/internal/partner/attribution_test.go
@@ -162,6 +162,25 @@
 	}
 }
 
+// Guards against idle connections that no call may use any more: they fill the pool, so that others are not kept.
+func TestConnectionsThatProveNothingAreNotKept(t *testing.T) {
+	for _, x := range []struct {
+		once          bool
+		calls, opened int64
+	}{{true, 40, 20}, {false, 200, 4}} { // two calls that must not be repeated on each; 65 others on each
+		host := startScripted(t, servedResponse)
+		c := hookCaller(t, host.addr)
+		for range x.calls {
+			sendCall(t, c, core.Call{Identity: "m", NotRepeatable: x.once})
+		}
+		if n := host.connections.Load(); n != x.opened {
+			t.Errorf("%+v: %d connections", x, n)
+		}
+		// A connection stays open for a moment behind its last answer.
+		waitFor(t, "closed", func() bool { return c.Connections("h") <= 2 })
+	}
+}
+
 // Guards against an answer that takes a message off the relay's hands on the strength of a copy: 410 says
 // that nothing is owed any more, 504 that all attempts are used up.
 func TestCopyOfAnEndNeitherAbandonsNorUsesUp(t *testing.T) {
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -160,7 +160,7 @@
 		now := p.caller.now()
 		cn.idleSince = now
 		usable := p.policy.MayReuse(now, cn.established, cn.maxAge, now) &&
-			(cn.selector == nil || cn.selector.Has(cn.addr)) && !(cn.used() && cn.firstCallOnly())
+			(cn.selector == nil || cn.selector.Has(cn.addr)) && !cn.usedUp() && !(cn.used() && cn.firstCallOnly())
 		k, found := (*call)(nil), peekReady
 		if usable {
 			if k = p.nextWaiting(now, cn); k != nil && cn.used() {
@@ -168,6 +168,10 @@
 			}
 		}
 		if k == nil || found != peekReady {
+			var replaced []*conn
+			if usable && !p.policy.MayKeepIdle(len(p.idle)) && cn.provesRefusal() {
+				replaced = p.takeUnprovable()
+			}
 			most := int64(p.caller.opt.MaxOpen)
 			keeps := usable && found != peekClosed && found != peekUnsolicited && !cn.removed.Load() &&
 				!p.excluded && p.policy.MayKeepIdle(len(p.idle)) && (most == 0 || p.caller.open.Load() <= most)
@@ -177,6 +181,7 @@
 			}
 			p.dialForWaiting()
 			p.mu.Unlock()
+			closeAllWhenSettled(replaced)
 			switch {
 			case found == peekUnsolicited: // the connection's goroutine reads the bytes and closes it
 			case found == peekClosed:
--- a/internal/partner/reuse.go
+++ b/internal/partner/reuse.go
@@ -75,11 +75,40 @@
 	}
 	if found == nil {
 		p.reportNoReuse(now, k, rule)
+		if rule.ProvableRefusal && p.policy.MayReplace(now, p.open) {
+			unusable.expired = append(unusable.expired, p.takeUnprovable()...)
+		}
 	}
 	p.idle = append(p.idle, later...)
 	return found, unusable
 }
 
+// takeUnprovable removes and returns the idle connection that has been idle longest of those on which a
+// refusal would not be proved, if there is one. The caller holds p.mu.
+func (p *pool) takeUnprovable() []*conn {
+	i := slices.IndexFunc(p.idle, func(cn *conn) bool { return !cn.provesRefusal() })
+	if i < 0 {
+		return nil
+	}
+	cn := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return []*conn{cn}
+}
+
+// provesRefusal reports whether a refusal of the next call would be proved to be its own.
+func (cn *conn) provesRefusal() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.state.ProvesRefusal()
+}
+
+// usedUp reports whether the connection carries no further call because of the answers on it.
+func (cn *conn) usedUp() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.state.UsedUp()
+}
+
 // rule returns what the peer's conduct allows for a call.
 func (p *pool) rule(now time.Duration, k *call) lifecycle.PeerRule {
 	return p.caller.conduct.Rule(now, p.host, p.partner, k.requirement())
