--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -124,7 +124,8 @@
 
 // MarkUnproven marks an outcome whose response may belong to another call of its connection: the
 // message may have run, whatever the response says of that, and nothing that can't be undone rests
-// on it. The message is not abandoned and its attempts are not used up.
+// on it. The message is not abandoned and its attempts are not used up; it is told as failed when its
+// time is over if it ended as delivered.
 func (e *Ending) MarkUnproven() {
 	e.Unproven, e.Abandon, e.AttemptsUsedUp = true, false, false
 	for i := range e.Each {
@@ -223,6 +224,10 @@
 	// DeliveryRetracted is called for a message that was answered as delivered because of a response that
 	// belonged to another call. It must not block. nil if nobody can be notified.
 	DeliveryRetracted func(identity string)
+	// DeliveryUnproven is called for a message that was answered as delivered, when its time is over and
+	// nothing has proved that the response belonged to its call. It must not block. It is set together
+	// with DeliveryRetracted.
+	DeliveryUnproven func(identity string)
 	// Guard counts violations of the lifecycle; nil to count none.
 	Guard *lifecycle.Guard
 	// SkipHostRecords turns off records of the waits and failures of endpoints, which then end with the process.
@@ -243,6 +248,7 @@
 	journaled  bool // stored in the journal
 	state      lifecycle.Message
 	answerSent bool // the final answer was passed to Reply
+	unproven   bool // the response that it was delivered by may belong to another call
 }
 
 // event is one entry of the inbox. Exactly one of arrival, ended, listing, fleet, withdrawn and call is set.
@@ -723,7 +729,7 @@
 		c.opt.Journal.RecordEnd(journal.End{Seq: m.seq, Identity: m.Identity,
 			Class:   c.opt.Settings.Classes[m.Class].Name,
 			Verdict: uint8(a.Verdict), After: int64(a.RetryAfter), At: c.opt.Journal.Stamp(),
-			Front: m.Front, Way: m.ReturnPath})
+			Front: m.Front, Way: m.ReturnPath, Unproven: m.unproven})
 	}
 	tell := func() {
 		if m.answerSent {
--- a/internal/core/unproven.go
+++ b/internal/core/unproven.go
@@ -7,14 +7,19 @@
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
-	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
-// maxDelivered is the number of unproven deliveries remembered. Beyond it responses count as proved.
-const maxDelivered = 4096
+const (
+	// maxDelivered is the number of unproven deliveries remembered. Beyond it a message is told as
+	// failed at once.
+	maxDelivered = 4096
+	// failureInterval is the interval at which unproven deliveries whose time is over are told as
+	// failed, so that those of one interval share a notice.
+	failureInterval = 100 * time.Millisecond
+)
 
 // unprovenDeliveries holds the messages that were delivered by a response that may belong to another
-// call of its connection, for as long as that may show, and the steps that are due at a time.
+// call of its connection, until their time is over, and the steps that are due at a time.
 type unprovenDeliveries struct {
 	steps      delayedSteps
 	lastNumber uint64               // number of the step scheduled last
@@ -30,7 +35,7 @@
 
 // delivered is a message that has ended by an unproven response.
 type delivered struct {
-	until     time.Duration // the outcome cannot be retracted later
+	deadline  time.Duration
 	attemptNo int
 	seq       uint64
 	end       journal.End // to be recorded if the outcome is retracted
@@ -64,22 +69,49 @@
 	return m.Key != "" && c.opt.Settings.Classes[m.Class].Ordered
 }
 
-// rememberDelivered remembers a message that is delivered by an unproven response, to end it as failed if
-// the response proves to belong to another call.
+// rememberDelivered remembers a message that is delivered by an unproven response. If nobody can be told
+// of a failure behind a delivery, the response counts as proved.
+//
+// Such a message is told as failed when its time is over, or earlier if its response proves to belong to
+// another call: its host may still be processing it and never finish, and a notice for a message that
+// has ended does no harm.
 func (c *Core) rememberDelivered(m *message, n int) {
-	u, id := &c.unproven, m.id
-	if len(u.delivered) >= maxDelivered {
+	if c.opt.DeliveryRetracted == nil {
 		return
 	}
+	m.unproven = true
+	u, id := &c.unproven, m.id
 	if u.delivered == nil {
 		u.delivered = map[string]delivered{}
 	}
-	until := min(m.deadline, c.now+lifecycle.RetractionWindow)
-	u.delivered[id] = delivered{until: until, attemptNo: n, seq: m.seq,
+	u.delivered[id] = delivered{deadline: m.deadline, attemptNo: n, seq: m.seq,
 		journaled: m.journaled, end: journal.End{Seq: m.seq, Identity: m.Identity,
 			Class: c.opt.Settings.Classes[m.Class].Name, Verdict: uint8(ledger.Failed),
 			Front: m.Front, Way: m.ReturnPath}}
-	c.schedule(until, func() { delete(u.delivered, id) })
+	due := m.deadline.Truncate(failureInterval)
+	if len(u.delivered) > maxDelivered {
+		due = c.now
+	}
+	c.schedule(due, func() { c.failUnproven(id) })
+}
+
+// failUnproven tells a message as failed whose delivery nothing has proved until its time was over. Its
+// record of the delivery says that this is owed.
+func (c *Core) failUnproven(id string) {
+	x, known := c.unproven.delivered[id]
+	if !known {
+		return
+	}
+	delete(c.unproven.delivered, id)
+	tell := func() {
+		c.opt.Trace.Step(x.end.Identity, "unproven", ledger.Failed.String())
+		c.opt.DeliveryUnproven(x.end.Identity)
+	}
+	if c.now < x.deadline.Truncate(failureInterval) { // a later process might send it after the notice
+		c.whenDurable(x.journaled, tell, x.seq)
+		return
+	}
+	tell()
 }
 
 // schedule adds a step that runDue runs at a time.
@@ -137,7 +169,7 @@
 // retractDelivered ends a delivered message as failed, once that is recorded.
 func (c *Core) retractDelivered(b attemptRef) {
 	x, known := c.unproven.delivered[b.id]
-	if !known || x.attemptNo != b.attemptNo || c.opt.DeliveryRetracted == nil {
+	if !known || x.attemptNo != b.attemptNo {
 		return
 	}
 	delete(c.unproven.delivered, b.id)
@@ -155,7 +187,7 @@
 	}
 	c.whenDurable(x.journaled, report, x.seq) // otherwise a later process might send it after the report
 	if !reported {
-		c.schedule(x.until, report)
+		c.schedule(x.deadline, report)
 	}
 }
 
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -138,6 +138,7 @@
 	net.Conn
 	network *Network
 	node    atomic.Int64 // node number of the relay at the other end, set by its first call
+	calls   atomic.Int64 // calls that arrived on it
 	broken  atomic.Int64 // time the server's side closed the connection, Unix time in nanoseconds; 0 for never
 }
 
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -367,9 +367,10 @@
 	rec := h.platform.Record
 	waited, _ := strconv.ParseInt(r.Header.Get("X-Remaining-Ms"), 10, 32) // 0 without the header
 	conn, _ := r.Context().Value(connKey{}).(*faultyConn)
+	turn := conn.calls.Add(1)
 	for _, x := range items {
 		x.callIndex = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID,
-			Timeout: time.Duration(waited) * time.Millisecond, conn: conn})
+			Timeout: time.Duration(waited) * time.Millisecond, conn: conn, turn: turn})
 		x.outcome = h.drawOutcome()
 	}
 	defer func() {
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -57,6 +57,7 @@
 	Timeout       time.Duration // time that the relay said it waits for the answer, 0 if it said none
 
 	conn *faultyConn // connection that carried the call
+	turn int64       // number of the call on it, from 1
 }
 
 // Notice is a notice that the agent received.
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -454,7 +454,7 @@
 		l.put(r)
 		return
 	}
-	e.Handed = e.Handed || !l.needsNotice(e.Verdict)
+	e.Handed = e.Handed || !e.Unproven && !l.needsNotice(e.Verdict)
 	l.putEnd(e)
 }
 
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -74,6 +74,9 @@
 	Front    string `cbor:"7,keyasint"`
 	Way      []byte `cbor:"8,keyasint"`
 	Handed   bool   `cbor:"9,keyasint"` // true once the client has the answer
+	// Unproven marks a delivery by a response that may belong to another call: the message is owed a
+	// failure.
+	Unproven bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Wait is the state of an endpoint that outlives a restart: a wait that it asked for,
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -174,7 +174,8 @@
 	}
 	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, InboxSize: b.Clients, Identities: b.Identities, Retention: longestDeadline,
 		Caller: n.caller, Observer: n.stats, Journal: n.journalLog, RecordAllAttempts: true, MaxCallBytes: maxBodyBytes, SkipHostRecords: true, LateMargin: clientTimeout,
-		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard, Trace: stepLogger(log), DeliveryRetracted: n.deliveryRetracted})
+		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard, Trace: stepLogger(log), DeliveryRetracted: n.deliveryRetracted,
+		DeliveryUnproven: n.oweFailure})
 	if err != nil {
 		return nil, err
 	}
@@ -226,6 +227,12 @@
 // an answer that belonged to another call. A notice for a message that has ended does no harm.
 func (n *Node) deliveryRetracted(identity string) {
 	n.warn("host").Str("id", identity).Msg("delivery retracted: the answer belonged to another call")
+	n.oweFailure(identity)
+}
+
+// oweFailure queues a failure notice for a message that was taken as delivered because of an answer
+// that nothing proved to be its own.
+func (n *Node) oweFailure(identity string) {
 	n.notices.Add(identity, ledger.Answer{Verdict: ledger.Failed})
 }
 
@@ -268,6 +275,9 @@
 	var ended []core.Ended
 	for _, e := range plan.Ends {
 		a := ledger.Answer{Verdict: ledger.Verdict(e.Verdict), RetryAfter: time.Duration(e.After)}
+		if e.Unproven {
+			a = ledger.Answer{Verdict: ledger.Failed}
+		}
 		wait := !e.Handed && (a.Verdict == ledger.Refused || a.Verdict == ledger.Failed)
 		if wait {
 			owed++
