--- a/internal/core/unproven_test.go
+++ b/internal/core/unproven_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// Guards against a message that is not sent again although its refusal is proved to be its own, and against state that
+// outlives it.
+func TestMessageWithAProvedRefusalIsSentAgain(t *testing.T) {
+	r, re := sentMessage(t, unsafeClass)
+	r.calls[0].finish(choice.Refused, 0)
+	for at := 2 * ms; len(r.calls) == 1 && at < 5*time.Second; at += ms {
+		if r.at(at); len(re.answers) > 0 {
+			t.Fatalf("at %s: answers %v", at, re.answers)
+		}
+	}
+	if len(r.calls) != 2 {
+		t.Fatal("not sent again after a proved refusal")
+	}
+	if r.calls[1].finish(choice.Served, 0); len(r.timeouts) != 1 {
+		t.Errorf("%d time-outs", len(r.timeouts))
+	}
+	r.at(5 * time.Second)
+	if verdicts([]*reply{re}) != "delivered " || len(r.byID)+len(r.timeouts)+len(r.unproven.steps) != 0 {
+		t.Errorf("answers %v, %d messages, %d time-outs, %d steps left", re.answers, len(r.byID), len(r.timeouts),
+			len(r.unproven.steps))
+	}
+}
+
 // Guards against a second effect if the response proves to belong to another call before its outcome is
 // processed.
 func TestOutcomeRetractedBeforeItIsProcessed(t *testing.T) {
@@ -67,11 +90,18 @@
 	}
 }
 
-// tellTimes records when the core tells that messages failed behind their delivery.
-func (r *rig) tellTimes() (retracted, unproven *[]time.Duration) {
+// tellTimes records when the core tells that message m failed behind its delivery. It tells of no other.
+func (r *rig) tellTimes(t *testing.T) (retracted, unproven *[]time.Duration) {
+	t.Helper()
 	retracted, unproven = new([]time.Duration), new([]time.Duration)
-	r.opt.DeliveryRetracted = func(string) { *retracted = append(*retracted, r.now) }
-	r.opt.DeliveryUnproven = func(string) { *unproven = append(*unproven, r.now) }
+	tell := func(times *[]time.Duration) func(string) {
+		return func(identity string) {
+			if *times = append(*times, r.now); identity != "m" {
+				t.Errorf("told of %q, want m", identity)
+			}
+		}
+	}
+	r.opt.DeliveryRetracted, r.opt.DeliveryUnproven = tell(retracted), tell(unproven)
 	return retracted, unproven
 }
 
@@ -80,7 +110,7 @@
 func TestRetractedDeliveryIsReportedAsFailed(t *testing.T) {
 	for _, class := range []int{0, unsafeClass} {
 		r, re := sentMessage(t, class)
-		retracted, unproven := r.tellTimes()
+		retracted, unproven := r.tellTimes(t)
 		r.calls[0].finishUnproven(choice.Served)
 		r.at(2 * ms)
 		r.calls[0].Retract()
@@ -100,7 +130,7 @@
 func TestUnprovenDeliveryFailsWhenItsTimeIsOver(t *testing.T) {
 	const left = 6 * time.Second
 	r, re := sentMessage(t, unsafeClass)
-	retracted, unproven := r.tellTimes()
+	retracted, unproven := r.tellTimes(t)
 	r.calls[0].finishUnproven(choice.Served)
 	for at := 2 * ms; at < 8*time.Second; at += ms {
 		r.at(at)
@@ -118,7 +148,7 @@
 // final answer beyond its limit.
 func TestUnprovenDeliveriesBeyondTheLimitFailAtOnce(t *testing.T) {
 	r, _ := sentMessage(t, unsafeClass)
-	_, unproven := r.tellTimes()
+	_, unproven := r.tellTimes(t)
 	r.unproven.delivered = map[string]delivered{}
 	for i := range maxDelivered {
 		r.unproven.delivered[fmt.Sprint("other", i)] = delivered{}
