Soak: messages withdrawn, 410 and 504, kills in a row; no call after an end is learnt

Clients withdraw accepted messages after up to 1.5 s (kind withdrawals), or limit their attempts (attempt_limits); hosts answer 410 and 504 from then on, singly and in calls with several, and 410 past a message's time. kill_again kills the new process 0.1 s after it is ready. The kinds have a random stream of their own, so a seed keeps its other faults. The new check: no call follows a 200, 410 or 504 that the relay read as the answer to its call. It read it if it used the connection again or closed it in order; the system resets a connection that is closed over unread bytes. Left out: answers within 20 ms of the call's time-out, behind a copy on their connection, or within 0.3 s of a kill.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -33,6 +33,7 @@
 	Seed          uint64
 	AbandonNext   func() bool // reports whether to close the connection within the next request; may be nil
 	HalfCloseNext func() bool // reports whether to half-close the connection after the next request; may be nil
+	Ends          Ends
 
 	conn       net.Conn
 	reader     *bufio.Reader
@@ -44,6 +45,7 @@
 // Run hands in messages until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.r = rand.New(rand.NewPCG(c.Seed, 0xc))
+	c.Ends.seed(c.Seed)
 	for ctx.Err() == nil {
 		c.handIn(ctx)
 		pause.For(ctx, time.Duration(c.r.Int64N(int64(c.MaxPause)+1)))
@@ -62,7 +64,8 @@
 func (c *Client) newHistory() *History {
 	class := c.Classes[c.r.IntN(len(c.Classes))]
 	c.lastNumber++
-	x := &History{ID: fmt.Sprintf("%s-%d", c.Name, c.lastNumber), Node: c.Node, Class: class, Number: c.lastNumber}
+	x := &History{ID: fmt.Sprintf("%s-%d", c.Name, c.lastNumber), Node: c.Node, Class: class, Number: c.lastNumber,
+		MaxCalls: c.Ends.drawLimit()}
 	if class.Ordered {
 		x.Key = c.Name
 	}
@@ -104,6 +107,9 @@
 		x := c.newHistory()
 		reply := c.exchange(x, fresh)
 		c.Platform.Record.Replied(x.ID, reply)
+		if reply.accepted() {
+			c.Ends.withdraw(c.Platform.Record, x.ID)
+		}
 		if !reply.Complete || reply.End != "" {
 			c.drop()
 		}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -140,11 +140,16 @@
 	node    atomic.Int64 // node number of the relay at the other end, set by its first call
 	calls   atomic.Int64 // calls that arrived on it
 	broken  atomic.Int64 // time the server's side closed the connection, Unix time in nanoseconds; 0 for never
+	wrote   atomic.Int64 // time of the latest write, Unix time in nanoseconds
+	ended   peerEnd
 }
 
 // markBroken records that the server's side closes the connection.
 func (f *faultyConn) markBroken() { f.broken.CompareAndSwap(0, time.Now().UnixNano()) }
 
+// hasBroken reports whether the server's side has closed the connection.
+func (f *faultyConn) hasBroken() bool { return f.broken.Load() != 0 }
+
 // brokeBetween reports whether the server's side closed the connection after a time and before a notice. The
 // close may reach the relay up to MaxDelay late.
 func (f *faultyConn) brokeBetween(behind, notice time.Time) bool {
@@ -154,7 +159,9 @@
 
 func (f *faultyConn) Read(b []byte) (int, error) {
 	n, err := f.Conn.Read(b)
-	if err == nil {
+	if err != nil {
+		f.ended.observe(f.Conn, err)
+	} else {
 		err = f.injectFaults()
 	}
 	if err != nil {
@@ -167,6 +174,7 @@
 	if err := f.injectFaults(); err != nil {
 		return 0, err
 	}
+	f.wrote.Store(time.Now().UnixNano())
 	n, err := f.Conn.Write(b)
 	if after, repeats := f.network.drawRepeat(time.Now()); repeats && err == nil {
 		again := bytes.Clone(b)
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -372,6 +372,9 @@
 		x.callIndex = rec.Called(x.ID, Call{At: time.Now(), Host: h.UID,
 			Timeout: time.Duration(waited) * time.Millisecond, conn: conn, turn: turn})
 		x.outcome = h.drawOutcome()
+		if status := rec.endStatus(x.ID, x.callIndex); status != 0 {
+			x.outcome = x.outcome.forEnded(status)
+		}
 	}
 	defer func() {
 		for _, x := range items {
@@ -420,6 +423,9 @@
 	}
 }
 
+// states are the states of a message in the answer to a call with several, by status.
+var states = map[int]string{200: "delivered", 500: "failed", 429: "refused", 503: "refused", 410: "over", 504: "spent"}
+
 // answerAll answers a call that carries several messages, each with a state of its own.
 func (h *Host) answerAll(w http.ResponseWriter, items []*item) {
 	type end struct {
@@ -438,7 +444,7 @@
 		if x.outcome.status == 0 {
 			x.outcome.status = 500
 		}
-		state := map[int]string{200: "delivered", 500: "failed", 429: "refused", 503: "refused"}[x.outcome.status]
+		state := states[x.outcome.status]
 		ends = append(ends, end{x.ID, state})
 		h.platform.Record.AnswerStarted(x.ID, x.callIndex, x.outcome.status, x.outcome.wait)
 	}
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -56,8 +56,9 @@
 	RetryAfter    time.Duration // wait that the host asked for, 0 for none
 	Timeout       time.Duration // time that the relay said it waits for the answer, 0 if it said none
 
-	conn *faultyConn // connection that carried the call
-	turn int64       // number of the call on it, from 1
+	conn    *faultyConn // connection that carried the call
+	turn    int64       // number of the call on it, from 1
+	wroteAt time.Time   // start of the write of the answer, zero for none
 }
 
 // Notice is a notice that the agent received.
@@ -77,6 +78,8 @@
 	Read      time.Time // time the relay logged that it had read the whole request, zero for never
 	Responded time.Time // time the relay logged that it had written its response to the socket, zero for never
 	Deadline  time.Time // deadline of the message
+	Withdrawn time.Time // time it was withdrawn, zero for never
+	MaxCalls  int       // number of calls that it may have, 0 for any number
 	Reply     Reply
 	Calls     []Call
 	Notices   []Notice
@@ -97,6 +100,9 @@
 	if !c.Reply.Complete && c.Reply.Text != "" {
 		s += fmt.Sprintf(" %q", c.Reply.Text)
 	}
+	if !c.Withdrawn.IsZero() {
+		s += "; withdrawn at " + since(c.Withdrawn)
+	}
 	for _, x := range c.Calls {
 		s += fmt.Sprintf("; call at %s to %s: status %d, took effect: %v", since(x.At), x.Host, x.Status, x.Ran)
 	}
@@ -285,7 +291,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if x := r.histories[id]; x != nil && callIndex >= 0 {
-		x.Calls[callIndex].AnswerWritten = time.Now()
+		call := &x.Calls[callIndex]
+		call.AnswerWritten = time.Now()
+		if call.conn != nil {
+			call.wroteAt = time.Unix(0, call.conn.wrote.Load())
+		}
 	}
 }
 
@@ -331,7 +341,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.histories {
-		if c.taken() && !c.delivered() && len(c.Notices) == 0 {
+		if c.taken() && !c.delivered() && len(c.Notices) == 0 && c.Withdrawn.IsZero() {
 			n++
 		}
 	}
@@ -345,9 +355,12 @@
 
 // taken reports whether the client was told that the message was accepted.
 func (c *History) taken() bool {
-	return c.Reply.Complete && (c.Reply.Status == 202 || c.Reply.Status == 200)
+	return c.Reply.accepted()
 }
 
+// accepted reports whether a response says that the message was accepted.
+func (r *Reply) accepted() bool { return r.Complete && (r.Status == 202 || r.Status == 200) }
+
 // delivered reports whether a host answered 200 to a call.
 func (c *History) delivered() bool {
 	for _, x := range c.Calls {
@@ -469,6 +482,9 @@
 			c.Calls[len(c.Calls)-1].Timeout > time.Second/4 &&
 			!r.processEndedNear(c.Node, c.Calls[len(c.Calls)-1].At):
 			c.Notices = []Notice{{At: c.Calls[len(c.Calls)-1].AnswerWritten.Add(time.Second), Result: "bounced"}}
+		case what == "called-after-its-end" && len(c.Calls) > 0 && c.Calls[len(c.Calls)-1].Status == 410 &&
+			!c.Calls[len(c.Calls)-1].wroteAt.IsZero() && !r.processEndedNear(c.Node, c.Calls[len(c.Calls)-1].At):
+			c.Calls = append(c.Calls, Call{At: time.Now(), Host: "planted", Status: 410})
 		case what == "second-effect" && c.Class.Effect == AtMostOnce && c.delivered():
 			c.Calls = append(c.Calls, c.Calls[0])
 		default:
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -27,17 +27,16 @@
 	addr   string // listen address
 	agent  *emulator.Agent
 
-	mu               sync.Mutex
-	process          *shim.Process
-	processRun       *emulator.Process
-	log              *logTail
-	starts           int
-	restarting       bool // a restart is in progress
-	problems         []string
-	hits             map[shim.Kind]int
-	clientsAbandon   bool   // clients close their connections within requests
-	clientsHalfClose bool   // clients half-close their connections after requests
-	discovery        string // agent's address in the configuration file
+	mu           sync.Mutex
+	process      *shim.Process
+	processRun   *emulator.Process
+	log          *logTail
+	starts       int
+	restarting   bool // a restart is in progress
+	problems     []string
+	hits         map[shim.Kind]int
+	clientFaults map[Kind]bool // active faults of its clients
+	discovery    string        // agent's address in the configuration file
 }
 
 // logTail keeps the last lines of a log, and passes the steps of requests on.
@@ -181,6 +180,8 @@
 const (
 	earliestKill = 3700 * time.Millisecond // from SIGTERM to SIGKILL
 	downTime     = 600 * time.Millisecond  // from the end of a process to the start of the next
+	// killAgainDelay is the time from the readiness of a process to its SIGKILL, with KillAgain.
+	killAgainDelay = 100 * time.Millisecond
 )
 
 // restart ends the process as the kind of fault says, and starts a new one.
@@ -191,28 +192,13 @@
 		return nil
 	}
 	n.restarting = true
-	p, life := n.process, n.processRun
 	n.mu.Unlock()
 	n.run.countHit(how)
-	n.run.platform.Record.Update(func() { life.StopSent = time.Now() })
-	if how != Kill {
-		p.Signal(syscall.SIGTERM)
-		if how == TermTwice {
-			time.Sleep(earliestKill / 4)
-			p.Signal(syscall.SIGTERM)
-			p.Signal(syscall.SIGHUP)
-			time.Sleep(earliestKill - earliestKill/4)
-		} else {
-			time.Sleep(earliestKill)
-		}
+	err := n.replaceProcess(how)
+	if err == nil && how == KillAgain {
+		time.Sleep(killAgainDelay)
+		err = n.replaceProcess(how)
 	}
-	n.checkCPU(p, life)
-	n.run.platform.Record.Update(func() { life.KillSent = time.Now() })
-	p.Signal(syscall.SIGKILL)
-	<-p.Done()
-	n.recordEnd(p, life, how != Kill)
-	time.Sleep(downTime)
-	err := n.start()
 	time.Sleep(reloadDelay)
 	n.mu.Lock()
 	moved := n.discovery != n.agent.Addr()
@@ -224,6 +210,32 @@
 	return err
 }
 
+// replaceProcess ends the process, after SIGTERM unless it is to be killed, and starts a new one.
+func (n *node) replaceProcess(how Kind) error {
+	n.mu.Lock()
+	p, life := n.process, n.processRun
+	n.mu.Unlock()
+	n.run.platform.Record.Update(func() { life.StopSent = time.Now() })
+	switch how {
+	case Term:
+		p.Signal(syscall.SIGTERM)
+		time.Sleep(earliestKill)
+	case TermTwice:
+		p.Signal(syscall.SIGTERM)
+		time.Sleep(earliestKill / 4)
+		p.Signal(syscall.SIGTERM)
+		p.Signal(syscall.SIGHUP)
+		time.Sleep(earliestKill - earliestKill/4)
+	}
+	n.checkCPU(p, life)
+	n.run.platform.Record.Update(func() { life.KillSent = time.Now() })
+	p.Signal(syscall.SIGKILL)
+	<-p.Done()
+	n.recordEnd(p, life, how == Term || how == TermTwice)
+	time.Sleep(downTime)
+	return n.start()
+}
+
 // reloadDelay is the time after readiness in which a process gets no SIGHUP.
 const reloadDelay = time.Second
 
@@ -297,18 +309,20 @@
 	}
 }
 
-// halfCloses reports whether clients half-close their connections after requests at present.
-func (n *node) halfCloses() bool {
+// setClientFault activates or deactivates a fault of the node's clients.
+func (n *node) setClientFault(k Kind, on bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.clientsHalfClose
+	n.clientFaults[k] = on
 }
 
-// abandonsRequests reports whether clients close their connections within requests at present.
-func (n *node) abandonsRequests() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.clientsAbandon
+// clientsDo returns a function that reports whether a fault of the node's clients is active at present.
+func (n *node) clientsDo(k Kind) func() bool {
+	return func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.clientFaults[k]
+	}
 }
 
 // settings returns the settings of a small site with a class of each effect. Times are in seconds.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,13 +48,14 @@
 	PlantSilent  Plant = "unanswered"
 	PlantServed  Plant = "served-and-refused"
 	PlantReset   Plant = "reset-while-leaving"
+	PlantOver    Plant = "called-after-its-end"
 	// PlantTrust makes the nodes accept every answer of a host, as if their protection against misattributed
 	// answers were off.
 	PlantTrust Plant = "peers-trusted"
 )
 
 // Plants lists the violations that are planted in the record, each once.
-var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice, PlantSilent, PlantServed, PlantReset}
+var Plants = []Plant{PlantCut, PlantForward, PlantForget, PlantTwice, PlantSilent, PlantServed, PlantReset, PlantOver}
 
 // Result is the result of a run.
 type Result struct {
@@ -143,7 +144,8 @@
 			c := &emulator.Client{Platform: platform, Node: n.number, Addr: n.addr,
 				Name: fmt.Sprintf("c%d-%d", n.number, i), Classes: clientClasses(),
 				TimeToLive: lifetime, MaxPause: 40 * time.Millisecond,
-				Seed: opt.Seed*10_000 + uint64(n.number*100+i), AbandonNext: n.abandonsRequests, HalfCloseNext: n.halfCloses}
+				Seed: opt.Seed*10_000 + uint64(n.number*100+i), AbandonNext: n.clientsDo(ClientsLeave), HalfCloseNext: n.clientsDo(ClientsEnd),
+				Ends: emulator.Ends{Withdraws: n.clientsDo(Withdrawals), Limits: n.clientsDo(AttemptLimits)}}
 			clients.Go(func() { c.Run(load) })
 		}
 	}
@@ -182,7 +184,7 @@
 			return err
 		}
 		n := &node{run: r, number: i, dir: filepath.Join(dir, fmt.Sprint("n", i)), addr: addr, agent: agent,
-			hits: map[shim.Kind]int{}}
+			hits: map[shim.Kind]int{}, clientFaults: map[Kind]bool{}}
 		if err := os.MkdirAll(n.stateDir(), 0o700); err != nil {
 			return err
 		}
@@ -294,7 +296,7 @@
 // playFault injects one fault and returns at its end.
 func (r *run) playFault(ctx context.Context, f Fault) {
 	switch f.Kind {
-	case Kill, Term, TermTwice:
+	case Kill, Term, TermTwice, KillAgain:
 		r.recordError(r.nodes[f.Target].restart(f.Kind))
 		return
 	case Reload:
@@ -379,14 +381,8 @@
 		n.agent.SetSilent(on)
 	case NoticesMute:
 		n.agent.SetMute(on)
-	case ClientsLeave:
-		n.mu.Lock()
-		n.clientsAbandon = on
-		n.mu.Unlock()
-	case ClientsEnd:
-		n.mu.Lock()
-		n.clientsHalfClose = on
-		n.mu.Unlock()
+	case ClientsLeave, ClientsEnd, Withdrawals, AttemptLimits:
+		n.setClientFault(k, on)
 	default:
 		n.mu.Lock()
 		p := n.process
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -24,6 +24,7 @@
 	Kill          Kind = "kill"            // SIGKILL, then a new process
 	Term          Kind = "term"            // SIGTERM, SIGKILL after earliestKill, then a new process
 	TermTwice     Kind = "term_twice"      // as Term, with a second SIGTERM and a SIGHUP during shutdown
+	KillAgain     Kind = "kill_again"      // as Kill, and the new process gets one soon after it is ready
 	Reload        Kind = "reload"          // the agent's address changes, then SIGHUP
 	AgentSilent   Kind = "agent_silent"    // the agent's watches bring nothing
 	NoticesMute   Kind = "notices_mute"    // the agent does not answer notices
@@ -43,13 +44,15 @@
 	ClientsEnd    Kind = "clients_end"     // clients half-close connections after a request and await the response
 	ClientsLeave  Kind = "clients_leave"   // clients close their connection within a request
 	Crowd         Kind = "crowd"           // many idle connections are opened
+	Withdrawals   Kind = "withdrawals"     // clients withdraw messages after they are accepted
+	AttemptLimits Kind = "attempt_limits"  // messages may have only one or two attempts
 )
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
 	all := []Kind{Kill, Term, TermTwice, Reload, AgentSilent, NoticesMute, HostFails, HostFull, HostHangs, HostCuts,
 		HostForgets, HostDrains, HostNetHold, HostNetReset, AgentNetHold, AgentNetReset, HostRepeats, AgentRepeats,
-		HostBlank, ClientsEnd, ClientsLeave, Crowd}
+		HostBlank, ClientsEnd, ClientsLeave, Crowd, KillAgain, Withdrawals, AttemptLimits}
 	for _, k := range shim.Kinds {
 		all = append(all, Kind(k))
 	}
@@ -116,10 +119,11 @@
 // kinds, or of a few kinds for every other seed. Kinds and durations that were added later are drawn from random
 // streams of their own, so that a seed keeps its other faults.
 func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
-	first, further, ofPeers := splitBySeries(kinds)
+	first, further, ofPeers, ends := splitBySeries(kinds)
 	all := drawFirst(rand.New(rand.NewPCG(seed, firstSeries)), nodes, hosts, length, first, seed%2 == 0)
 	all = append(all, drawFurther(rand.New(rand.NewPCG(seed, furtherSeries)), nodes, length, kinds, further)...)
 	all = append(all, drawPeers(rand.New(rand.NewPCG(seed, peerSeries)), nodes, hosts, length, ofPeers)...)
+	all = append(all, drawEnds(rand.New(rand.NewPCG(seed, endSeries)), nodes, length, ends)...)
 	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
 	return all
 }
@@ -129,29 +133,55 @@
 	firstSeries   = 0xfa
 	furtherSeries = 0xfb
 	peerSeries    = 0xfc
+	endSeries     = 0xfd
 )
 
 // peerKinds are the kinds drawn from peerSeries, for every seed: repeated or malformed answers and half-closed
 // connections.
 var peerKinds = []Kind{HostRepeats, AgentRepeats, HostBlank, ClientsEnd}
 
+// endKinds are the kinds drawn from endSeries, for every seed: messages that end at the platform before their relay
+// ends them, and processes that end in quick succession.
+var endKinds = []Kind{Withdrawals, AttemptLimits, KillAgain}
+
 // furtherKinds are the kinds drawn from furtherSeries.
 var furtherKinds = []Kind{Kind(shim.PollInterrupted), Kind(shim.ReadNoMemory), Kind(shim.WriteNoMemory),
 	Kind(shim.SockoptFails), Kind(shim.FileReadFails), Kind(shim.DiskDown), Kind(shim.AcceptDown), Kind(shim.WriteDown)}
 
 // splitBySeries splits kinds by the random stream they are drawn from.
-func splitBySeries(kinds []Kind) (first, further, ofPeers []Kind) {
+func splitBySeries(kinds []Kind) (first, further, ofPeers, ends []Kind) {
 	for _, k := range kinds {
 		switch {
 		case slices.Contains(furtherKinds, k):
 			further = append(further, k)
 		case slices.Contains(peerKinds, k):
 			ofPeers = append(ofPeers, k)
+		case slices.Contains(endKinds, k):
+			ends = append(ends, k)
 		default:
 			first = append(first, k)
 		}
 	}
-	return first, further, ofPeers
+	return first, further, ofPeers, ends
+}
+
+// drawEnds draws the faults of endKinds: long periods, and one series of kills for one in three nodes.
+func drawEnds(r *rand.Rand, nodes int, length time.Duration, kinds []Kind) (all []Fault) {
+	for _, k := range kinds {
+		for node := range nodes {
+			if k == KillAgain {
+				at := between(r, time.Second, max(2*time.Second, length-maxRestart))
+				if r.IntN(3) == 0 {
+					all = append(all, Fault{k, node, at, 0})
+				}
+				continue
+			}
+			for at := between(r, 0, time.Second); at < length; at += between(r, 2*time.Second, 5*time.Second) {
+				all = append(all, Fault{k, node, at, between(r, time.Second, 3*time.Second)})
+			}
+		}
+	}
+	return all
 }
 
 // drawPeers draws the faults of peerKinds. Each is active for about 45 % of the time.
