--- a/choice/api.go
+++ b/choice/api.go
@@ -161,6 +161,7 @@
 	// Served without Done means that the answer came too late for the client.
 	Done           bool
 	NoMoreAttempts bool      // with NotSent: the message may not be attempted again
+	Over           bool      // the message has ended elsewhere, or may have: it fails now and is not sent again
 	Unproven       bool      // the answer may belong to another attempt: the message may have run whatever Outcome says
 	Report         []float64 // load report of the host, if any
 }
--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -20,6 +20,7 @@
 	firstRunZone int
 	finished     bool
 	unsureAt     time.Duration
+	over         bool // an answer said that it is over
 }
 
 // checkRules turns the bytes into valid events, checks each action against the rules and returns all actions. It does
@@ -55,6 +56,8 @@
 				switch {
 				case l.finished:
 					t.Fatalf("sent %s after its final answer", a.ID)
+				case l.over:
+					t.Fatalf("sent %s although an answer said that it is over", a.ID)
 				case l.inFlightTo != "":
 					t.Fatalf("two attempts of %s in flight at once", a.ID)
 				case l.attempts >= s.MaxAttempts:
@@ -87,7 +90,7 @@
 				}
 			case Refuse:
 				l := states[a.ID]
-				if l.finished || l.inFlightTo != "" || l.mayHaveRun && s.Classes[l.class].Effect != Safe || now > l.due {
+				if l.finished || l.over || l.inFlightTo != "" || l.mayHaveRun && s.Classes[l.class].Effect != Safe || now > l.due {
 					t.Fatalf("refused %s after its end or its deadline, in flight, or although it may have run", a.ID)
 				}
 				l.finished = true
@@ -112,7 +115,8 @@
 		l := states[id]
 		h := hostByAddr[l.inFlightTo]
 		e := Result{ID: id, Host: l.inFlightTo, Attempt: l.attempts - 1, Outcome: o, Took: 30 * ms, Done: o == Served || l.finished,
-			Unproven: unproven}
+			Unproven: unproven, Over: unproven && o == NotSent}
+		l.over = l.over || e.Over
 		if unproven && (o == Refused || o == NoConnection || o == NotSent) {
 			l.mayHaveRun = true
 			if l.key != "" {
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -10,6 +10,7 @@
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // attempt is one attempt of a message. The attempts of a call with several messages are linked
@@ -76,7 +77,7 @@
 	m.current = nil
 	delete(c.inFlight, a)
 	if a.retracted {
-		e = Ending{Outcome: choice.Doubted, Took: e.Took, Wait: e.Wait}
+		e.Attribute(lifecycle.Doubtful)
 	}
 	if a.settleBytes != nil {
 		whole := e.Outcome == choice.Served || e.Outcome == choice.Error || e.Outcome == choice.Refused
@@ -87,32 +88,49 @@
 	}
 	c.opt.Observer.Attempted(m.Class, e.Outcome, e.Took)
 	c.recordHost(a.host, e)
-	served := e.Outcome == choice.Served && (c.opt.LateMargin == 0 || c.now <= m.deadline-c.opt.LateMargin)
-	if e.Unproven {
-		c.opt.Trace.Step(m.Identity, "unproven", e.Outcome.String())
-	}
-	if e.Unproven && served && !m.answered {
+	next := c.consequence(m, &e)
+	c.traceResult(m, &e, next)
+	if next == lifecycle.EndsDeliveredOwed && !m.answered {
 		c.rememberDelivered(m, a.attemptNo)
 	}
-	if e.Abandon && !m.answered { // the platform has abandoned the message: no answer is due
+	noEffect := e.Attribution == lifecycle.Certain &&
+		(e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent)
+	m.state.CallEnded(noEffect, next)
+	if next == lifecycle.EndsUntold {
 		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
 	}
-	noEffect := !e.Unproven &&
-		(e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent)
-	m.state.CallEnded(noEffect)
-	c.opt.Trace.Step(m.Identity, "result", e.Outcome.String())
 	if noEffect && c.recordsAttempts(m) && !m.answered {
 		c.recordAttempt(a, true)
 	}
+	delivered := next == lifecycle.EndsDelivered || next == lifecycle.EndsDeliveredOwed
 	c.batch = append(c.batch, choice.Result{ID: m.id, Host: a.host, Attempt: a.attemptNo, Outcome: e.Outcome,
-		Took: e.Took, RetryAfter: e.Wait, Done: served || m.answered, NoMoreAttempts: e.AttemptsUsedUp,
-		Unproven: e.Unproven, Report: e.LoadReport})
-	if served {
+		Took: e.Took, RetryAfter: e.Wait, Done: delivered || m.answered, NoMoreAttempts: next == lifecycle.EndsSpent,
+		Over: next == lifecycle.EndsFailed, Unproven: e.Attribution != lifecycle.Certain, Report: e.LoadReport})
+	if delivered {
 		c.answer(m, ledger.Answer{Verdict: ledger.Delivered})
 	}
 	c.removeFinished(m)
 }
 
+// consequence returns what follows from the end of a call for its message. A delivery that may be too late by the
+// clock of whoever handed the message in counts as a failure.
+func (c *Core) consequence(m *message, e *Ending) lifecycle.Consequence {
+	says := e.statement()
+	late := c.opt.LateMargin > 0 && c.now > m.deadline-c.opt.LateMargin
+	if says == lifecycle.SaysDelivered && late {
+		return lifecycle.EndsFailed
+	}
+	return lifecycle.ConsequenceOf(says, e.Attribution)
+}
+
+// traceResult traces the result of a call, and what follows if that is not decided by the outcome alone.
+func (c *Core) traceResult(m *message, e *Ending, next lifecycle.Consequence) {
+	if e.Attribution != lifecycle.Certain || next == lifecycle.EndsSpent {
+		c.opt.Trace.Step(m.Identity, "unproven", next.String())
+	}
+	c.opt.Trace.Step(m.Identity, "result", e.Outcome.String())
+}
+
 // abortCall ends a call because of a time-out or at shutdown. If it has ended already, its
 // outcome counts and arrives through the inbox.
 func (c *Core) abortCall(a *attempt, why choice.Outcome) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,26 +111,45 @@
 
 // Ending is the result of an attempt on its socket.
 type Ending struct {
-	Outcome        choice.Outcome
-	Took           time.Duration
-	Wait           time.Duration // wait that the host asked for, as by Retry-After; 0 for none
-	Abandon        bool          // with NotSent: the message is abandoned, no answer is due
-	AttemptsUsedUp bool          // with NotSent: the message has used up its attempts
-	LoadReport     []float64     // load report, nil for none
-	Unproven       bool          // the response may belong to another call; see MarkUnproven
+	Outcome     choice.Outcome
+	Took        time.Duration
+	Wait        time.Duration         // wait that the host asked for, as by Retry-After; 0 for none
+	Over        bool                  // the response says that the message is over, and that nothing is owed
+	Spent       bool                  // the response says that the message has had all its attempts
+	LoadReport  []float64             // load report, nil for none
+	Attribution lifecycle.Attribution // how certainly the response is the call's own; see Attribute
 	// Each holds the results of the messages of a call, in their order; nil if they are all the same.
 	Each []Ending
 }
 
-// MarkUnproven marks an outcome whose response may belong to another call of its connection: the
-// message may have run, whatever the response says of that, and nothing that can't be undone rests
-// on it. The message is not abandoned and its attempts are not used up; it is told as failed when its
-// time is over if it ended as delivered.
-func (e *Ending) MarkUnproven() {
-	e.Unproven, e.Abandon, e.AttemptsUsedUp = true, false, false
+// Attribute records how certainly the response is the call's own. A doubtful one says nothing of the host, and
+// of the message only that it may have run, or may be over.
+func (e *Ending) Attribute(attribution lifecycle.Attribution) {
 	for i := range e.Each {
-		e.Each[i].MarkUnproven()
+		e.Each[i].Attribute(attribution)
 	}
+	if attribution > lifecycle.Likely {
+		over := e.Over || e.Spent || e.Outcome == choice.Served
+		*e = Ending{Outcome: choice.Doubted, Over: over, Took: e.Took, Wait: e.Wait, Each: e.Each}
+	}
+	e.Attribution = max(e.Attribution, attribution)
+}
+
+// statement returns what the response says of its message.
+func (e *Ending) statement() lifecycle.Statement {
+	switch {
+	case e.Over:
+		return lifecycle.SaysOver
+	case e.Spent:
+		return lifecycle.SaysSpent
+	}
+	switch e.Outcome {
+	case choice.Served:
+		return lifecycle.SaysDelivered
+	case choice.Refused, choice.NoConnection, choice.NotSent:
+		return lifecycle.SaysNeverRan
+	}
+	return lifecycle.SaysNothing
 }
 
 // Attempt is a call in progress.
--- a/internal/core/several_test.go
+++ b/internal/core/several_test.go
@@ -77,7 +77,7 @@
 	a.ended = true
 	a.Call.End(Ending{Outcome: choice.Served, Took: ms, Each: []Ending{{Outcome: choice.Served},
 		{Outcome: choice.Error},
-		{Outcome: choice.NotSent, Abandon: true}}})
+		{Outcome: choice.NotSent, Over: true}}})
 	r.calls[1].finish(choice.Served, 0)
 	r.at(3 * ms)
 	if got := verdicts(all); got != "delivered failed abandoned delivered " {
--- a/internal/core/unproven_test.go
+++ b/internal/core/unproven_test.go
@@ -6,13 +6,19 @@
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // finishUnproven ends a call with a response that may belong to another call.
 func (f *fakeCall) finishUnproven(o choice.Outcome) {
+	f.endAttributed(Ending{Outcome: o}, lifecycle.Likely)
+}
+
+// endAttributed ends a call with a response that is the call's own with the given certainty.
+func (f *fakeCall) endAttributed(e Ending, attribution lifecycle.Attribution) {
 	f.ended = true
-	e := Ending{Outcome: o, Took: 20 * ms}
-	e.MarkUnproven()
+	e.Took = 20 * ms
+	e.Attribute(attribution)
 	f.End(e)
 }
 
@@ -90,6 +96,62 @@
 	}
 }
 
+// Guards against a message that is called again, or gets no final answer, behind a response which says that it is
+// over and may be the call's own or another's; and against a refusal of such a message, which may have run.
+func TestMessageThatMayBeOverFailsAtOnce(t *testing.T) {
+	for name, e := range map[string]Ending{"over": {Outcome: choice.NotSent, Over: true},
+		"spent": {Outcome: choice.NotSent, Spent: true}, "delivered": {Outcome: choice.Served}} {
+		for _, attribution := range []lifecycle.Attribution{lifecycle.Likely, lifecycle.Doubtful, lifecycle.Unmatched} {
+			if name == "delivered" && attribution == lifecycle.Likely {
+				continue // TestUnprovenDeliveryFailsWhenItsTimeIsOver
+			}
+			for _, class := range []int{0, unsafeClass} {
+				r, re := sentMessage(t, class)
+				r.calls[0].endAttributed(e, attribution)
+				r.at(2 * ms)
+				if got := verdicts([]*reply{re}); got != "failed " {
+					t.Errorf("%s, attribution %d, class %d: %s, want failed", name, attribution, class, got)
+				}
+				for at := 3 * ms; at < 7*time.Second; at += ms {
+					r.at(at)
+				}
+				if len(r.calls) != 1 {
+					t.Errorf("%s, attribution %d, class %d: %d calls, want one", name, attribution, class, len(r.calls))
+				}
+			}
+		}
+	}
+}
+
+// Guards against a further call behind a proved end: one that is over ends untold, one without attempts left at once.
+func TestProvedEndIsNotFailed(t *testing.T) {
+	for want, e := range map[string]Ending{"abandoned ": {Outcome: choice.NotSent, Over: true},
+		"refused ": {Outcome: choice.NotSent, Spent: true}} {
+		r, re := sentMessage(t, unsafeClass)
+		r.calls[0].endAttributed(e, lifecycle.Certain)
+		for at := 2 * ms; at < 7*time.Second; at += ms {
+			r.at(at)
+		}
+		if got := verdicts([]*reply{re}); got != want || len(r.calls) != 1 {
+			t.Errorf("%s after %d calls, want %s after one", got, len(r.calls), want)
+		}
+	}
+}
+
+// Guards against a message that is called again although it was delivered: its response is retracted before it is
+// processed.
+func TestDeliveryRetractedBeforeItIsProcessedIsNotCalledAgain(t *testing.T) {
+	r, re := sentMessage(t, 0)
+	r.calls[0].Retract()
+	r.calls[0].finishUnproven(choice.Served)
+	for at := 2 * ms; at < 7*time.Second; at += ms {
+		r.at(at)
+	}
+	if got := verdicts([]*reply{re}); got != "failed " || len(r.calls) != 1 {
+		t.Errorf("%s after %d calls, want failed after one", got, len(r.calls))
+	}
+}
+
 // tellTimes records when the core tells that message m failed behind its delivery. It tells of no other.
 func (r *rig) tellTimes(t *testing.T) (retracted, unproven *[]time.Duration) {
 	t.Helper()
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -17,7 +17,7 @@
 		if !m.MaySend(g, now, false) || !m.MayBegin(g, now, true) {
 			t.Error("an allowed call was refused")
 		}
-		m.CallEnded(noEffect)
+		m.CallEnded(noEffect, MayCallAgain)
 	}
 	for rule, violate := range map[Rule]func(g *Guard) bool{
 		SendAfterEnd: func(g *Guard) bool {
--- a/internal/lifecycle/message.go
+++ b/internal/lifecycle/message.go
@@ -40,6 +40,7 @@
 	firstRun   time.Duration // start of the first call that may have taken effect
 	sentAt     time.Duration // start of the latest call
 	answered   bool          // the final answer has been given
+	endLearned bool          // the end of a call said that the message has ended
 }
 
 // Restore sets the state known from before a restart: whether a call may have taken effect, and
@@ -59,6 +60,8 @@
 		return g.forbid(SendAfterEnd, m.ID, "ended")
 	case now > m.Deadline:
 		return g.forbid(SendAfterEnd, m.ID, "its deadline has passed")
+	case m.endLearned:
+		return g.forbid(SendAfterEnd, m.ID, "an answer said that it has ended")
 	case m.stage == Calling:
 		return g.forbid(SendWhileOut, m.ID, "a call is in progress")
 	case shuttingDown:
@@ -87,8 +90,10 @@
 	return true
 }
 
-// CallEnded records the end of a call. noEffect states that the call certainly had no effect.
-func (m *Message) CallEnded(noEffect bool) {
+// CallEnded records the end of a call, and what follows from it. noEffect states that the call certainly had no
+// effect.
+func (m *Message) CallEnded(noEffect bool, next Consequence) {
+	m.endLearned = m.endLearned || next != MayCallAgain
 	if m.stage == Calling {
 		m.stage = Waiting
 	}
--- a/internal/lifecycle/peer_test.go
+++ b/internal/lifecycle/peer_test.go
@@ -237,7 +237,7 @@
 	} {
 		m := Message{Repeat: c.repeat, Deadline: s}
 		m.MaySend(nil, 0, false)
-		m.CallEnded(c.noEffect)
+		m.CallEnded(c.noEffect, MayCallAgain)
 		if got := m.FailsInsteadOfRefusal(); got != c.fails {
 			t.Errorf("%+v: fails instead %v", c, got)
 		}
--- a/internal/partner/attribution_test.go
+++ b/internal/partner/attribution_test.go
@@ -98,7 +98,7 @@
 	// A usual answer time of a minute: the second answer is still unsettled when the bytes come.
 	c.conduct.RecordAnswerTime(c.now(), "h", time.Minute)
 	second, doubted := sendDoubtable(t, c, "second")
-	if first.Outcome != choice.Served || first.Unproven || second.Outcome != choice.Served || !second.Unproven {
+	if first.Outcome != choice.Served || first.Attribution != lifecycle.Certain || second.Outcome != choice.Served || second.Attribution != lifecycle.Likely {
 		t.Fatalf("first call ended with %+v, second with %+v", first, second)
 	}
 	host.unasked <- "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 250\r\nContent-Length: 0\r\n\r\n"
@@ -110,7 +110,7 @@
 	}
 	waitFor(t, "closed", func() bool { return c.Connections("h") == 0 })
 	for i := range 3 {
-		if e, _ := sendDoubtable(t, c, "later"); e.Outcome != choice.Served || e.Unproven {
+		if e, _ := sendDoubtable(t, c, "later"); e.Outcome != choice.Served || e.Attribution != lifecycle.Certain {
 			t.Errorf("call %d after the unsolicited bytes: %+v", i, e)
 		}
 	}
@@ -128,15 +128,15 @@
 func TestCopyOfARefusalProvesNothing(t *testing.T) {
 	host := startScripted(t, refusedResponse)
 	c := hookCaller(t, host.addr)
-	if e, _ := sendDoubtable(t, c, "first"); e.Outcome != choice.Refused || e.Unproven {
+	if e, _ := sendDoubtable(t, c, "first"); e.Outcome != choice.Refused || e.Attribution != lifecycle.Certain {
 		t.Fatalf("the first answer on a connection: %+v", e)
 	}
 	once, _ := sendCall(t, c, core.Call{Identity: "once", NotRepeatable: true})
-	if once.Outcome != choice.Refused || once.Unproven || host.connections.Load() != 2 {
+	if once.Outcome != choice.Refused || once.Attribution != lifecycle.Certain || host.connections.Load() != 2 {
 		t.Errorf("%+v over %d connections, want a proved refusal over 2", once, host.connections.Load())
 	}
 	e, _ := sendDoubtable(t, c, "second")
-	if e.Outcome != choice.Refused || !e.Unproven || host.connections.Load() != 2 {
+	if e.Outcome != choice.Refused || e.Attribution != lifecycle.Likely || host.connections.Load() != 2 {
 		t.Errorf("%+v over %d connections, want an unproven refusal over 2", e, host.connections.Load())
 	}
 	waitFor(t, "closed", func() bool { return c.Connections("h") == 1 })
@@ -156,7 +156,7 @@
 		{choice.Served, false, 2}, {choice.Refused, false, 2},
 	} {
 		e, _ := sendCall(t, c, core.Call{Identity: fmt.Sprint("once", i), NotRepeatable: true})
-		if e.Outcome != want.outcome || e.Unproven != want.unproven || host.connections.Load() != want.connections {
+		if e.Outcome != want.outcome || (e.Attribution != lifecycle.Certain) != want.unproven || host.connections.Load() != want.connections {
 			t.Errorf("call %d: %+v over %d connections, want %+v", i, e, host.connections.Load(), want)
 		}
 	}
@@ -181,16 +181,20 @@
 	}
 }
 
-// Guards against an answer that takes a message off the relay's hands on the strength of a copy: 410 says
-// that nothing is owed any more, 504 that all attempts are used up.
-func TestCopyOfAnEndNeitherAbandonsNorUsesUp(t *testing.T) {
-	for _, status := range []string{"410 G", "504 T"} {
+// Guards against an end that counts as proved although it may be a copy: 410 says that nothing is owed any more, 504
+// that all attempts are used up. And against one that is dropped although it may be the call's own.
+func TestCopyOfAnEndIsNoProof(t *testing.T) {
+	for status, over := range map[string]bool{"410 G": true, "504 T": false} {
 		host := startScripted(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
 		c := hookCaller(t, host.addr)
-		first, _ := sendDoubtable(t, c, "first")
-		second, _ := sendDoubtable(t, c, "second")
-		if !first.Abandon && !first.AttemptsUsedUp || second.Abandon || second.AttemptsUsedUp || !second.Unproven {
-			t.Errorf("%s: first call ended with %+v, second with %+v", status, first, second)
+		for i, want := range []lifecycle.Attribution{lifecycle.Certain, lifecycle.Likely} {
+			e, _ := sendDoubtable(t, c, fmt.Sprint("m", i))
+			if e.Over != over || e.Spent == over || e.Attribution != want {
+				t.Errorf("%s: call %d ended with %+v, want attribution %d", status, i, e, want)
+			}
+		}
+		if n := host.connections.Load(); n != 1 {
+			t.Errorf("%s: %d connections, want one", status, n)
 		}
 	}
 }
@@ -205,7 +209,7 @@
 	}
 	e, _ := sendDoubtable(t, c, "", core.Item{Identity: "c"}, core.Item{Identity: "d"})
 	if len(e.Each) != 2 || e.Each[0].Outcome != choice.Refused || e.Each[1].Outcome != choice.Refused ||
-		e.Unproven || e.Each[0].Unproven {
+		e.Attribution != lifecycle.Certain || e.Each[0].Attribution != lifecycle.Certain {
 		t.Errorf("%+v, want both messages refused", e)
 	}
 	if counts := c.Refusals(); counts[lifecycle.AnswerForeign] != 1 {
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -157,7 +157,7 @@
 	now := time.Now()
 	e := k.ending(ev, r, now)
 	e.Took = now.Sub(k.began)
-	k.discount(&e, belief)
+	k.attribute(&e, belief)
 	k.End(e)
 }
 
@@ -173,25 +173,15 @@
 	return e
 }
 
-// discount replaces the outcome of an answer that is probably not the call's own, and marks that of
-// one that may not be. Its wait is kept, because it may be the call's own after all. In the platform's
-// format a host does not run a call before it has received its last byte; a partner may act on part of
-// a request.
-func (k *call) discount(e *core.Ending, belief lifecycle.Attribution) {
-	instead := choice.Doubted
-	switch belief {
-	case lifecycle.Certain:
+// attribute records in the Ending how certainly the answer is the call's own. In the platform's format a host does
+// not run a call before it has received its last byte, so that an answer before that is another's and the call was
+// not sent; a partner may act on part of a request.
+func (k *call) attribute(e *core.Ending, belief lifecycle.Attribution) {
+	if belief == lifecycle.Unmatched && k.caller.opt.Hook != nil {
+		*e = core.Ending{Outcome: choice.NotSent, Took: e.Took, Wait: e.Wait}
 		return
-	case lifecycle.Likely:
-		e.MarkUnproven()
-		return
-	case lifecycle.Unmatched:
-		if k.caller.opt.Hook != nil {
-			instead = choice.NotSent
-		}
-	case lifecycle.Doubtful:
 	}
-	*e = core.Ending{Outcome: instead, Took: e.Took, Wait: e.Wait}
+	e.Attribute(belief)
 }
 
 // Abort ends the call and closes its connection. If a status line of 200 has already decided the
--- a/internal/partner/hook.go
+++ b/internal/partner/hook.go
@@ -96,8 +96,8 @@
 //	answered       503, over slots       NotSent         all slots of this relay were in use; says nothing
 //	                                                     about the host
 //	answered       503                   Refused         it has not run
-//	answered       504                   NotSent         AttemptsUsedUp; its notice is still due
-//	answered       410                   NotSent         Abandon; it was cancelled or has expired; no notice is due
+//	answered       504                   NotSent         Spent; its notice is still due
+//	answered       410                   NotSent         Over; it was withdrawn or has expired; no notice is due
 //	answered       400, 413, several     NotSent         none of them has run; the fault is this relay's
 //	answered       any other             Error           it may have run
 //
@@ -131,9 +131,9 @@
 			e.Outcome = choice.NotSent
 		}
 	case http.StatusGatewayTimeout:
-		e.Outcome, e.AttemptsUsedUp = choice.NotSent, true
+		e.Outcome, e.Spent = choice.NotSent, true
 	case http.StatusGone:
-		e.Outcome, e.Abandon = choice.NotSent, true
+		e.Outcome, e.Over = choice.NotSent, true
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		if several {
 			e.Outcome = choice.NotSent
@@ -164,9 +164,9 @@
 		case "refused":
 			x.Outcome = choice.Refused
 		case "over":
-			x.Outcome, x.Abandon = choice.NotSent, true
+			x.Outcome, x.Over = choice.NotSent, true
 		case "spent":
-			x.Outcome, x.AttemptsUsedUp = choice.NotSent, true
+			x.Outcome, x.Spent = choice.NotSent, true
 		}
 		e.Each[i] = x
 	}
--- a/internal/partner/hook_test.go
+++ b/internal/partner/hook_test.go
@@ -89,8 +89,8 @@
 		{"slots", "HTTP/1.1 503 U\r\nX-Over-Slots: 1\r\nContent-Length: 0\r\n\r\n",
 			core.Ending{Outcome: choice.NotSent}},
 		{"spent", "HTTP/1.1 504 G\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.NotSent,
-			AttemptsUsedUp: true}},
-		{"over", "HTTP/1.1 410 G\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.NotSent, Abandon: true}},
+			Spent: true}},
+		{"over", "HTTP/1.1 410 G\r\nContent-Length: 0\r\n\r\n", core.Ending{Outcome: choice.NotSent, Over: true}},
 		{"report", "HTTP/1.1 200 OK\r\nX-Pressure: {\"x0\":0.5,\"x1\":25}\r\nContent-Length: 0\r\n\r\n",
 			core.Ending{Outcome: choice.Served, LoadReport: []float64{0.5, 25}}},
 		{"report invalid", "HTTP/1.1 200 OK\r\nX-Pressure: {\"x0\":\r\nContent-Length: 0\r\n\r\n",
@@ -231,7 +231,7 @@
 		t.Errorf("path %s, items %+v", path, got)
 	}
 	want := []core.Ending{{Outcome: choice.Served}, {Outcome: choice.Error}, {Outcome: choice.Refused},
-		{Outcome: choice.NotSent, Abandon: true}, {Outcome: choice.NotSent, AttemptsUsedUp: true},
+		{Outcome: choice.NotSent, Over: true}, {Outcome: choice.NotSent, Spent: true},
 		{Outcome: choice.Error}, {Outcome: choice.Error}}
 	for i := range want {
 		want[i].Wait = 40 * time.Millisecond
@@ -280,7 +280,7 @@
 	ended := make(chan core.Ending, 1)
 	c.Send(core.Call{ID: "m", Identity: "late", Host: "h", Timeout: 10 * time.Second, WriteWithin: 1,
 		End: func(e core.Ending) { ended <- e }})
-	if e := <-ended; e.Outcome != choice.NotSent || e.Abandon || e.AttemptsUsedUp {
+	if e := <-ended; e.Outcome != choice.NotSent || e.Over || e.Spent {
 		t.Errorf("%+v, want NotSent", e)
 	}
 	if e := callHook(t, c, 10*time.Second); e.Outcome != choice.Served || calls.Load() != 1 {
