Fix: a 410 or 504 that is cut short behind its first line was not heeded

Callers saw: a message that its host had answered 410 or 504 was called again, because the connection ended behind that line, the rest was malformed, or it did not come before the call's time-out.

Cause: only a first line of 200 counted before the response was complete. Fix: 410 and 504 are read the same way, for one message; they are likely at most, so the message fails at once and is not called again (lifecycle.ConsequenceOf).

--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -184,14 +183,14 @@
 	e.Attribute(belief)
 }
 
-// Abort ends the call and closes its connection. If a status line of 200 has already decided the
-// outcome, the call ends by that, and Abort returns false for ok.
+// Abort ends the call and closes its connection. If a status line has already said that the message has
+// ended, the call ends by that, and Abort returns false for ok.
 func (k *call) Abort() (started, ok bool) {
 	k.mu.Lock()
 	if cn := k.conn; cn != nil && !k.state.Ended() {
-		if belief, decided := cn.sawOK(k); decided {
+		if status, belief, decided := cn.sawEnd(k); decided {
 			k.mu.Unlock()
-			k.endWith(malformed, &response{firstStatus: http.StatusOK}, belief)
+			k.endWith(malformed, &response{firstStatus: status}, belief)
 			cn.drop(k)
 			return true, false
 		}
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -47,16 +47,21 @@
 	_ = cn.sock.Close()
 }
 
-// sawOK reports whether the response to a call with a single message, in the platform's format, has
-// begun with status 200, and the attribution of that status line. What follows the line is not
-// considered.
-func (cn *conn) sawOK(k *call) (belief lifecycle.Attribution, ok bool) {
+// sawEnd reports whether the first line of the response to k says that its message has ended, and returns
+// that status and its attribution. What follows the line is not considered.
+func (cn *conn) sawEnd(k *call) (status int, belief lifecycle.Attribution, ok bool) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if cn.call != k || !cn.resp.hook || len(k.Items) > 0 || cn.resp.firstStatus != http.StatusOK {
-		return lifecycle.Unmatched, false
+	if cn.call != k || !cn.resp.firstLineEnds(k) {
+		return 0, lifecycle.Unmatched, false
 	}
-	return cn.attributeLast(k), true
+	return cn.resp.firstStatus, cn.attributeLast(k), true
+}
+
+// firstLineEnds reports whether the first line of the response to a call with a single message, in the platform's
+// format, says that the message has ended.
+func (r *response) firstLineEnds(k *call) bool {
+	return r.hook && len(k.Items) == 0 && endsMessage(r.firstStatus)
 }
 
 // closeEvent returns the event that ends a call whose connection broke.
@@ -250,7 +255,7 @@
 	case whole: // content delimited by the close is complete now
 		k.endWith(answered, &final, belief)
 	default:
-		if final.hook && final.firstStatus == http.StatusOK && len(k.Items) == 0 {
+		if final.firstLineEnds(k) {
 			k.endWith(malformed, &final, belief)
 			return
 		}
--- a/internal/partner/hook.go
+++ b/internal/partner/hook.go
@@ -10,6 +10,7 @@
 
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/core"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // Hook is the platform's call format, which replaces Targets: POST /hook with one message, POST
@@ -88,6 +89,8 @@
 //	closedSent     -                     Reset           it may have run
 //	malformed      status line 200, one  Served          for one message the status line counts,
 //	                                                     whatever follows it
+//	malformed      status line 410, 504, Error           Over or Spent, but not proved: the rest is missing
+//	               one
 //	malformed      any other             Error           a server answered; it has run, or may have
 //	answered       200, one              Served
 //	answered       200, several          one for each    as the content says; a message that it does not
@@ -113,10 +116,7 @@
 	case closedSent:
 		return core.Ending{Outcome: choice.Reset}
 	case malformed:
-		if r.firstStatus == http.StatusOK && !several {
-			return core.Ending{Outcome: choice.Served}
-		}
-		return core.Ending{Outcome: choice.Error}
+		return firstLineEnding(r.firstStatus, several)
 	}
 	e := core.Ending{Outcome: choice.Error, Wait: parseWaitMs(r.wait), LoadReport: h.parseReport(r.loadReport)}
 	switch r.status {
@@ -142,6 +142,25 @@
 	return e
 }
 
+// firstLineEnding maps a response of which only the first line is known to the Ending of its call.
+func firstLineEnding(status int, several bool) core.Ending {
+	e := core.Ending{Outcome: choice.Error}
+	switch {
+	case several:
+	case status == http.StatusOK:
+		e.Outcome = choice.Served
+	case endsMessage(status):
+		e.Over, e.Spent = status == http.StatusGone, status == http.StatusGatewayTimeout
+		e.Attribution = lifecycle.Likely
+	}
+	return e
+}
+
+// endsMessage reports whether a status says that the message has ended, so that no further call of it may begin.
+func endsMessage(status int) bool {
+	return status == http.StatusOK || status == http.StatusGone || status == http.StatusGatewayTimeout
+}
+
 // readEach sets the outcome of each message in a call that carried several.
 func (h *Hook) readEach(e *core.Ending, content []byte, c *core.Call) {
 	var ends []struct {
--- a/internal/partner/hook_test.go
+++ b/internal/partner/hook_test.go
@@ -16,6 +16,7 @@
 	"basaltcross.example/basaltcross/internal/addr"
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/http1"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // hookCaller returns a Caller of one host, named h, in the platform's format.
@@ -258,6 +259,41 @@
 	}
 }
 
+// Guards against a message that is called again although the first line of a response said that it had ended: the
+// connection ends behind that line, the rest is malformed, or it doesn't come within the call's time.
+func TestEndIsLearntFromTheFirstLine(t *testing.T) {
+	for _, status := range []string{"200 OK", "410 Gone", "504 T"} {
+		line := "HTTP/1.1 " + status + "\r\n"
+		for name, serve := range map[string]func(conn net.Conn, r *bufio.Reader){
+			"cut": func(conn net.Conn, r *bufio.Reader) {
+				if request(r) == nil {
+					_, _ = io.WriteString(conn, line)
+				}
+			},
+			"malformed": func(conn net.Conn, r *bufio.Reader) {
+				if request(r) == nil {
+					_, _ = io.WriteString(conn, line+"no field\r\n\r\n")
+					_, _ = r.Peek(1)
+				}
+			},
+			"unfinished": func(conn net.Conn, r *bufio.Reader) {
+				if request(r) == nil {
+					_, _ = io.WriteString(conn, line+"X: y\r\n")
+					_, _ = r.Peek(1)
+				}
+			},
+		} {
+			e := callHook(t, hookCaller(t, peer(t, serve)), 300*time.Millisecond)
+			if !e.Over && !e.Spent && e.Outcome != choice.Served {
+				t.Errorf("%s, %s: %+v, want the end of the message", status, name, e)
+			}
+			if (e.Over || e.Spent) && e.Attribution == lifecycle.Certain {
+				t.Errorf("%s, %s: %+v is proved by a response that is not complete", status, name, e)
+			}
+		}
+	}
+}
+
 // serving returns the address of a host that answers by the handler.
 func serving(t *testing.T, h http.HandlerFunc) string {
 	t.Helper()
