Fix: an answer behind a doubtful one in the same read was not heeded as the call's own

Callers saw: a message called again although its own 200, 410 or 504 had been read, because a copy of another call's refusal stood before it in the same bytes.

Cause: what follows a doubtful answer was searched for waits only. Fix: if it holds a complete answer that ends a message, the call's message may be over and isn't called again. Behind an answer that is proved such bytes say nothing, as before. The two searches share one loop.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -135,6 +135,14 @@
 	e.Attribution = max(e.Attribution, attribution)
 }
 
+// MarkOver records that all messages of the call may be over.
+func (e *Ending) MarkOver() {
+	e.Over = true
+	for i := range e.Each {
+		e.Each[i].MarkOver()
+	}
+}
+
 // statement returns what the response says of its message.
 func (e *Ending) statement() lifecycle.Statement {
 	switch {
--- a/internal/partner/attribution.go
+++ b/internal/partner/attribution.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
 	"net/http"
 	"slices"
 	"time"
@@ -126,23 +127,42 @@
 // longestWaitIn returns the longest wait announced by the complete responses in b.
 func (c *Caller) longestWaitIn(b []byte) (longest time.Duration) {
 	now := time.Now()
-	for len(b) > 0 {
-		r := response{}
-		r.reset(c.opt.Limits)
-		r.hook = c.opt.Hook != nil
-		rest, err := r.feed(b)
-		if err != nil || !r.Done() {
-			return longest
-		}
+	for r := range c.responsesIn(b) {
 		wait := parseWaitMs(r.wait)
 		if c.opt.Hook == nil && (r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable) {
 			wait, _ = retryWait(r.retryAfter, now)
 		}
-		longest, b = max(longest, wait), rest
+		longest = max(longest, wait)
 	}
 	return longest
 }
 
+// anyEndsMessage reports whether one of the complete responses in b says that the message of its call has ended.
+func (c *Caller) anyEndsMessage(b []byte) bool {
+	for r := range c.responsesIn(b) {
+		if r.hook && endsMessage(r.status) {
+			return true
+		}
+	}
+	return false
+}
+
+// responsesIn yields the complete responses in b.
+func (c *Caller) responsesIn(b []byte) iter.Seq[*response] {
+	return func(yield func(*response) bool) {
+		for len(b) > 0 {
+			r := response{}
+			r.reset(c.opt.Limits)
+			r.hook = c.opt.Hook != nil
+			rest, err := r.feed(b)
+			if err != nil || !r.Done() || !yield(&r) {
+				return
+			}
+			b = rest
+		}
+	}
+}
+
 // rememberServed keeps the answers of a closed connection that reported success. The peer may not
 // have sent anything after them, so the connection did not show whether they answered their own
 // calls.
--- a/internal/partner/attribution_test.go
+++ b/internal/partner/attribution_test.go
@@ -232,6 +232,29 @@
 	}
 }
 
+// Guards against a message that is called again although its own answer, behind a copy of another one in the same
+// read, says that it has ended. Behind an answer that is proved, other bytes say nothing.
+func TestEndBehindADoubtfulAnswerIsHeeded(t *testing.T) {
+	const over = "HTTP/1.1 410 G\r\nContent-Length: 0\r\n\r\n"
+	for _, x := range []struct {
+		behind      string
+		first, over bool
+	}{{over, false, true}, {servedResponse, false, true}, {refusedResponse, false, false}, {over, true, false}} {
+		answers := []string{servedResponse, refusedResponse + x.behind}
+		if x.first {
+			answers = answers[1:]
+		}
+		c := hookCaller(t, startScripted(t, answers...).addr)
+		var e core.Ending
+		for range answers {
+			e, _ = sendDoubtable(t, c, "m")
+		}
+		if e.Over != x.over {
+			t.Errorf("%+v: %+v", x, e)
+		}
+	}
+}
+
 // Guards against an answer that is accepted for a later call on a connection although it came
 // before that call was written: it is a duplicate of an earlier answer.
 func TestEarlyAnswerOnAReusedConnectionIsNotAccepted(t *testing.T) {
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -156,7 +156,7 @@
 	now := time.Now()
 	e := k.ending(ev, r, now)
 	e.Took = now.Sub(k.began)
-	k.attribute(&e, belief)
+	k.attribute(&e, r, belief)
 	k.End(e)
 }
 
@@ -174,13 +174,17 @@
 
 // attribute records in the Ending how certainly the answer is the call's own. In the platform's format a host does
 // not run a call before it has received its last byte, so that an answer before that is another's and the call was
-// not sent; a partner may act on part of a request.
-func (k *call) attribute(e *core.Ending, belief lifecycle.Attribution) {
+// not sent; a partner may act on part of a request. The call's own answer may be the one behind an answer that is not
+// certain.
+func (k *call) attribute(e *core.Ending, r *response, belief lifecycle.Attribution) {
 	if belief == lifecycle.Unmatched && k.caller.opt.Hook != nil {
 		*e = core.Ending{Outcome: choice.NotSent, Took: e.Took, Wait: e.Wait}
 		return
 	}
 	e.Attribute(belief)
+	if r != nil && r.endBehind {
+		e.MarkOver()
+	}
 }
 
 // Abort ends the call and closes its connection. If a status line has already said that the message has
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -167,6 +167,7 @@
 	if belief == lifecycle.Unmatched {
 		return cn.skipForeign(k, &r, rest)
 	}
+	r.endBehind = belief != lifecycle.Certain && cn.pool.caller.anyEndsMessage(rest)
 	cn.recordAnswer(k, belief)
 	cn.account.Store(nil)
 	if cn.selector != nil {
--- a/internal/partner/response.go
+++ b/internal/partner/response.go
@@ -26,6 +26,7 @@
 	keepContent bool // keep the content
 	content     []byte
 	reusable    bool // the connection may carry another call
+	endBehind   bool // a response behind this one says that a message has ended
 	http10      bool // HTTP/1.0
 	hash        maphash.Hash
 	names       *messageMatch // see matchMessages; nil before
