Fix: a call that waited for its connection was written after its client had left

A client that closes before its answer withdraws its message: the core ended it, yet a call of it that still waited for a connection was written later.

Fix: the call is recalled if it carries no other message and none of it is written. TestAbandonRecallsACallThatIsNotWritten: the case "not written" failed before, with the call left in three tables until its time-out.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -804,9 +804,19 @@
 	c.batch = append(c.batch, choice.Withdrawn{ID: m.id, AnswerOwed: by == nil})
 	if by != nil {
 		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
+		c.recallAlone(m)
 	}
 }
 
+// recallAlone ends the call of a message that has ended, if it carries no other message and none of it is written.
+func (c *Core) recallAlone(m *message) {
+	a := m.current
+	if a == nil || a.leader != nil || len(a.followers) > 0 || !a.handle.Recall() {
+		return
+	}
+	c.endCall(a, Ending{Outcome: choice.NotSent, Took: c.now - a.sentAt})
+}
+
 // carryOut executes the actions of the module, in their order.
 func (c *Core) carryOut(actions []choice.Action) {
 	groups := map[string][]*attempt{} // for hosts that accept several messages a call
--- a/internal/core/several_test.go
+++ b/internal/core/several_test.go
@@ -147,6 +147,27 @@
 	}
 }
 
+// Guards against a call that is written although the client of its message has left meanwhile: it waits for a
+// connection.
+func TestAbandonRecallsACallThatIsNotWritten(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		r, re := newRig(t), &reply{}
+		if err := r.handIn("m", 0, re, 6*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		r.at(ms)
+		r.calls[0].started = written
+		r.Abandon("m", re)
+		r.at(2 * ms)
+		if r.calls[0].ended == written || verdicts([]*reply{re}) != "abandoned " {
+			t.Errorf("written %v: call ended %v, answers %v", written, r.calls[0].ended, re.answers)
+		}
+		if left := len(r.byID) + len(r.inFlight) + len(r.timeouts); !written && left != 0 {
+			t.Errorf("%d entries left", left)
+		}
+	}
+}
+
 // Guards against a key that is blocked for ever, or released too early, by a refused message: the message keeps its
 // place in the order of its key until Settled.
 func TestSettledRefusals(t *testing.T) {
