Fix: a message that was over because its time was up got no final answer

Callers saw: a message that was taken on, neither delivered nor ended by a notice.

Cause: a proved 410 counts as withdrawn, so that nothing is owed; it also says "out of time", and the node's deadline is later than the client's by the hand-in's way. Fix: within the late margin, in which a delivery counts as too late already, the message is told as failed.

TestEndWithinTheLateMarginIsTold failed before at 950 ms of 1 s.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -112,12 +112,13 @@
 	c.removeFinished(m)
 }
 
-// consequence returns what follows from the end of a call for its message. A delivery that may be too late by the
-// clock of whoever handed the message in counts as a failure.
+// consequence returns what follows from the end of a call for its message. Close to its deadline, the time of the
+// message may be up by the clock of whoever handed it in: a delivery may be too late, and a message that is over may
+// be out of time rather than withdrawn, so that it is told as failed.
 func (c *Core) consequence(m *message, e *Ending) lifecycle.Consequence {
 	says := e.statement()
 	late := c.opt.LateMargin > 0 && c.now > m.deadline-c.opt.LateMargin
-	if says == lifecycle.SaysDelivered && late {
+	if late && (says == lifecycle.SaysDelivered || says == lifecycle.SaysOver) {
 		return lifecycle.EndsFailed
 	}
 	return lifecycle.ConsequenceOf(says, e.Attribution)
--- a/internal/core/several_test.go
+++ b/internal/core/several_test.go
@@ -9,6 +9,7 @@
 	"basaltcross.example/basaltcross/choice"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
+	"basaltcross.example/basaltcross/internal/lifecycle"
 )
 
 // newBatchRig returns a rig with a host that accepts three messages a call. A message of each of the classes is
@@ -221,6 +222,22 @@
 	}
 }
 
+// Guards against a message that gets no final answer because a host says that it is over just before its deadline: by
+// the client's clock its time is up, nobody has withdrawn it, and a notice is still due.
+func TestEndWithinTheLateMarginIsTold(t *testing.T) {
+	for at, want := range map[time.Duration]string{500 * ms: "abandoned ", 950 * ms: "failed "} {
+		r, re := newRig(t), &reply{}
+		r.opt.LateMargin = 100 * ms
+		_ = r.handIn("m", 1, re, time.Second)
+		r.at(ms)
+		r.calls[0].endAttributed(Ending{Outcome: choice.NotSent, Over: true}, lifecycle.Certain)
+		r.at(at)
+		if verdicts([]*reply{re}) != want || len(r.byID) != 0 || len(r.calls) != 1 {
+			t.Errorf("over %v after the hand-in, with 1 s to deliver: %s", at, verdicts([]*reply{re}))
+		}
+	}
+}
+
 // instantJournal is a journal that reports every record as on disk at once, and stores nothing.
 type instantJournal struct{}
 
