--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -36,7 +36,7 @@
 const Cause = "trace"
 
 // valueNames are the names of the fields that hold a step's value, by name of the step.
-var valueNames = map[string]string{"read": "connection", "taken": "number", "send": "host", "begun": "timeout", "call": "connection", "unproven": "outcome", "result": "outcome", "ended": "verdict",
+var valueNames = map[string]string{"read": "connection", "taken": "number", "send": "host", "begun": "timeout", "call": "connection", "unproven": "consequence", "result": "outcome", "ended": "verdict",
 	"told": "verdict", "taken_back": "number", "overdue": "said", "response": "status", "close": "reason", "error": "error"}
 
 // Field returns the name of the field that holds the value of a step.
