--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,57 +108,6 @@
 	Retract func()
 }
 
-// Ending is the result of an attempt on its socket.
-type Ending struct {
-	Outcome     choice.Outcome
-	Took        time.Duration
-	Wait        time.Duration         // wait that the host asked for, as by Retry-After; 0 for none
-	Over        bool                  // the response says that the message is over, and that nothing is owed
-	Spent       bool                  // the response says that the message has had all its attempts
-	LoadReport  []float64             // load report, nil for none
-	Attribution lifecycle.Attribution // how certainly the response is the call's own; see Attribute
-	// Each holds the results of the messages of a call, in their order; nil if they are all the same.
-	Each []Ending
-}
-
-// Attribute records how certainly the response is the call's own. A doubtful one says nothing of the host, and
-// of the message only that it may have run, or may be over.
-func (e *Ending) Attribute(attribution lifecycle.Attribution) {
-	for i := range e.Each {
-		e.Each[i].Attribute(attribution)
-	}
-	if attribution > lifecycle.Likely {
-		over := e.Over || e.Spent || e.Outcome == choice.Served
-		*e = Ending{Outcome: choice.Doubted, Over: over, Took: e.Took, Wait: e.Wait, Each: e.Each}
-	}
-	e.Attribution = max(e.Attribution, attribution)
-}
-
-// MarkOver records that all messages of the call may be over.
-func (e *Ending) MarkOver() {
-	e.Over = true
-	for i := range e.Each {
-		e.Each[i].MarkOver()
-	}
-}
-
-// statement returns what the response says of its message.
-func (e *Ending) statement() lifecycle.Statement {
-	switch {
-	case e.Over:
-		return lifecycle.SaysOver
-	case e.Spent:
-		return lifecycle.SaysSpent
-	}
-	switch e.Outcome {
-	case choice.Served:
-		return lifecycle.SaysDelivered
-	case choice.Refused, choice.NoConnection, choice.NotSent:
-		return lifecycle.SaysNeverRan
-	}
-	return lifecycle.SaysNothing
-}
-
 // Attempt is a call in progress.
 type Attempt interface {
 	// Abort ends the attempt on its socket. started reports whether any byte was
@@ -664,79 +612,6 @@
 	c.opt.Observer.Gauge(c.unanswered, len(c.timeouts), c.identityLedger.Len(), len(events))
 }
 
-// handleArrival processes a hand-in that was made at a time: it rejects it, joins it to a message with
-// the same identity, or takes it as a new message.
-func (c *Core) handleArrival(in *Message, at time.Duration) {
-	k := &c.opt.Settings.Classes[in.Class]
-	if k.Effect == choice.Unsafe && in.Identity == "" {
-		in.Reply.Taken(ErrNoIdentity)
-		return
-	}
-	if c.draining {
-		in.Reply.Taken(ErrStopping)
-		return
-	}
-	m := &message{Message: *in, takenAt: c.now, deadline: at + min(in.Left, k.Deadline)}
-	if in.Identity != "" {
-		if e := c.identityLedger.Find(c.now, in.Identity); e != nil {
-			if in.RejectKnown {
-				in.Reply.Taken(ErrDuplicate)
-				return
-			}
-			if e.Answer.Verdict == 0 && c.byEntry[e] != nil {
-				c.byEntry[e].Reply = in.Reply
-			}
-			a := e.Answer // of an ended message; otherwise it follows
-			c.whenDurable(true, func() {
-				in.Reply.Taken(nil)
-				if a.Verdict != 0 {
-					in.Reply.Answer(a)
-				}
-			}, seqOf(e.ID))
-			return
-		}
-	}
-	if c.opt.Journal != nil && in.Identity != "" && !c.opt.Journal.HasRoom(len(in.Head)+len(in.Body)) {
-		in.Reply.Taken(ErrJournalFull)
-		return
-	}
-	c.lastSeq++
-	m.seq, m.id = c.lastSeq, strconv.FormatUint(c.lastSeq, 36)
-	m.journaled = c.opt.Journal != nil && in.Identity != ""
-	if in.Identity != "" {
-		e, err := c.identityLedger.Open(c.now, in.Identity, m.id, k.Effect == choice.Safe)
-		if err != nil {
-			in.Reply.Taken(err)
-			return
-		}
-		m.entry, c.byEntry[e] = e, m
-	}
-	m.state = lifecycle.Message{ID: m.Identity, Repeat: repeatPolicies[k.Effect], Window: k.Window,
-		Deadline: m.deadline,
-		Durable:  m.journaled}
-	if in.RespondWithin > 0 {
-		m.state.RespondBy = at + in.RespondWithin
-	}
-	c.byID[m.id] = m
-	c.unanswered++
-	if m.journaled {
-		c.opt.Journal.RecordMessage(journal.Message{Seq: m.seq, Identity: m.Identity, Source: m.Source, Class: k.Name,
-			Partner: c.opt.Names.Partner(m.Partner), Key: m.Key, At: c.opt.Journal.Stamp(),
-			Remaining: int64(m.deadline - c.now), Head: m.Head, Body: m.Body, Front: m.Front, Way: m.ReturnPath})
-	}
-	c.whenDurable(m.journaled, func() { in.Reply.Taken(nil) }, m.seq)
-	c.opt.Trace.Step(m.Identity, "taken", m.id)
-	c.opt.Observer.Taken(in.Class)
-	c.batch = append(c.batch, choice.Arrival{ID: m.id, Class: in.Class, Dest: in.Partner,
-		TimeLeft: m.deadline - c.now, Key: in.Key})
-	if _, ok := in.Reply.(Decider); ok {
-		c.newlyTaken = append(c.newlyTaken, m)
-	}
-	if in.Immediate {
-		c.immediate = append(c.immediate, m.id)
-	}
-}
-
 // answer decides the final answer of a message. It is recorded and passed to Reply once the
 // record is on disk.
 func (c *Core) answer(m *message, a ledger.Answer) {
@@ -790,33 +665,6 @@
 	}
 }
 
-// withdraw cancels the message of an identity that is in progress. With by nil its final answer is
-// still due; otherwise the message is abandoned, provided that by is its current Reply.
-func (c *Core) withdraw(identity string, by Reply) {
-	e := c.identityLedger.Find(c.now, identity)
-	if e == nil || e.Answer.Verdict != 0 {
-		return
-	}
-	m := c.byEntry[e]
-	if by != nil && m.Reply != by {
-		return
-	}
-	c.batch = append(c.batch, choice.Withdrawn{ID: m.id, AnswerOwed: by == nil})
-	if by != nil {
-		c.answer(m, ledger.Answer{Verdict: ledger.Abandoned})
-		c.recallAlone(m)
-	}
-}
-
-// recallAlone ends the call of a message that has ended, if it carries no other message and none of it is written.
-func (c *Core) recallAlone(m *message) {
-	a := m.current
-	if a == nil || a.leader != nil || len(a.followers) > 0 || !a.handle.Recall() {
-		return
-	}
-	c.endCall(a, Ending{Outcome: choice.NotSent, Took: c.now - a.sentAt})
-}
-
 // carryOut executes the actions of the module, in their order.
 func (c *Core) carryOut(actions []choice.Action) {
 	groups := map[string][]*attempt{} // for hosts that accept several messages a call
