Fix: the next message of a key went at once behind a late 200 that may be another call's

Cause: a 200 too late for the client counts as served whoever's it is, so that the key did not wait for the call that may still run. Fix: if nothing proves it, the key waits as behind any other unknown end.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -674,7 +674,7 @@
 		d.latencies.addAbandoned()
 		c.handleFailure(h, e.Outcome, e.Took)
 	}
-	sure := e.Outcome == Served ||
+	sure := e.Outcome == Served && !(e.Unproven && e.Over) ||
 		!e.Unproven && (e.Outcome == Refused || e.Outcome == NoConnection || e.Outcome == NotSent)
 	if !sure {
 		if m.unsureAt = c.now; !m.mayHaveRun {
--- a/choice/unproven_test.go
+++ b/choice/unproven_test.go
@@ -44,3 +44,43 @@
 		}
 	}
 }
+
+// TestKeyWaitsBehindAnUnprovenEnd guards against messages of a key out of order: the next one is sent at once behind
+// an answer that may belong to another call, while the one before may still run.
+func TestKeyWaitsBehindAnUnprovenEnd(t *testing.T) {
+	const settle, sent = 100 * time.Millisecond, 10 * time.Millisecond
+	for _, x := range []struct {
+		result Result
+		waits  bool
+	}{
+		{Result{Outcome: Refused, Unproven: true}, true},
+		{Result{Outcome: NotSent, Unproven: true, Over: true}, true},
+		{Result{Outcome: Doubted, Unproven: true, Over: true}, true},
+		{Result{Outcome: Served, Unproven: true, Over: true}, true}, // too late for the client
+		{Result{Outcome: Served, Over: true}, false},
+		{Result{Outcome: NotSent, Over: true}, false},
+	} {
+		c, err := New(Settings{Fleet: 1, Workers: 8, MaxHeld: 100, MaxAttempts: 4, Tick: 5 * time.Millisecond, ReportLimitIndex: -1,
+			Classes: []Class{{Effect: Unsafe, Ordered: true, Aim: time.Second, Deadline: 6 * time.Second, Worth: 1}}, Kinds: []Kind{{PerCall: 1}},
+			Rules: Rules{OverloadFactor: 2, Fall: time.Second, ColdFrom: 0.2, Cold: 5 * time.Second, OrderSettle: settle}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Step(0, []Event{HostUpdate{Full: true, Hosts: []Host{{Addr: "a", State: Ready}}},
+			Arrival{ID: "first", Key: "k", TimeLeft: 6 * time.Second}, Arrival{ID: "next", Key: "k", TimeLeft: 6 * time.Second}})
+		x.result.ID, x.result.Host, x.result.Took = "first", "a", sent
+		at := time.Duration(0)
+		events := []Event{x.result}
+		for now := sent; at == 0 && now < 5*time.Second; now += 5 * time.Millisecond {
+			for _, a := range c.Step(now, events) {
+				if s, ok := a.(Send); ok && s.ID == "next" {
+					at = now
+				}
+			}
+			events = []Event{Woken{}}
+		}
+		if waited := at >= sent+settle; at == 0 || waited != x.waits {
+			t.Errorf("%+v: the next message of the key is sent at %s, want it to wait: %v", x.result, at, x.waits)
+		}
+	}
+}
