--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -410,6 +410,7 @@
 	Delivered int `json:"delivered"` // accepted messages that a host answered 200
 	Untried   int `json:"untried"`   // accepted messages ended by a notice without a call
 	Calls     int `json:"calls"`     // messages sent in calls, repeats included
+	Both      int `json:"both"`      // accepted messages that a host answered 200 and that have a notice
 	// MeanTime is the mean time from the request to the host's answer, over delivered messages.
 	MeanTime time.Duration `json:"after_ns"`
 }
@@ -429,6 +430,9 @@
 		if c.delivered() {
 			s.Delivered++
 			total += c.deliveredAfter()
+			if len(c.Notices) > 0 {
+				s.Both++
+			}
 		} else if len(c.Calls) == 0 && len(c.Notices) > 0 {
 			s.Untried++
 		}
