Fix: a time-out was processed before an answer that had arrived, and the message called again

Cause: behind a pause the time-out and the reader of the answer run at the same moment, and Abort wins while the bytes are on their way from the kernel to the call. Fix: a time-out that is due waits once, 150 ms at most, while bytes have arrived on its connection that are not processed; a cancel of the module does not end such a call. engine.Conn.HasUnhandledBytes covers the kernel's buffer and the handler.

TestAnswerThatHasArrivedBeatsItsTimeOut, TestTimeOutWaitsOnceForAnArrivedAnswer, TestBytesOnTheirWayToTheHandlerAreUnhandled (the method is new). The examples of the soak say how each connection ended.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -31,6 +31,7 @@
 	leader      *attempt                                          // first attempt of the call; nil in that one
 	followers   []*attempt                                        // in the first attempt: the others of the call
 	cancelled   bool                                              // cancelled by the module
+	postponed   bool                                              // its time-out was postponed for an answer that has arrived
 	// set while the call is delayed, and afterwards if it waited for its records
 	gate *delayedCall
 	// the outcome was retracted: the response belonged to another call
@@ -132,6 +133,22 @@
 	c.opt.Trace.Step(m.Identity, "result", e.Outcome.String())
 }
 
+// arrivedAnswerGrace is how long a time-out waits for an answer whose bytes have arrived and are not processed yet.
+// By the platform's pages a process may be held up for that long.
+const arrivedAnswerGrace = 150 * time.Millisecond
+
+// awaitArrivedAnswer postpones a time-out that is due, once, if bytes have arrived for its call: after a pause of
+// the process the timer may run before them, and the answer may say that the message must not be called again.
+func (c *Core) awaitArrivedAnswer(a *attempt) bool {
+	if a.postponed || c.timeLeft(a) <= arrivedAnswerGrace || !a.handle.AnswerPending() {
+		return false
+	}
+	a.postponed = true
+	a.timeoutAt = c.now + arrivedAnswerGrace
+	heap.Fix(&c.timeouts, a.heapIndex)
+	return true
+}
+
 // abortCall ends a call because of a time-out or at shutdown. If it has ended already, its
 // outcome counts and arrives through the inbox.
 func (c *Core) abortCall(a *attempt, why choice.Outcome) {
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -39,6 +39,9 @@
 	return ok
 }
 
+// AnswerPending implements Attempt.
+func (g *delayedCall) AnswerPending() bool { return g.handle != nil && g.handle.AnswerPending() }
+
 // dispatched reports whether the call was passed to the Caller. Until then nothing that happens to
 // it says anything about its endpoint.
 func (a *attempt) dispatched() bool { return a.gate == nil || a.gate.handle != nil }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -117,6 +117,9 @@
 	// Recall aborts an attempt of which no byte was handed to the kernel. It
 	// returns false, and does nothing, for any other.
 	Recall() bool
+	// AnswerPending reports whether bytes have arrived on the attempt's connection that are not processed yet:
+	// they may be its answer.
+	AnswerPending() bool
 }
 
 // Caller sends calls to partners.
@@ -559,7 +562,9 @@
 	c.runDue()
 	// Time-outs come after the events, so that a response in the same batch counts.
 	for len(c.timeouts) > 0 && c.timeouts[0].timeoutAt <= c.now {
-		c.abortCall(c.timeouts[0], choice.Timeout)
+		if !c.awaitArrivedAnswer(c.timeouts[0]) {
+			c.abortCall(c.timeouts[0], choice.Timeout)
+		}
 	}
 	if c.graceEnd >= 0 && c.now >= c.graceEnd {
 		c.graceEnd = -1
@@ -709,6 +714,9 @@
 				}) {
 					continue // other messages of this call are not cancelled
 				}
+				if a.handle.AnswerPending() {
+					continue // the response, or the time-out, ends the call
+				}
 				started, ok := a.handle.Abort()
 				if !ok {
 					continue // the response came first
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -23,6 +23,7 @@
 type fakeCall struct {
 	Call
 	started, ended, aborted bool
+	pending                 bool // an answer has arrived and isn't processed
 }
 
 func (f *fakeCall) Abort() (bool, bool) {
@@ -41,6 +42,8 @@
 	return true
 }
 
+func (f *fakeCall) AnswerPending() bool { return f.pending }
+
 func (f *fakeCall) finish(o choice.Outcome, wait time.Duration) {
 	f.ended = true
 	f.End(Ending{Outcome: o, Took: 20 * ms, Wait: wait})
--- a/internal/core/unproven_test.go
+++ b/internal/core/unproven_test.go
@@ -152,6 +152,42 @@
 	}
 }
 
+// Guards against a message that is called again although the answer which ended it had arrived: the time-out of the
+// call was processed first.
+func TestAnswerThatHasArrivedBeatsItsTimeOut(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		r, re := sentMessage(t, 0)
+		r.timeouts[0].timeoutAt = 100 * ms
+		r.calls[0].pending = true
+		if cancelled {
+			r.carryOut([]choice.Action{choice.Cancel{ID: r.calls[0].ID}})
+		} else {
+			r.at(100 * ms)
+		}
+		if r.calls[0].aborted {
+			t.Fatalf("cancelled %v: given up although its answer has arrived", cancelled)
+		}
+		r.calls[0].endAttributed(Ending{Outcome: choice.NotSent, Over: true}, lifecycle.Certain)
+		for at := 101 * ms; at < 7*time.Second; at += ms {
+			r.at(at)
+		}
+		if got := verdicts([]*reply{re}); got != "abandoned " || len(r.calls) != 1 {
+			t.Errorf("cancelled %v: %s after %d calls, want abandoned after one", cancelled, got, len(r.calls))
+		}
+	}
+}
+
+// Guards against a call that is never given up because bytes of an answer keep arriving.
+func TestTimeOutWaitsOnceForAnArrivedAnswer(t *testing.T) {
+	r, _ := sentMessage(t, 0)
+	r.timeouts[0].timeoutAt = 100 * ms
+	r.calls[0].pending = true
+	r.at(100 * ms)
+	if r.at(100*ms + arrivedAnswerGrace); !r.calls[0].aborted {
+		t.Error("not given up after the grace")
+	}
+}
+
 // tellTimes records when the core tells that message m failed behind its delivery. It tells of no other.
 func (r *rig) tellTimes(t *testing.T) (retracted, unproven *[]time.Duration) {
 	t.Helper()
--- a/internal/emulator/learned.go
+++ b/internal/emulator/learned.go
@@ -46,6 +46,19 @@
 	return !p.at.IsZero() && (p.unread || p.at.Before(written))
 }
 
+// describe says how and when the relay ended the connection.
+func (p *peerEnd) describe(since func(time.Time) string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.at.IsZero():
+		return "not ended by the relay"
+	case p.unread:
+		return "reset at " + since(p.at)
+	}
+	return "closed by the relay at " + since(p.at)
+}
+
 // stateCloseWait is the state of a TCP connection whose peer has closed it in order.
 const stateCloseWait = 8
 
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -105,6 +105,9 @@
 	}
 	for _, x := range c.Calls {
 		s += fmt.Sprintf("; call at %s to %s: status %d, took effect: %v", since(x.At), x.Host, x.Status, x.Ran)
+		if x.conn != nil {
+			s += fmt.Sprintf(", call %d of %d on its connection, %s", x.turn, x.conn.calls.Load(), x.conn.ended.describe(since))
+		}
 	}
 	for _, x := range c.Notices {
 		s += fmt.Sprintf("; notice %s at %s", x.Result, since(x.At))
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,8 @@
 	retryPause   time.Duration
 	closeTimer   *time.Timer
 
+	handling atomic.Bool // bytes may have been read that the handler has not finished with
+
 	// For the connection's goroutine only.
 	failingSince time.Time     // start of a series of failed reads; zero if the last read succeeded
 	readDelay    time.Duration // upper bound on the time for which the data read last waited because reads failed
@@ -122,14 +125,17 @@
 	var readErr error
 	err := c.socket.Read(func(fd uintptr) (done bool) {
 		buf = c.engine.buffers.Get().(*[]byte)
+		c.handling.Store(true)
 		n, readErr = read(int(fd), *buf)
 		if readErr == syscall.EAGAIN { // don't hold a buffer while waiting for data
+			c.handling.Store(false)
 			c.engine.buffers.Put(buf)
 			buf = nil
 			return false
 		}
 		return true
 	})
+	defer c.handling.Store(false)
 	if buf != nil {
 		defer c.engine.buffers.Put(buf)
 	}
@@ -404,6 +410,12 @@
 	return PeekEnd
 }
 
+// HasUnhandledBytes reports whether bytes have arrived that the handler has not finished with.
+func (c *Conn) HasUnhandledBytes() bool {
+	waiting := c.Peek() == PeekBytes // before handling: bytes that are read now are seen by one of the two
+	return waiting || c.handling.Load()
+}
+
 // EndedByPeer reports whether the peer closed the connection, as opposed to this side or a local
 // error.
 func (c *Conn) EndedByPeer() bool {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -77,6 +77,31 @@
 	return c, r, peer.(*net.TCPConn)
 }
 
+// Guards against bytes that nobody knows of while they are on their way from the kernel to the handler.
+func TestBytesOnTheirWayToTheHandlerAreUnhandled(t *testing.T) {
+	c, r, peer := pair(t, Options{})
+	if c.HasUnhandledBytes() {
+		t.Error("unhandled bytes before the peer has sent any")
+	}
+	r.mu.Lock() // the handler waits
+	if _, err := peer.Write([]byte("answer")); err != nil {
+		t.Fatal(err)
+	}
+	for !c.HasUnhandledBytes() || c.Peek() == PeekBytes { // until they have left the kernel
+		runtime.Gosched()
+	}
+	if !c.HasUnhandledBytes() {
+		t.Error("bytes that the handler has not finished with are not reported")
+	}
+	r.mu.Unlock()
+	for c.HasUnhandledBytes() {
+		runtime.Gosched()
+	}
+	if r.got.String() != "answer" {
+		t.Errorf("the handler got %q", r.got.String())
+	}
+}
+
 // large is more bytes than the kernel buffers for a peer that does not read.
 const large = 16 << 20
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -417,6 +417,8 @@
 
 func (a *attempt) Recall() bool { return false }
 
+func (a *attempt) AnswerPending() bool { return false }
+
 // Send models one call, which the slot of the endpoint that is free first serves.
 func (r *relay) Send(c core.Call) core.Attempt {
 	w, h, a := r.w, r.w.hosts[c.Host], &attempt{r: r}
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -215,6 +215,14 @@
 	return wrote, true
 }
 
+// AnswerPending reports whether bytes have arrived on the call's connection that are not processed yet.
+func (k *call) AnswerPending() bool {
+	k.mu.Lock()
+	cn, ended := k.conn, k.state.Ended()
+	k.mu.Unlock()
+	return cn != nil && !ended && cn.sock.HasUnhandledBytes()
+}
+
 // Recall ends the call unless it has been written.
 func (k *call) Recall() bool {
 	k.mu.Lock()
