Soak: a call that left before the answer, and was given up, may be read behind it

The check "no call after an end is learnt" counted it as a further call.

Left out is only a first call on a connection that was accepted before the answer, that the node closed before its own answer was written.

--- a/internal/emulator/learned.go
+++ b/internal/emulator/learned.go
@@ -79,6 +79,19 @@
 	return err == nil && info.State == stateCloseWait
 }
 
+// isOpen reports whether the relay has not ended the connection.
+func (p *peerEnd) isOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at.IsZero()
+}
+
+// leftBefore reports whether a call that was read after a time may have left the relay before it: it was on its way on
+// a new connection, and the relay gave it up without an answer.
+func (x *Call) leftBefore(at time.Time) bool {
+	return x.conn != nil && x.turn == 1 && x.conn.accepted.Before(at) && x.AnswerWritten.IsZero() && !x.conn.ended.isOpen()
+}
+
 // learned reports whether the relay learned from the answer to a call that the message had ended: the answer says so,
 // and the relay certainly read it as the answer to this call.
 func (a *audit) learned(c *History, x *Call) bool {
@@ -98,8 +111,8 @@
 	return !x.conn.hasBroken() && !x.conn.ended.beforeReading(x.wroteAt)
 }
 
-// checkLearned checks that no call follows an answer from which the relay learned that the message had ended. A later
-// process may not know of it, if the state directory failed when the end had to be recorded.
+// checkLearned checks that no call follows an answer from which the relay learned that the message had ended. A call
+// that the relay made, and gave up, before the answer may be read behind it. A later process may not know of it, if the state directory failed when the end had to be recorded.
 func (a *audit) checkLearned(c *History) {
 	f := a.finding("no call after an end is learnt")
 	for i := range c.Calls {
@@ -108,7 +121,7 @@
 			continue
 		}
 		called := slices.ContainsFunc(c.Calls, func(y Call) bool {
-			return y.At.After(x.AnswerWritten) && !(a.endedBetween(c.Node, x.AnswerWritten, y.At) &&
+			return y.At.After(x.AnswerWritten) && !y.leftBefore(x.AnswerWritten) && !(a.endedBetween(c.Node, x.AnswerWritten, y.At) &&
 				overlaps(a.record.diskFaults, c.Node, x.At, y.At))
 		})
 		f.check(!called, c.String)
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -130,18 +130,19 @@
 	l.network.mu.Lock()
 	l.network.accepted++
 	l.network.mu.Unlock()
-	return &faultyConn{Conn: c, network: l.network}, nil
+	return &faultyConn{Conn: c, network: l.network, accepted: time.Now()}, nil
 }
 
 // faultyConn is the server's side of a connection with the faults of a network.
 type faultyConn struct {
 	net.Conn
-	network *Network
-	node    atomic.Int64 // node number of the relay at the other end, set by its first call
-	calls   atomic.Int64 // calls that arrived on it
-	broken  atomic.Int64 // time the server's side closed the connection, Unix time in nanoseconds; 0 for never
-	wrote   atomic.Int64 // time of the latest write, Unix time in nanoseconds
-	ended   peerEnd
+	network  *Network
+	accepted time.Time
+	node     atomic.Int64 // node number of the relay at the other end, set by its first call
+	calls    atomic.Int64 // calls that arrived on it
+	broken   atomic.Int64 // time the server's side closed the connection, Unix time in nanoseconds; 0 for never
+	wrote    atomic.Int64 // time of the latest write, Unix time in nanoseconds
+	ended    peerEnd
 }
 
 // markBroken records that the server's side closes the connection.
