Core: a cancelled call whose answer has arrived is given up soon after, as on its time-out

Behind a cancel that waited for the answer, a host that sends single bytes could have kept the call, and with it all further cancels of the module, until its own time-out. TestTimeOutWaitsOnceForAnArrivedAnswer plays both; the cancel's case failed before.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -137,15 +137,16 @@
 // By the platform's pages a process may be held up for that long.
 const arrivedAnswerGrace = 150 * time.Millisecond
 
-// awaitArrivedAnswer postpones a time-out that is due, once, if bytes have arrived for its call: after a pause of
-// the process the timer may run before them, and the answer may say that the message must not be called again.
+// awaitArrivedAnswer sets the time-out of a call that is to be given up now to a short time later, once, if bytes have
+// arrived for it: after a pause of the process the timer may run before them, and the answer may say that the message
+// must not be called again.
 func (c *Core) awaitArrivedAnswer(a *attempt) bool {
 	if a.postponed || c.timeLeft(a) <= arrivedAnswerGrace || !a.handle.AnswerPending() {
 		return false
 	}
 	a.postponed = true
 	a.timeoutAt = c.now + arrivedAnswerGrace
-	heap.Fix(&c.timeouts, a.heapIndex)
+	c.scheduleTimeout(a)
 	return true
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -714,8 +714,8 @@
 				}) {
 					continue // other messages of this call are not cancelled
 				}
-				if a.handle.AnswerPending() {
-					continue // the response, or the time-out, ends the call
+				if c.awaitArrivedAnswer(a) {
+					continue // the response ends the call, or else the time-out, which is now near
 				}
 				started, ok := a.handle.Abort()
 				if !ok {
--- a/internal/core/unproven_test.go
+++ b/internal/core/unproven_test.go
@@ -179,12 +179,19 @@
 
 // Guards against a call that is never given up because bytes of an answer keep arriving.
 func TestTimeOutWaitsOnceForAnArrivedAnswer(t *testing.T) {
-	r, _ := sentMessage(t, 0)
-	r.timeouts[0].timeoutAt = 100 * ms
-	r.calls[0].pending = true
-	r.at(100 * ms)
-	if r.at(100*ms + arrivedAnswerGrace); !r.calls[0].aborted {
-		t.Error("not given up after the grace")
+	for _, cancelled := range []bool{false, true} {
+		r, _ := sentMessage(t, 0)
+		r.calls[0].pending = true
+		r.now = 100 * ms
+		if cancelled {
+			r.carryOut([]choice.Action{choice.Cancel{ID: r.calls[0].ID}})
+		} else {
+			r.timeouts[0].timeoutAt = 100 * ms
+			r.at(100 * ms)
+		}
+		if r.at(100*ms + arrivedAnswerGrace); !r.calls[0].aborted {
+			t.Errorf("cancelled %v: not given up after the grace", cancelled)
+		}
 	}
 }
 
