--- a/choice/choice.go
+++ b/choice/choice.go
@@ -684,7 +684,7 @@
 	switch {
 	case e.Done || m.finished:
 		c.forget(m)
-	case e.Over || e.Outcome == Served: // ended elsewhere, or too late for the client: the final answer is still due
+	case e.Over || e.Outcome == Served: // ended elsewhere, or too late: a final answer is due
 		m.mayHaveRun, m.noRefusal = true, true
 		c.giveFinalAnswer(m)
 	case m.withdrawn || !c.repeatable(m) || m.attempts >= c.cfg.MaxAttempts:
