Fix: near its deadline a time-out did not wait for an answer that had arrived

Fix: it waits up to the deadline; past that the message is not called again.

TestTimeOutNearTheDeadlineWaitsForAnArrivedAnswer failed before.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -139,13 +139,14 @@
 
 // awaitArrivedAnswer sets the time-out of a call that is to be given up now to a short time later, once, if bytes have
 // arrived for it: after a pause of the process the timer may run before them, and the answer may say that the message
-// must not be called again.
+// must not be called again. Past the deadline of a message it is not called again anyway.
 func (c *Core) awaitArrivedAnswer(a *attempt) bool {
-	if a.postponed || c.timeLeft(a) <= arrivedAnswerGrace || !a.handle.AnswerPending() {
+	grace := min(arrivedAnswerGrace, c.timeLeft(a))
+	if a.postponed || grace <= 0 || !a.handle.AnswerPending() {
 		return false
 	}
 	a.postponed = true
-	a.timeoutAt = c.now + arrivedAnswerGrace
+	a.timeoutAt = c.now + grace
 	c.scheduleTimeout(a)
 	return true
 }
--- a/internal/core/unproven_test.go
+++ b/internal/core/unproven_test.go
@@ -177,6 +177,21 @@
 	}
 }
 
+// Guards against the same close to the message's deadline, up to which the time-out may wait.
+func TestTimeOutNearTheDeadlineWaitsForAnArrivedAnswer(t *testing.T) {
+	const left = 6 * time.Second
+	r, _ := sentMessage(t, 0)
+	due := left - arrivedAnswerGrace/2
+	r.timeouts[0].timeoutAt = due
+	r.calls[0].pending = true
+	if r.at(due); r.calls[0].aborted {
+		t.Error("given up although its answer has arrived")
+	}
+	if r.at(left); !r.calls[0].aborted {
+		t.Error("not given up at the deadline")
+	}
+}
+
 // Guards against a call that is never given up because bytes of an answer keep arriving.
 func TestTimeOutWaitsOnceForAnArrivedAnswer(t *testing.T) {
 	for _, cancelled := range []bool{false, true} {
