Test: a descriptor is duplicated by dup3, which every architecture has

arm64 has no dup2, so that the engine's tests did not build there. dup3 without flags does the same; the test asks what it asked before.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -203,7 +203,7 @@
 	second, _, other := pair(t, Options{})
 	_ = first.Close()
 	<-r.closed
-	if err := syscall.Dup2(second.Descriptor(), first.Descriptor()); err != nil {
+	if err := syscall.Dup3(second.Descriptor(), first.Descriptor(), 0); err != nil {
 		t.Fatal(err)
 	}
 	defer syscall.Close(first.Descriptor())
--- a/internal/shim/exec.go
+++ b/internal/shim/exec.go
@@ -83,17 +83,18 @@
 // hideVDSO removes the vDSO from the auxiliary vector of a program that has just been loaded, so that it reads
 // its clocks by system calls, which the tracer sees.
 func hideVDSO(pid int) {
-	var regs unix.PtraceRegs
-	if unix.PtraceGetRegs(pid, &regs) != nil {
+	regs, err := readRegisters(pid)
+	if err != nil {
 		return
 	}
+	stack := regs.stackPointer()
 	word := func(at uint64) uint64 {
 		var b [8]byte
 		_, _ = unix.PtracePeekData(pid, uintptr(at), b[:])
 		return binary.LittleEndian.Uint64(b[:])
 	}
-	at := regs.Rsp + 8*(word(regs.Rsp)+2) // past the arguments and their null terminator
-	for word(at) != 0 {                   // skip the environment
+	at := stack + 8*(word(stack)+2) // past the arguments and their null terminator
+	for word(at) != 0 {             // skip the environment
 		at += 8
 	}
 	for at += 8; word(at) != auxNull; at += 16 {
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -1,7 +1,7 @@
 // Package shim runs a program under ptrace(2) and injects faults into its system calls, all of them
 // documented by Linux: short reads and writes, errors of sockets and of files in one directory,
 // interrupted waits, a delay before a write, a stepped wall clock. It needs no privileges and affects
-// only the processes that it starts. It runs on Linux on amd64 only.
+// only the processes that it starts. It runs on Linux, on amd64 and arm64.
 //
 // Which faults are active at which time is up to the caller; see package soak.
 package shim
