Fix: a private key open to others could come into use if it was replaced while it was read

What could happen: the mode of the key file was checked by its name and the file read by its name a moment later. A key that took its place in between was used whatever its mode. The version that was noted for a file was read a moment after it as well, so that a change in between was never seen.

Each file is now opened once: its content, mode and version are those of what was read.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -18,6 +18,7 @@
 	"encoding/pem"
 	"errors"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"os"
@@ -64,6 +65,9 @@
 	node os.FileInfo
 }
 
+// accessByOthers are the bits of a file's mode that grant access to others.
+const accessByOthers = 0o007
+
 func versionOf(file string) (fileVersion, error) {
 	st, err := os.Stat(file)
 	if err != nil {
@@ -72,6 +76,21 @@
 	return fileVersion{st.Size(), st.ModTime(), st}, nil
 }
 
+// readFile reads a file, and returns the version that was read and the file's mode.
+func readFile(name string) (content []byte, version fileVersion, mode os.FileMode, err error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, fileVersion{}, 0, err
+	}
+	defer file.Close()
+	st, err := file.Stat()
+	if err != nil {
+		return nil, fileVersion{}, 0, err
+	}
+	content, err = io.ReadAll(file)
+	return content, fileVersion{st.Size(), st.ModTime(), st}, st.Mode().Perm(), err
+}
+
 // equal reports whether s and o identify the same version. It is false if either is
 // zero.
 func (s fileVersion) equal(o fileVersion) bool {
@@ -128,15 +147,19 @@
 // load reads, checks and puts into use the certificate and key; after an error the
 // previous ones stay in use.
 func (p *KeyPair) load(now time.Time) error {
-	st, err := os.Stat(p.KeyFile)
+	certText, certVersion, _, err := readFile(p.CertFile)
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	keyText, keyVersion, mode, err := readFile(p.KeyFile)
 	if err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
-	if mode := st.Mode().Perm(); mode&0o007 != 0 {
+	if mode&accessByOthers != 0 {
 		return fmt.Errorf("keys: private key %s is accessible to others (mode %04o), run chmod 600 on it",
 			p.KeyFile, mode)
 	}
-	cert, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile)
+	cert, err := tls.X509KeyPair(certText, keyText)
 	if err != nil {
 		return fmt.Errorf("keys: %s with %s: %w", p.CertFile, p.KeyFile, err)
 	}
@@ -152,13 +175,12 @@
 		return fmt.Errorf("keys: %s is not valid before %v", p.CertFile, cert.Leaf.NotBefore.UTC())
 	}
 	p.cert.Store(&cert)
-	p.versions[0], _ = versionOf(p.CertFile)
-	p.versions[1], _ = versionOf(p.KeyFile)
+	p.versions = [2]fileVersion{certVersion, keyVersion}
 	return nil
 }
 
 func (p *CAPool) load() error {
-	text, err := os.ReadFile(p.File)
+	text, version, _, err := readFile(p.File)
 	if err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
@@ -167,7 +189,7 @@
 		return fmt.Errorf("keys: %s contains no PEM certificate", p.File)
 	}
 	p.pool.Store(pool)
-	p.version, _ = versionOf(p.File)
+	p.version = version
 	return nil
 }
 
@@ -210,15 +232,19 @@
 		}
 		p.statErrorReported = false
 		err := p.load(now)
-		p.versions = [2]fileVersion{cert, key} // a rejected file is not tried again until it changes
+		if err != nil {
+			p.versions = [2]fileVersion{cert, key} // a rejected file is not tried again until it changes
+		}
 		r.report(p.CertFile, p.Expires(), err)
 	}
 	for _, p := range r.pools {
-		if s, err := versionOf(p.File); err != nil || s.equal(p.version) {
+		current, err := versionOf(p.File)
+		if err != nil || current.equal(p.version) {
 			continue
 		}
-		err := p.load()
-		p.version, _ = versionOf(p.File)
+		if err = p.load(); err != nil {
+			p.version = current // a rejected file is not tried again until it changes
+		}
 		r.report(p.File, time.Time{}, err)
 	}
 }
