Test: a faulty certificate is valid at no moment while it replaces another

The test issued a valid pair in place and changed the key's mode behind it. A relay that looks in between, once a second, rightly takes the pair into use: the test asked for less than it said. "Another's key" was made in the same way.

Both pairs are now made elsewhere and moved into place; at each step what lies there is faulty. What is asked is the same: four faulty pairs, 2.2 s each, and the serial number in use stays.

--- a/internal/relay/push_test.go
+++ b/internal/relay/push_test.go
@@ -616,11 +616,30 @@
 		t.Fatal("the new certificate is not in use after 100 handshakes 50 ms apart")
 	}
 	key, _ := os.ReadFile(b.dir + "/server.key")
+	// A pair is made elsewhere and moved into place: at no moment is it valid where the relay reads it.
+	prepare := func(keyMode os.FileMode) string {
+		dir := t.TempDir()
+		_, keyFile, err := b.ca.Issue(dir, "server", time.Now().Add(-2*time.Hour), time.Now().Add(time.Hour), "127.0.0.1")
+		if err = errors.Join(err, os.Chmod(keyFile, keyMode)); err != nil {
+			t.Fatal(err)
+		}
+		return dir
+	}
+	install := func(from string, files ...string) {
+		for _, file := range files {
+			if err := os.Rename(from+"/"+file, b.dir+"/"+file); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
 	for name, corrupt := range map[string]func(){
-		"half a file":     func() { _ = os.WriteFile(b.dir+"/server.pem", []byte("-----BEGIN CERT"), 0o644) },
-		"expired":         func() { b.issue(t, "server", -time.Hour) },
-		"another's key":   func() { b.issue(t, "server", time.Hour); _ = os.WriteFile(b.dir+"/server.key", key, 0o600) },
-		"open to anybody": func() { b.issue(t, "server", time.Hour); _ = os.Chmod(b.dir+"/server.key", 0o644) },
+		"half a file": func() { _ = os.WriteFile(b.dir+"/server.pem", []byte("-----BEGIN CERT"), 0o644) },
+		"expired":     func() { b.issue(t, "server", -time.Hour) },
+		"another's key": func() {
+			_ = os.WriteFile(b.dir+"/server.key", key, 0o600)
+			install(prepare(0o600), "server.pem")
+		},
+		"open to anybody": func() { install(prepare(0o644), "server.pem", "server.key") },
 	} {
 		corrupt()
 		time.Sleep(2200 * ms)
