--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -27,6 +27,8 @@
 	addr   string // listen address
 	agent  *emulator.Agent
 
+	configuring sync.Mutex // held while the configuration file is written
+
 	mu           sync.Mutex
 	process      *shim.Process
 	processRun   *emulator.Process
@@ -94,6 +96,8 @@
 
 // configure writes the configuration file, with the agent's current address.
 func (n *node) configure() error {
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
 	at := n.agent.Addr()
 	n.mu.Lock()
 	n.discovery = at
