--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -45,7 +45,7 @@
 	Identities  int   // identities remembered, of messages held and ended
 	Notices     int   // notices not yet delivered to the platform
 	Disk        int64 // size of the journal, bytes
-	List        int64 // size of the saved host list in the same folder, bytes
+	List        int64 // size of each of the two files of the saved host list in the same folder, bytes
 	WriteBuffer int   // unsent bytes per client
 	Keep        addr.PoolSettings
 }
@@ -65,7 +65,7 @@
 	free := l.Sockets - reservedDescriptors
 	b := Bounds{Procs: max(1, int(math.Ceil(l.Cores))), Files: l.Sockets, Disk: int64(l.DiskMB * (1 << 20)),
 		Memory: int64(l.MemoryMB)<<20*3/4 - int64(l.DiskMB*(1<<20)), WriteBuffer: 64 << 10}
-	b.List = b.Disk / 16 // doubled while a new file replaces the old one
+	b.List = b.Disk / 16
 	b.Disk -= 2 * b.List
 	b.Memory = max(b.Memory, int64(l.MemoryMB)<<20/2)
 	b.Clients = free * 4 / 9
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -98,7 +98,14 @@
 func TestHostListSurvivesRestart(t *testing.T) {
 	dir := t.TempDir()
 	var failed error
-	h := newHostListFile(dir, 400, func(err error) { failed = err })
+	save := func(l agent.List) {
+		failed = nil
+		file := newSavedList(dir, 400)
+		_, _ = file.newest(agent.List{}) // as a new run does
+		h := newHostListWriter(file, func(err error) { failed = err })
+		h.save(l)
+		h.close()
+	}
 	list := func(rev int64, uids ...string) agent.List {
 		l := agent.List{Rev: rev, All: true}
 		for _, uid := range uids {
@@ -108,19 +115,19 @@
 	}
 	check := func(what string, want int64, failed bool) {
 		t.Helper()
-		l, err := h.newest(list(5, "known"))
+		l, err := newSavedList(dir, 400).newest(list(5, "known"))
 		if l.Rev != want || (err != nil) != failed {
 			t.Errorf("%s: revision %d, %v; want %d, failed %v", what, l.Rev, err, want, failed)
 		}
 	}
 	check("no saved list", 5, false)
 	for _, rev := range []int64{4, 7, 9} {
-		if h.save(list(rev, "a")); failed != nil {
+		if save(list(rev, "a")); failed != nil {
 			t.Fatal(failed)
 		}
 		check("saved list", max(5, rev), false)
 	}
-	if h.save(list(10, strings.Repeat("long", 200))); failed == nil {
+	if save(list(10, strings.Repeat("long", 200))); failed == nil {
 		t.Error("a list over the size limit gave no error")
 	}
 	check("list over the size limit", 5, false)
--- /dev/null
+++ b/internal/platform/hostlist_test.go
@@ -0,0 +1,133 @@
+package platform
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"basaltcross.example/basaltcross/internal/agent"
+)
+
+// listOf returns a host list of a revision.
+func listOf(rev int64, uids ...string) agent.List {
+	l := agent.List{Rev: rev, All: true}
+	for _, uid := range uids {
+		l.Targets = append(l.Targets, agent.Target{UID: uid, State: "up"})
+	}
+	return l
+}
+
+// Guards against a drain that is heard late: the watch must not wait until a list is saved. The files are pipes that
+// nobody reads, so that a write does not end.
+func TestWatchDoesNotWaitForTheDisk(t *testing.T) {
+	dir := t.TempDir()
+	file := newSavedList(dir, 1<<16)
+	for _, path := range file.paths {
+		if err := syscall.Mkfifo(path, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h := newHostListWriter(file, func(err error) { t.Error(err) })
+	saved := make(chan struct{})
+	go func() {
+		defer close(saved)
+		for rev := range int64(3) {
+			h.save(listOf(rev+1, "a"))
+		}
+	}()
+	select {
+	case <-saved:
+	case <-time.After(20 * time.Second):
+		t.Error("lists wait for a write that does not end")
+	}
+	for _, path := range file.paths { // lets the writes end
+		reader, err := os.OpenFile(path, os.O_RDWR, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer reader.Close()
+	}
+	<-saved
+	h.close()
+}
+
+// Guards against a journal that waits for a saved list: once its files exist, saving a list must change no entry of
+// the state folder, since a replaced file can keep the folder locked until it is on the disk.
+func TestSavedListsLeaveTheFolderAlone(t *testing.T) {
+	dir := t.TempDir()
+	file := newSavedList(dir, 1<<16)
+	entries := func() (all string) {
+		for _, path := range file.paths {
+			info, err := os.Stat(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all += fmt.Sprintln(path, info.Sys().(*syscall.Stat_t).Ino)
+		}
+		info, err := os.Stat(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return all + fmt.Sprintln("folder changed", info.ModTime())
+	}
+	before := ""
+	for rev := range int64(8) {
+		if err := file.write(listOf(rev+1, strings.Repeat("host", int(8-rev)))); err != nil {
+			t.Fatal(err)
+		}
+		if rev == 1 {
+			before = entries()
+		}
+	}
+	if after := entries(); after != before {
+		t.Errorf("before:\n%safter:\n%s", before, after)
+	}
+}
+
+// Guards against a process that is killed while it saves a list, and leaves none or parts of two: the list saved
+// before counts then, or the list of an earlier version of the program.
+func TestHalfWrittenListIsNotUsed(t *testing.T) {
+	for written := 0; ; written++ {
+		dir := t.TempDir()
+		file := newSavedList(dir, 1<<16)
+		old := []byte(`{"rev":3,"all":true,"targets":[{"uid":"old","state":"up"}]}`)
+		if err := os.WriteFile(file.paths[0], old, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		checkNewest := func(want int64, uid string) {
+			t.Helper()
+			l, err := file.newest(listOf(2, "known"))
+			if err != nil || l.Rev != want || l.Targets[0].UID != uid {
+				t.Fatalf("%d bytes written: %+v, %v; want revision %d of %s", written, l, err, want, uid)
+			}
+		}
+		checkNewest(3, "old")
+		for rev := int64(4); rev <= 6; rev++ {
+			if err := file.write(listOf(rev, strings.Repeat("longer", int(7-rev)))); err != nil {
+				t.Fatal(err)
+			}
+			checkNewest(rev, strings.Repeat("longer", int(7-rev)))
+		}
+		// The next one gets as far as its first bytes.
+		whole := newSavedList(t.TempDir(), 1<<16)
+		if err := whole.write(listOf(7, "next")); err != nil {
+			t.Fatal(err)
+		}
+		content, err := os.ReadFile(whole.paths[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := overwrite(file.paths[file.next], content[:written]); err != nil {
+			t.Fatal(err)
+		}
+		file = newSavedList(dir, 1<<16) // of the next process
+		if written == len(content) {
+			checkNewest(7, "next")
+			return
+		}
+		checkNewest(6, "longer")
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -86,7 +86,7 @@
 	hostDirectory *directory.Directory
 	front         *hookfront.Front
 	stats         *observer
-	savedHosts    *hostListFile
+	hostLists     *hostListWriter
 	guard         *lifecycle.Guard
 
 	ready       atomic.Bool
@@ -187,15 +187,17 @@
 		n.journalLog.Handed(identity)
 		n.core.Settled(identity)
 	}, func(err error) { n.warn("notices").Err(err).Msg("could not deliver notices; they will be sent again") })
-	n.savedHosts = newHostListFile(cfg.State, b.List, func(err error) { n.warn("discovery").Err(err).Msg("") })
-	known, err := n.savedHosts.newest(cfg.Known)
+	saved := newSavedList(cfg.State, b.List)
+	known, err := saved.newest(cfg.Known)
 	if transient(err) {
 		return nil, err
 	} else if err != nil {
 		n.warn("discovery").Err(err).Msg("saved host list is unreadable; using the list from the configuration")
 	}
+	n.hostLists = newHostListWriter(saved, func(err error) { n.warn("discovery").Err(err).Msg("") })
+	undo = append(undo, n.hostLists.close)
 	n.hostDirectory = directory.New(directory.Options{Names: directory.Names{Host: n.host},
-		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: known, OnDestination: n.addDestination, OnList: n.savedHosts.save}},
+		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: known, OnDestination: n.addDestination, OnList: n.hostLists.save}},
 		Sink:    directory.Sinks{n.core, n.caller}, OnAddresses: n.setAddresses,
 		OnListed: func(int) {}, OnError: func(source string, err error) {
 			n.warn("discovery").Str("source", source).Err(err).Msg("")
@@ -438,7 +440,7 @@
 	n.front.Close()
 	n.caller.Close()
 	n.client.Close()
-	n.savedHosts.close()
+	n.hostLists.close()
 	if err := n.journalLog.Close(); err != nil {
 		n.warn("journal").Err(err).Msg("")
 	}
