Fix: hand-ins waited while the file of a removed segment was closed

TestRecordsDoNotWaitForTheCloseOfARemovedSegment: fails without the change (one segment removed, then nothing), passes with it.

--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -63,6 +63,7 @@
 	onWriteError     func(error)
 	onRecovered      func(time.Duration)
 	stats            Stats
+	removed          closer
 }
 
 // segment is one file of a Log.
@@ -145,7 +146,7 @@
 	l := &Log{dir: dir, maxBytes: opt.MaxBytes - opt.MaxBytes/16, readClocks: opt.ReadClocks,
 		live: map[string]*location{}, messageKeys: map[uint64][]string{}, ends: map[string]End{},
 		forgetOnceHanded: map[string]bool{}, waitHosts: map[string]bool{}, waitingByMessage: map[uint64]int{},
-		needsNotice: opt.NeedsNotice, onWriteError: opt.OnWriteError, onRecovered: opt.OnRecovered}
+		needsNotice: opt.NeedsNotice, onWriteError: opt.OnWriteError, onRecovered: opt.OnRecovered, removed: newCloser()}
 	if l.segmentBytes = l.maxBytes / targetSegments; l.segmentBytes < 8*blockSize {
 		return nil, nil, nil, fmt.Errorf("%w: %d bytes", ErrTooSmall, opt.MaxBytes)
 	}
@@ -740,7 +741,7 @@
 		if err := os.Remove(oldest.file.Name()); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
-		_ = oldest.file.Close()
+		l.removed.close(oldest.file)
 		l.files = slices.Delete(l.files, 0, 1)
 	}
 	return fmt.Errorf("journal: no space left: live records have %d bytes, the new record %d", l.liveBytes, bytes)
@@ -796,6 +797,7 @@
 		l.retryTimer.Stop()
 	}
 	l.closeFiles()
+	l.removed.wait()
 	if n := len(l.waiting); n > 0 {
 		return fmt.Errorf("journal: %d records were lost because they could not be written", n)
 	}
