Soak: the reload of a node does not wait for the disk between the agent's move and the SIGHUP

Traced: the node tries each 15 to 20 ms, connection refused, until 'configuration reloaded'.

The older file is removed before the rename. No check or bound changes.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -114,6 +116,11 @@
 	if err := os.WriteFile(n.configPath()+".new", text, 0o600); err != nil {
 		return err
 	}
+	// A rename over the older file would wait for the disk, while the agent has its new address already. The node
+	// reads the file when it starts and on the SIGHUP that follows.
+	if err := os.Remove(n.configPath()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
 	return os.Rename(n.configPath()+".new", n.configPath())
 }
 
