Soak: a wait is not told by an answer that began after the relay had given the call up

Trace (c5-2-105 and the two others of its call): the node sends at 665 ms and gives the call up at its time-out, 790 ms; the host reads the call at 798 ms, sees the relay's close, and answers 429 with a wait of 300 ms at 800 ms, on a connection that nobody reads; the node calls that host at 992 ms. PROTOCOL: "To give up a call, a relay closes its connection"; WIRE, rule 5: a wait is told by the outcome "turned_away", and the outcome of this call is "called off".

The check leaves out an answer that began after the host had seen the relay's close, and no other: one that crosses the close, or is closed over unread, still tells.

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -355,7 +355,7 @@
 }
 
 // checkWaits checks that a relay sends nothing to a host during a wait that the host asked for. A restart ends the
-// wait.
+// wait. A relay that had given its call up before the answer began has not been told.
 func (a *audit) checkWaits() {
 	f := a.finding("a told wait is kept")
 	type told struct{ from, until time.Time }
@@ -363,7 +363,8 @@
 	where := func(c *History, x Call) string { return fmt.Sprint(c.Node, " ", x.Host) }
 	for _, c := range a.record.histories {
 		for _, x := range c.Calls {
-			if x.RetryAfter > 0 && !x.AnswerWritten.IsZero() {
+			gaveUp := x.conn != nil && x.conn.ended.endedBefore(x.AnswerBegun)
+			if x.RetryAfter > 0 && !x.AnswerWritten.IsZero() && !gaveUp {
 				all[where(c, x)] = append(all[where(c, x)],
 					told{x.AnswerWritten.Add(waitGrace + MaxDelay + a.lag), x.AnswerBegun.Add(x.RetryAfter - a.lag)})
 			}
--- a/internal/emulator/learned.go
+++ b/internal/emulator/learned.go
@@ -46,6 +46,13 @@
 	return !p.at.IsZero() && (p.unread || p.at.Before(written))
 }
 
+// endedBefore reports whether the relay had ended the connection before a time, so that it had given up its call.
+func (p *peerEnd) endedBefore(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.at.IsZero() && p.at.Before(at)
+}
+
 // describe says how and when the relay ended the connection.
 func (p *peerEnd) describe(since func(time.Time) string) string {
 	p.mu.Lock()
