Platform: a node is built in named steps, in a file of its own

Start had 110 lines, with options of several hundred characters on one line. No option and no order changes.

Tests of platform pass under the race detector; go vet passes for amd64 and arm64.

--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -21,7 +21,6 @@
 	"basaltcross.example/basaltcross/internal/core"
 	"basaltcross.example/basaltcross/internal/directory"
 	"basaltcross.example/basaltcross/internal/hookfront"
-	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/journal"
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/lifecycle"
@@ -114,115 +113,6 @@
 	})
 }
 
-// Start starts a node: it restores the state of an earlier run from the journal, then loads the
-// host list, then serves clients. The node runs until Drain is called or the process is killed.
-func Start(cfg *Config, log zerolog.Logger) (_ *Node, err error) {
-	began := time.Now()
-	n := &Node{cfg: cfg, bounds: BoundsOf(cfg), log: log, listedDests: map[int]bool{}}
-	b := &n.bounds
-	n.stats = &observer{node: n}
-	n.guard = &lifecycle.Guard{Strict: os.Getenv(strictVariable) != "", OnViolation: func(v lifecycle.Violation) {
-		if v.Rule == lifecycle.AnswerLate { // a stalled machine causes this as well
-			n.warn("late").Str("rule", string(v.Rule)).Str("id", v.ID).Msg(v.State)
-			return
-		}
-		n.log.Error().Str("cause", "violation").Str("rule", string(v.Rule)).Str("id", v.ID).Msg(v.State)
-	}}
-	var undo []func()
-	defer func() {
-		if err != nil {
-			for i := len(undo) - 1; i >= 0; i-- {
-				undo[i]()
-			}
-			err = fmt.Errorf("platform: %w", err)
-		}
-	}()
-	needsNotice := func(v uint8) bool { return ledger.Verdict(v) == ledger.Refused || ledger.Verdict(v) == ledger.Failed }
-	var contents *journal.Contents
-	var damaged error
-	n.journalLog, contents, damaged, err = journal.OpenLog(journal.LogOptions{Dir: cfg.State, MaxBytes: b.Disk,
-		NeedsNotice: needsNotice, OnWriteError: func(err error) {
-			n.warn("journal").Err(err).Msg("journal write failed; no messages are accepted until it succeeds")
-		}, OnRecovered: func(waited time.Duration) {
-			n.warn("journal").Dur("waited", waited).Msg("journal writes succeed again; all records are written")
-		}})
-	if err != nil {
-		return nil, err
-	}
-	undo = append(undo, func() { _ = n.journalLog.Close() })
-	if damaged != nil {
-		n.warn("journal").Err(damaged).Msg("journal is damaged; continuing with the readable records")
-	}
-	s := &cfg.Settings
-	n.caller, err = partner.New(partner.Options{Name: cfg.Name, Hook: &partner.Hook{Host: cfg.Name, Columns: s.Columns},
-		Limits: http1.Limits{Header: maxHeaderBytes, Body: maxBodyBytes}, Pool: b.Keep, DialTimeout: s.DialTimeout,
-		MaxOpen: b.Hosts, PeerRefused: n.logPeerRefusal,
-		UnsolicitedWait: func(host string, dest int, wait time.Duration) { n.core.ReportWait(host, dest, wait) },
-		Trace:           stepLogger(log), TrustPeers: os.Getenv(trustVariable) != ""})
-	if err != nil {
-		return nil, err
-	}
-	undo = append(undo, n.caller.Close)
-	set := s.Settings
-	set.HoldUntilAcknowledged = true
-	set.ShedPenalty.Cost, set.ShedPenalty.Before = shedPenaltyCost, shedPenaltyBefore
-	longestDeadline := time.Duration(0)
-	var ordered []bool
-	for _, k := range set.Classes {
-		longestDeadline = max(longestDeadline, k.Deadline)
-		ordered = append(ordered, k.Ordered)
-	}
-	n.core, err = core.New(core.Options{Settings: set, Seed: cfg.Seed, InboxSize: b.Clients, Identities: b.Identities, Retention: longestDeadline,
-		Caller: n.caller, Observer: n.stats, Journal: n.journalLog, RecordAllAttempts: true, MaxCallBytes: maxBodyBytes, SkipHostRecords: true, LateMargin: clientTimeout,
-		Names: core.Names{Partner: strconv.Itoa}, Guard: n.guard, Trace: stepLogger(log), DeliveryRetracted: n.deliveryRetracted,
-		DeliveryUnproven: n.oweFailure})
-	if err != nil {
-		return nil, err
-	}
-	if n.client, err = agent.New(cfg.Discovery); err != nil {
-		return nil, err
-	}
-	undo = append(undo, n.client.Close)
-	n.notices = agent.NewNotices(n.client, b.Notices, func(identity string) {
-		n.journalLog.Handed(identity)
-		n.core.Settled(identity)
-	}, func(err error) { n.warn("notices").Err(err).Msg("could not deliver notices; they will be sent again") })
-	saved := newSavedList(cfg.State, b.List)
-	known, err := saved.newest(cfg.Known)
-	if transient(err) {
-		return nil, err
-	} else if err != nil {
-		n.warn("discovery").Err(err).Msg("saved host list is unreadable; using the list from the configuration")
-	}
-	n.hostLists = newHostListWriter(saved, func(err error) { n.warn("discovery").Err(err).Msg("") })
-	undo = append(undo, n.hostLists.close)
-	n.hostDirectory = directory.New(directory.Options{Names: directory.Names{Host: n.host},
-		Sources: []directory.Source{&agent.Watch{Client: n.client, Known: known, OnDestination: n.addDestination, OnList: n.hostLists.save}},
-		Sink:    directory.Sinks{n.core, n.caller}, OnAddresses: n.setAddresses,
-		OnListed: func(int) {}, OnError: func(source string, err error) {
-			n.warn("discovery").Str("source", source).Err(err).Msg("")
-		}})
-	n.front, err = hookfront.New(hookfront.Options{Listen: cfg.Listen, Classes: s.Lanes, Ordered: ordered, KnownDestination: n.isListed,
-		Ready: n.ready.Load, HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, Connections: b.Clients, LingeringConnections: b.Lingering, IdleConnections: b.Kept, RequestPause: 2 * clientTimeout, RespondWithin: responseTimeout, ClientTimeout: clientTimeout, RequestTimeout: requestReadTimeout, IdleTimeout: idleTimeout, LingerTimeout: lingerTimeout,
-		WriteBuffer: b.WriteBuffer, Core: n.core, Journal: n.journalLog, Notices: n.notices, Guard: n.guard, Trace: stepLogger(log),
-		Logf: func(f string, v ...any) { n.warn("front").Msgf(f, v...) }})
-	if err != nil {
-		return nil, err
-	}
-	held, owed := n.restore(contents)
-	ctx, stop := context.WithCancel(context.Background())
-	n.ctx, n.stop = ctx, stop
-	noticesCtx, stopNotices := context.WithCancel(context.Background())
-	n.stopNotices = stopNotices
-	n.done.Go(func() { n.core.Run(ctx, 0) })
-	n.done.Go(func() { n.hostDirectory.Run(ctx) })
-	n.noticesDone.Go(func() { n.notices.Run(noticesCtx) })
-	n.done.Go(func() { n.stats.run(ctx) })
-	log.Info().Str("name", cfg.Name).Str("listen", n.front.Addr()).Int("held", held).Int("owed", owed).
-		Dur("took", time.Since(began)).Msg("up")
-	return n, nil
-}
-
 func (n *Node) warn(cause string) *zerolog.Event { return n.log.Warn().Str("cause", cause) }
 
 // deliveryRetracted queues a failure notice for a message that was taken as delivered because of
