Fix: a call with several messages was given up over its arrived answer when one ran out of time

Cause: a time-out waits for an answer whose bytes have arrived, up to the deadline. Of a call with several messages that was the first deadline: past that of one of them the time-out waited no more, and the others, with seconds left, were called again.

Fix: the time-out waits, once and for 150 ms at most, while any message of the call has time left.

TestTimeOutForOneOfSeveralWaitsForAnArrivedAnswer: failed before, passes.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -138,10 +138,10 @@
 const arrivedAnswerGrace = 150 * time.Millisecond
 
 // awaitArrivedAnswer sets the time-out of a call that is to be given up now to a short time later, once, if bytes have
-// arrived for it: after a pause of the process the timer may run before them, and the answer may say that the message
-// must not be called again. Past the deadline of a message it is not called again anyway.
+// arrived for it: after a pause of the process the timer may run before them, and the answer may say that a message
+// must not be called again. Past the deadline of its last message none is called again anyway.
 func (c *Core) awaitArrivedAnswer(a *attempt) bool {
-	grace := min(arrivedAnswerGrace, c.timeLeft(a))
+	grace := min(arrivedAnswerGrace, c.longestTimeLeft(a))
 	if a.postponed || grace <= 0 || !a.handle.AnswerPending() {
 		return false
 	}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -185,6 +185,15 @@
 	return by - c.Now()
 }
 
+// longestTimeLeft returns the time until the last deadline of a call's messages.
+func (c *Core) longestTimeLeft(a *attempt) time.Duration {
+	by := a.msg.deadline
+	for _, b := range a.followers {
+		by = max(by, b.msg.deadline)
+	}
+	return by - c.Now()
+}
+
 // pauseSends pauses the sends of the module while records wait for the disk, if all attempts are
 // recorded: no call could be sent, and the module would blame endpoints for delays of the disk.
 func (c *Core) pauseSends() {
--- a/internal/core/several_test.go
+++ b/internal/core/several_test.go
@@ -265,3 +265,22 @@
 		t.Errorf("verdicts %s, want a refusal within its time", verdicts([]*reply{re}))
 	}
 }
+
+// Guards against messages of a call that are called again although its answer has arrived: the time-out is due since the
+// time of one of them is over, and the others have time left.
+func TestTimeOutForOneOfSeveralWaitsForAnArrivedAnswer(t *testing.T) {
+	r, _ := newBatchRig(t, 0, 0, 0)
+	if len(r.calls) != 1 {
+		t.Fatalf("%d calls, want 1", len(r.calls))
+	}
+	const due = time.Second
+	call := r.timeouts[0]
+	call.msg.deadline, call.timeoutAt = due, due
+	r.calls[0].pending = true
+	if r.at(due); r.calls[0].aborted {
+		t.Error("given up although its answer has arrived")
+	}
+	if r.at(due + arrivedAnswerGrace); !r.calls[0].aborted {
+		t.Errorf("not given up %s later", arrivedAnswerGrace)
+	}
+}
