Soak: a message read after its client had left has no place in its key's order

Traces: c4-0-34 is given up by its client at 400 ms and read by its node at 1,023 ms, off a connection that had waited to be accepted; the client had handed in c4-0-35, which was read at 956 ms on that scale. c5-3-66 and 67 alike (read at 649 and 599 ms). WIRE, rule 6: "in the sequence this instance took them"; PROTOCOL: after 400 ms whatever the relay sends "under the old id counts for nothing".

The check leaves out a message that was read after its client's time was over, and no other; the test holds both.

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -341,13 +341,17 @@
 		})
 }
 
-// checkOrder checks that messages of one key take effect in the order in which they were handed in.
+// checkOrder checks that messages of one key take effect in the order in which they were handed in. One that its relay
+// reads after its client has given it up, and may have handed in the next, has no place in that order.
 func (a *audit) checkOrder() {
 	f := a.finding("messages of one key keep their order")
 	for _, ids := range a.record.effectOrder {
 		last := -1
 		for _, id := range ids {
 			c := a.record.histories[id]
+			if c.readAfterClientLeft() {
+				continue
+			}
 			f.check(c.Number >= last, func() string { return fmt.Sprintf("after number %d: %s", last, c) })
 			last = max(last, c.Number)
 		}
--- a/internal/emulator/audit_test.go
+++ b/internal/emulator/audit_test.go
@@ -36,3 +36,32 @@
 		}
 	}
 }
+
+// Guards against an audit that misses messages of a key out of order, and against one that asks for an order of messages
+// that the relay could not have read in it.
+func TestOrderIsThatOfMessagesReadInTime(t *testing.T) {
+	began := time.Now()
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	late := Reply{At: at(400), End: "timeout"}
+	for _, c := range []struct {
+		what   string
+		first  History // the other one has number 2 and takes effect before it
+		broken int
+	}{
+		{"answered", History{Read: at(1), Reply: Reply{At: at(2), Status: 202}}, 1},
+		{"read, and not answered in time", History{Read: at(399), Reply: late}, 1},
+		{"never read by its log", History{Reply: late}, 1},
+		{"read after its client has left", History{Read: at(1023), Reply: late}, 0},
+	} {
+		r := NewRecord()
+		first := c.first
+		first.Number = 1
+		r.histories["first"], r.histories["next"] = &first, &History{Number: 2}
+		r.effectOrder["key"] = []string{"next", "first"}
+		a := &audit{record: r}
+		a.checkOrder()
+		if broken := a.finding("messages of one key keep their order").Broken; broken != c.broken {
+			t.Errorf("%s: %d out of order, want %d", c.what, broken, c.broken)
+		}
+	}
+}
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -87,6 +87,11 @@
 	began time.Time // start of the load
 }
 
+// readAfterClientLeft reports whether the client had waited in vain for its response when the relay read the request.
+func (c *History) readAfterClientLeft() bool {
+	return c.Reply.End == "timeout" && c.Reply.Status == 0 && c.Read.After(c.Reply.At)
+}
+
 // String returns the history, with times since the request was sent.
 func (c *History) String() string {
 	since := func(t time.Time) string { return t.Sub(c.Sent).Round(time.Millisecond).String() }
