--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -106,28 +106,21 @@
 		h.save(l)
 		h.close()
 	}
-	list := func(rev int64, uids ...string) agent.List {
-		l := agent.List{Rev: rev, All: true}
-		for _, uid := range uids {
-			l.Targets = append(l.Targets, agent.Target{UID: uid, State: "up"})
-		}
-		return l
-	}
 	check := func(what string, want int64, failed bool) {
 		t.Helper()
-		l, err := newSavedList(dir, 400).newest(list(5, "known"))
+		l, err := newSavedList(dir, 400).newest(listOf(5, "known"))
 		if l.Rev != want || (err != nil) != failed {
 			t.Errorf("%s: revision %d, %v; want %d, failed %v", what, l.Rev, err, want, failed)
 		}
 	}
 	check("no saved list", 5, false)
 	for _, rev := range []int64{4, 7, 9} {
-		if save(list(rev, "a")); failed != nil {
+		if save(listOf(rev, "a")); failed != nil {
 			t.Fatal(failed)
 		}
 		check("saved list", max(5, rev), false)
 	}
-	if save(list(10, strings.Repeat("long", 200))); failed == nil {
+	if save(listOf(10, strings.Repeat("long", 200))); failed == nil {
 		t.Error("a list over the size limit gave no error")
 	}
 	check("list over the size limit", 5, false)
