--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -36,8 +36,6 @@
 	retryPause   time.Duration
 	closeTimer   *time.Timer
 
-	peekFrom func(fd int, b []byte) (n int, err error)
-
 	handling atomic.Bool // bytes may have been read that the handler has not finished with
 
 	// For the connection's goroutine only.
@@ -384,8 +382,7 @@
 const (
 	PeekNothing PeekResult = iota
 	PeekBytes
-	PeekEnd     // the peer's end, or an error
-	PeekUnknown // the system was out of memory
+	PeekEnd // the peer's end, or an error
 )
 
 // Peek looks at the socket without reading from it: the end of a connection may not have been read
@@ -399,34 +396,24 @@
 	var b [1]byte
 	var n int
 	var err error
-	closed := c.socket.Control(func(fd uintptr) { n, err = c.peekFrom(int(fd), b[:]) })
+	closed := c.socket.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
 	switch {
 	case closed != nil:
 		return PeekEnd
-	case err == syscall.EAGAIN:
+	case err == syscall.EAGAIN || err == syscall.EINTR || isTransient(err):
 		return PeekNothing
-	case isTransient(err):
-		return PeekUnknown
 	case err == nil && n > 0:
 		return PeekBytes
 	}
 	return PeekEnd
 }
 
-// peek looks at received bytes without taking them, again when a signal interrupts it.
-func peek(fd int, b []byte) (n int, err error) {
-	for {
-		n, _, err = syscall.Recvfrom(fd, b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if err != syscall.EINTR {
-			return n, err
-		}
-	}
-}
-
-// HasUnhandledBytes reports whether bytes have arrived, or may have, that the handler has not finished with.
+// HasUnhandledBytes reports whether bytes have arrived that the handler has not finished with.
 func (c *Conn) HasUnhandledBytes() bool {
-	found := c.Peek() // before handling: bytes that are read now are seen by one of the two
-	return found == PeekBytes || found == PeekUnknown || c.handling.Load()
+	waiting := c.Peek() == PeekBytes // before handling: bytes that are read now are seen by one of the two
+	return waiting || c.handling.Load()
 }
 
 // EndedByPeer reports whether the peer closed the connection, as opposed to this side or a local
