--- a/internal/platform/hostlist_test.go
+++ b/internal/platform/hostlist_test.go
@@ -131,3 +131,31 @@
 		checkNewest(6, "longer")
 	}
 }
+
+// Guards against a saved list that is half of one and half of another, which is valid JSON where both have one length.
+func TestMixedListsAreNotUsed(t *testing.T) {
+	uidOf := func(rev int64) string { return fmt.Sprint("host", rev) }
+	whole := newSavedList(t.TempDir(), 1<<16)
+	if err := whole.write(listOf(7, uidOf(7))); err != nil {
+		t.Fatal(err)
+	}
+	content, err := os.ReadFile(whole.paths[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for written := range content {
+		file := newSavedList(t.TempDir(), 1<<16)
+		for rev := int64(4); rev <= 6; rev++ {
+			if err := file.write(listOf(rev, uidOf(rev))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := overwrite(file.paths[file.next], content[:written]); err != nil {
+			t.Fatal(err)
+		}
+		l, err := file.newest(listOf(2, "known"))
+		if err != nil || l.Rev < 6 || l.Targets[0].UID != uidOf(l.Rev) {
+			t.Errorf("%d bytes written: %+v, %v", written, l, err)
+		}
+	}
+}
