Soak: a seed that fails can leave the nodes' logs and goroutines behind

TestPlantedViolationsAreFound asks for them with each planted violation: passes under the race detector.

--- a/cmd/basaltcross/soak.go
+++ b/cmd/basaltcross/soak.go
@@ -74,6 +74,7 @@
 	f.StringArrayVar(&opt.KnownBroken, "known", nil,
 		"invariant that is known to be broken: violations are printed, but don't fail the run")
 	f.IntVar(&shrinks, "shrink", 0, "limit on the runs for reducing a failing seed to fewer faults")
+	f.StringVar(&opt.Evidence, "evidence", "", "if a seed fails, write the nodes' last log lines and goroutines to this directory")
 	f.StringVar(&opt.Trace, "trace", "", "write the nodes' logs, with each step of each request, to this directory")
 	f.StringVar(&out, "json", "", "write the report to this file as JSON")
 	c.AddCommand(explainCommand())
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -41,6 +41,7 @@
 	hits         map[shim.Kind]int
 	clientFaults map[Kind]bool // active faults of its clients
 	discovery    string        // agent's address in the configuration file
+	dumped       bool          // the process was ended for the stacks of its goroutines
 }
 
 // logTail keeps the last lines of a log, and passes the steps of requests on.
@@ -48,11 +49,12 @@
 	step func(trace.Step) // called for each step of a request; may be nil
 
 	mu      sync.Mutex
+	most    int // lines that are kept, if more than maxLines
 	lines   []string
 	partial []byte
 }
 
-// maxLines bounds the lines of a log that are kept.
+// maxLines bounds the lines of a log that are kept while the process serves.
 const maxLines = 200
 
 // Write takes output of a process. It never fails.
@@ -72,7 +74,7 @@
 			}
 			continue
 		}
-		if t.lines = append(t.lines, string(line)); len(t.lines) > maxLines {
+		if t.lines = append(t.lines, string(line)); len(t.lines) > max(t.most, maxLines) {
 			t.lines = t.lines[1:]
 		}
 	}
@@ -290,14 +292,15 @@
 }
 
 // recordEnd records the end of a process, its injected faults, and as problems the violations in its log and an
-// unexpected exit. told is whether it had been asked to end.
+// unexpected exit. told is whether it had been asked to end. One that was ended for its goroutines may exit as it does.
 func (n *node) recordEnd(p *shim.Process, life *emulator.Process, told bool) {
 	n.run.platform.Record.Update(func() { life.Ended = time.Now() })
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.problems = append(n.problems, n.log.violations()...)
 	exit := p.Exit()
-	if exit.Signaled() && exit.Signal() != syscall.SIGKILL || exit.Exited() && (!told || exit.ExitStatus() != 0) {
+	unexpected := exit.Signaled() && exit.Signal() != syscall.SIGKILL || exit.Exited() && (!told || exit.ExitStatus() != 0)
+	if unexpected && !n.dumped {
 		n.problems = append(n.problems, fmt.Sprintf("node %d ended with %v: %s",
 			n.number, exit, strings.Join(n.log.lines, " | ")))
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,7 @@
 	Kinds       []Kind   // kinds that faults are drawn from; nil for all
 	KnownBroken []string // invariants known to be broken: printed, not counted as failures
 	Trace       string   // directory for the nodes' logs with each step of each request; empty for none
+	Evidence    string   // directory for the logs and goroutines of the nodes if the run fails; empty for none
 	Plant       Plant    // violation planted to test the audit; empty for none
 }
 
@@ -476,11 +477,20 @@
 	}
 }
 
+// violates reports whether a finding violates an invariant that is not known to be broken.
+func (r *run) violates(findings []*emulator.Finding) bool {
+	res := Result{Findings: findings, KnownBroken: r.opt.KnownBroken}
+	return res.Broken() > 0
+}
+
 // result kills all processes and audits the record.
 func (r *run) result() *Result {
 	now := time.Now()
 	res := &Result{KnownBroken: r.opt.KnownBroken, Seed: r.opt.Seed, Hits: r.hits, Lag: r.lag,
 		Faults: r.opt.Faults, Violations: r.errs}
+	if r.opt.Evidence != "" && r.violates(r.platform.Record.Audit(r.lag, now)) {
+		r.recordError(r.keepEvidence(r.opt.Evidence))
+	}
 	for _, n := range r.nodes {
 		n.mu.Lock()
 		p, life := n.process, n.processRun
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,18 +56,23 @@
 }
 
 // TestPlantedViolationsAreFound guards against an audit that misses violations: each violation planted in the
-// record must be found.
+// record must be found, and leave the goroutines of the nodes as evidence.
 func TestPlantedViolationsAreFound(t *testing.T) {
 	program := build(t)
 	for _, plant := range Plants {
 		t.Run(string(plant), func(t *testing.T) {
 			t.Parallel()
+			evidence := t.TempDir()
 			res, err := Run(t.Context(), Options{Shim: program, Program: program, Seed: 3,
 				Nodes: 1, Hosts: 3, Clients: 12, Duration: 8 * time.Second, Kinds: []Kind{HostFull, Kill},
-				Plant: plant, Faults: plantFaults(plant)})
+				Plant: plant, Faults: plantFaults(plant), Evidence: evidence})
 			if err != nil {
 				t.Fatal(err)
 			}
+			text, err := os.ReadFile(filepath.Join(evidence, "seed-3-node-0.txt"))
+			if err != nil || !bytes.Contains(text, []byte("SIGQUIT")) || !bytes.Contains(text, []byte("core.(*Core).Run")) {
+				t.Errorf("%d bytes of evidence without the core's goroutine, %v", len(text), err)
+			}
 			var out bytes.Buffer
 			res.print(&out)
 			found := slices.ContainsFunc(res.Findings, func(f *emulator.Finding) bool {
