Fix: an answer that has arrived is not heeded when a shutdown ends

Such an answer may say that its message is over, and the next process, or the module, would go on with it.

A node gives its other calls up before it flushes and closes (Core.CloseCalls), so that what arrives later is not read at all, and processes the answers that had arrived.

TestShutdownHeedsAnAnswerThatHasArrived: without the fix "the call with an answer" is given up in one case and the open one isn't in the other.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -382,6 +382,18 @@
 	}})
 }
 
+// CloseCalls gives up the calls in progress behind Park, but for those whose answer has arrived: a later run must know
+// what an answer that was read says. The messages of the others stay as they are for that run.
+func (c *Core) CloseCalls() {
+	_ = c.enqueue(event{call: func() {
+		for a := range c.inFlight {
+			if a.leader == nil && !a.handle.AnswerPending() {
+				a.handle.Abort()
+			}
+		}
+	}})
+}
+
 // Inspect runs f on the core's goroutine, with the numbers of messages held and of attempts
 // in progress, and waits for it.
 func (c *Core) Inspect(ctx context.Context, f func(held, out int)) error {
@@ -570,7 +582,7 @@
 		c.graceEnd = -1
 		c.batch = append(c.batch, choice.Stop{})
 		for a := range c.inFlight {
-			if a.leader == nil {
+			if a.leader == nil && !c.awaitArrivedAnswer(a) {
 				c.abortCall(a, choice.Cancelled)
 			}
 		}
--- a/internal/core/unproven_test.go
+++ b/internal/core/unproven_test.go
@@ -185,6 +185,41 @@
 	}
 }
 
+// Guards against the same at the end of a shutdown, whether the messages are answered or left to a later run.
+func TestShutdownHeedsAnAnswerThatHasArrived(t *testing.T) {
+	for _, parked := range []bool{false, true} {
+		r, re := newRig(t), &reply{}
+		for id, to := range map[string]*reply{"answered": re, "open": {}} {
+			if err := r.handIn(id, 0, to, 6*time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.at(ms)
+		if len(r.calls) != 2 {
+			t.Fatalf("%d calls", len(r.calls))
+		}
+		answered, open := r.calls[0], r.calls[1]
+		if answered.Identity != "answered" {
+			answered, open = open, answered
+		}
+		answered.pending = true
+		if parked {
+			r.Park(func() {})
+			r.CloseCalls()
+		} else {
+			r.graceEnd = 2 * ms
+		}
+		if r.at(2 * ms); answered.aborted || !open.aborted {
+			t.Errorf("parked %v: given up: the call with an answer %v, the other one %v", parked, answered.aborted, open.aborted)
+		}
+		answered.endAttributed(Ending{Outcome: choice.NotSent, Over: true}, lifecycle.Certain)
+		r.at(3 * ms)
+		if got := verdicts([]*reply{re}); got != "abandoned " {
+			t.Errorf("parked %v: %s, want that its end counts", parked, got)
+		}
+	}
+}
+
 // Guards against the same close to the message's deadline, up to which the time-out may wait.
 func TestTimeOutNearTheDeadlineWaitsForAnArrivedAnswer(t *testing.T) {
 	const left = 6 * time.Second
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -294,6 +294,7 @@
 		select {
 		case <-idle:
 		case <-time.After(exitAfter - time.Since(began)):
+			n.core.CloseCalls()
 		}
 		n.flush(began.Add(exitAfter))
 		n.log.Info().Dur("after", time.Since(began)).Msg("all calls have ended and responses are flushed")
