Lifecycle: a first success is proved by its first line

Need: the node takes a first line of 200 as the delivery of a single message, also where the rest of the answer comes later. Its digest isn't known then, so that it counted as "may be another's"; a message that others of its key wait for was told as dead at once, although no earlier answer of its connection said 200.

Change: an answer is its call's own too if it is a success, all before it are proved, and none was a success or named its messages: a copy of a refusal can't begin like that.

TestNoAnswerIsProvedBehindAnUnprovenOne asks for it behind a refusal, and for the opposite behind a success, named or not.

--- a/internal/lifecycle/peer.go
+++ b/internal/lifecycle/peer.go
@@ -40,6 +40,7 @@
 	seen       []AnswerDigest      // different answers so far, but those that named their messages
 	refused    bool                // one of them was no success
 	succeeded  bool                // one of them was a success
+	named      bool                // there was an answer that named its messages
 	incomplete bool                // one of them is not known completely, or they are too many
 	answers    []unconfirmedAnswer // unproven answers that said their call was served
 }
@@ -144,9 +145,11 @@
 }
 
 // provesOwn reports whether an answer to a later call can't be a copy of an earlier one, nor belong to
-// an earlier call.
-func (p *PeerConn) provesOwn(digest AnswerDigest) bool {
-	return p.unproven == 0 && !p.incomplete && digest != 0 && !slices.Contains(p.seen, digest)
+// an earlier call. Where no earlier answer was a success, the first line of one shows that.
+func (p *PeerConn) provesOwn(a PeerAnswer) bool {
+	firstSuccess := a.Success && !p.succeeded && !p.named
+	differs := firstSuccess || a.Digest != 0 && !slices.Contains(p.seen, a.Digest)
+	return p.unproven == 0 && !p.incomplete && differs
 }
 
 // UnsettledFor returns how much longer an idle connection should stay open because bytes may follow
@@ -186,6 +189,7 @@
 	NamesOther    bool         // the answer names messages of another call
 	TrailingBytes bool         // further bytes arrived behind the answer
 	Distrusted    bool         // the peer is known for unsolicited bytes
+	Success       bool         // the status says that the call was processed
 	Digest        AnswerDigest // 0 if the answer is malformed or not complete
 }
 
@@ -198,7 +202,7 @@
 		return Certain
 	case a.TrailingBytes || a.Distrusted:
 		return Doubtful
-	case p.provesOwn(a.Digest):
+	case p.provesOwn(a):
 		return Certain
 	}
 	return Likely
@@ -219,7 +223,7 @@
 // served is remembered, to be retracted if unsolicited bytes show that it belonged to another call.
 func (p *PeerConn) Answered(now time.Duration, a ReceivedAnswer) {
 	p.phase, p.answeredAt, p.settledAt = PeerIdle, now, now
-	if !a.NamesCall {
+	if p.named = p.named || a.NamesCall; !a.NamesCall {
 		p.remember(a.Digest)
 		p.refused = p.refused || !a.Success
 		p.succeeded = p.succeeded || a.Success
--- a/internal/lifecycle/peer_test.go
+++ b/internal/lifecycle/peer_test.go
@@ -83,6 +83,21 @@
 	answer(200, false, Certain, CarryNever) // too many to remember
 	answer(201, false, Likely, CarryNever)
 	p = PeerConn{}
+	firstLine := PeerAnswer{Written: true, Success: true}
+	answer(refused, false, Certain, CarryNever)
+	p.Begin(0)
+	if p.Attribute(firstLine) != Certain {
+		t.Error("a first line of success is not proved behind refusals alone")
+	}
+	for _, names := range []bool{false, true} {
+		p = PeerConn{}
+		answer(ok, names, Certain, CarryNow)
+		p.Begin(0)
+		if p.Attribute(firstLine) != Likely {
+			t.Errorf("names its messages %v: a first line of success is proved behind another one", names)
+		}
+	}
+	p = PeerConn{}
 	p.Begin(0)
 	p.Answered(0, ReceivedAnswer{Attribution: Certain, Success: true, Served: true}) // ended at its first line
 	if p.MayCarry(0, once) != CarryNever || p.Attribute(PeerAnswer{Written: true, Digest: ok}) != Certain {
--- a/internal/partner/attribution.go
+++ b/internal/partner/attribution.go
@@ -33,7 +33,7 @@
 	}
 	names := cn.resp.matchMessages(k)
 	belief := cn.state.Attribute(lifecycle.PeerAnswer{Written: cn.allSent(), NamesCall: names.call, NamesOther: names.other,
-		TrailingBytes: followed, Distrusted: cn.firstCallOnly(), Digest: cn.resp.digest()})
+		TrailingBytes: followed, Distrusted: cn.firstCallOnly(), Success: cn.resp.success(), Digest: cn.resp.digest()})
 	switch belief {
 	case lifecycle.Unmatched:
 		breach := lifecycle.AnswerEarly
