Fix: clients that stop within their hand-ins take the relay over its memory

Cause: the number of clients follows from the descriptors, the length of a request from the protocol, and nothing bounded the product. Slices that grow doubled it, and a refused request kept its bytes until its client closed.

Fix, the rule: requests that have not arrived completely hold at most a quarter of the memory together (platform.Bounds.Partial); over that, those that hold most are refused with 503, which is harmless to hand in again. front.PartialInput keeps it; it is the MQTT front's mechanism made general, which uses it too now. A body is allocated once, by its length; a refused request is freed at once.

--- a/internal/hookfront/conn.go
+++ b/internal/hookfront/conn.go
@@ -48,9 +48,16 @@
 	c.sendingEnded = true
 	c.lastActive.Store(front.Now())
 	c.recordClose(why)
+	c.dropRequest()
 	c.socket.CloseWrite()
 }
 
+// dropRequest frees the memory of the request: nothing that comes is parsed any more. The caller holds mu.
+func (c *conn) dropRequest() {
+	c.req = http1.Request{}
+	c.partial.Set(0)
+}
+
 // close closes the connection whatever the client does. The caller holds mu.
 func (c *conn) close(why lifecycle.CloseReason) {
 	c.sendingEnded = true
@@ -77,9 +84,10 @@
 	lastActive   atomic.Int64 // by front.Now: last change of phase, or last byte while a request is read
 	requestBegun atomic.Int64 // by front.Now: start of the request, or of the connection before its first request
 	state        lifecycle.ClientConn
-	answeredOnce atomic.Bool   // a request has been answered
-	queueTime    time.Duration // upper bound on the time the connection waited in the listener's queue
-	evicting     atomic.Bool   // selected to be closed to make room
+	answeredOnce atomic.Bool          // a request has been answered
+	queueTime    time.Duration        // upper bound on the time the connection waited in the listener's queue
+	evicting     atomic.Bool          // selected to be closed to make room
+	partial      *front.PartialHolder // bytes of the request that has not arrived completely
 	// The client has ended its sending side while its request is being answered.
 	halfClosed atomic.Bool
 
@@ -193,8 +201,15 @@
 
 // Data processes the bytes read from the socket.
 func (c *conn) Data(b []byte) {
+	c.receive(b)
+	c.front.partial.Shed()
+}
+
+// receive does the work of Data for this connection.
+func (c *conn) receive(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.recordPartial()
 	if c.sendingEnded {
 		if c.discarded += len(b); c.discarded > maxDiscarded {
 			c.close(lifecycle.CloseFlood)
@@ -230,6 +245,27 @@
 	}
 }
 
+// recordPartial records what a request that has not arrived completely holds. The caller holds mu.
+func (c *conn) recordPartial() {
+	held := 0
+	if c.state.Phase() == lifecycle.Reading && !c.sendingEnded {
+		held = c.req.HeldBytes()
+	}
+	c.partial.Set(held)
+}
+
+// giveUpPartial refuses a request that has not arrived completely, since such requests hold too much memory. It
+// reports false if the request is complete by now.
+func (c *conn) giveUpPartial() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Phase() != lifecycle.Reading || c.sendingEnded {
+		return false
+	}
+	c.reject(http.StatusServiceUnavailable, "incomplete requests hold too much memory")
+	return true
+}
+
 // serve answers a complete request. The caller holds mu.
 func (c *conn) serve() {
 	f, r := c.front, &c.req
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -58,6 +58,7 @@
 	LingerTimeout        time.Duration // longest time for the client to close after the relay has ended its side
 	IdleTimeout          time.Duration // time after which a connection without a request is closed
 	WriteBuffer          int
+	PartialBytes         int64 // bytes of requests that have not arrived completely; 0 for no limit
 	Core                 Core
 	Journal              Journal
 	Notices              Notices
@@ -77,6 +78,8 @@
 	finished       atomic.Bool
 	lastNumber     atomic.Uint64
 
+	partial *front.PartialInput
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 
@@ -91,7 +94,8 @@
 
 // New opens the listener and starts to serve.
 func New(opt Options) (*Front, error) {
-	f := &Front{opt: opt, stop: make(chan struct{}), conns: map[*conn]struct{}{}}
+	f := &Front{opt: opt, stop: make(chan struct{}), conns: map[*conn]struct{}{},
+		partial: front.NewPartialInput(opt.PartialBytes)}
 	var err error
 	f.sockets, err = front.Listen(front.ListenOptions{Name: Name, Addrs: []string{opt.Listen}, ReadBuffer: 16 << 10,
 		WriteBuffer: opt.WriteBuffer, NewHandler: f.open,
@@ -180,6 +184,7 @@
 
 // remove drops a connection from the set of open ones.
 func (f *Front) remove(c *conn) {
+	c.partial.Leave()
 	f.mu.Lock()
 	delete(f.conns, c)
 	f.mu.Unlock()
@@ -256,6 +261,7 @@
 	if evict != nil {
 		evict.evicting.Store(true)
 	}
+	c.partial = f.partial.Join(c.giveUpPartial)
 	f.conns[c] = struct{}{}
 	if closing < f.opt.LingeringConnections {
 		longestLingering = nil
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -63,6 +63,7 @@
 	limits        Limits
 	state         int
 	line          []byte // header or chunk-size line read so far
+	headerBytes   int    // bytes of the header, which the handler may keep
 	length        int64  // Content-Length, -1 for none
 	remaining     int64  // bytes still to come of the content or of the current chunk
 	received      int64  // content bytes received so far
@@ -87,7 +88,15 @@
 // Reset prepares the parser for a new message.
 func (p *Parser) Reset(l Limits) {
 	*p = Parser{Prefix: p.Prefix, limits: l, line: p.line[:0]}
-	if cap(p.line) > 4096 {
+	p.dropLongLine()
+}
+
+// maxKeptLine bounds the buffer of a line that is kept for the next one.
+const maxKeptLine = 4096
+
+// dropLongLine frees the buffer of a line if it is long.
+func (p *Parser) dropLongLine() {
+	if cap(p.line) > maxKeptLine {
 		p.line = nil
 	}
 }
@@ -108,6 +117,9 @@
 // Done reports whether the message is complete.
 func (p *Parser) Done() bool { return p.state == finished }
 
+// heldBytes returns the bytes of memory that the parser and the header take up.
+func (p *Parser) heldBytes() int { return cap(p.line) + p.headerBytes }
+
 // Began reports whether any byte of the message has arrived.
 func (p *Parser) Began() bool { return p.state != inHead || len(p.line) > 0 || p.interimCount > 0 }
 
@@ -240,10 +252,12 @@
 	if end > p.limits.Header {
 		return nil, Malformed("header is over the limit of %d bytes", p.limits.Header)
 	}
+	p.headerBytes = end
 	if err := p.parseHeader(string(p.line[:end-4]), h); err != nil {
 		return nil, err
 	}
 	p.line = p.line[:0]
+	p.dropLongLine()
 	return b[end-before:], nil
 }
 
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -62,12 +62,18 @@
 	return ByFields, nil
 }
 
-// Content appends a piece of the body.
+// Content appends a piece of the body, whose length is known beforehand but for a chunked one.
 func (r *Request) Content(b []byte) error {
+	if r.Body == nil && r.length > 0 {
+		r.Body = make([]byte, 0, r.length)
+	}
 	r.Body = append(r.Body, b...)
 	return nil
 }
 
+// HeldBytes returns the bytes of memory that the request takes up.
+func (r *Request) HeldBytes() int { return r.heldBytes() + cap(r.Body) }
+
 // Values returns the values of all fields with the given name, in their order.
 func (r *Request) Values(name string) (values []string) {
 	for _, f := range r.fields {
--- a/internal/mqttfront/conn.go
+++ b/internal/mqttfront/conn.go
@@ -24,9 +24,9 @@
 	out           io.Writer    // nb, or sec with TLS
 	certName      string       // common name of the verified client certificate, empty for none
 	openedAt      time.Time
-	lastPacket    atomic.Int64 // time of the last packet, as of front.Now
-	partialSince  atomic.Int64 // start of the partially received packet, as of front.Now; 0 for none
-	partialBytes  atomic.Int64 // bytes of the partially received packet
+	lastPacket    atomic.Int64         // time of the last packet, as of front.Now
+	partialSince  atomic.Int64         // start of the partially received packet, as of front.Now; 0 for none
+	partial       *front.PartialHolder // bytes of the partially received packet
 	ended         atomic.Bool
 	writeMu       sync.Mutex  // held for each write and to set ended, as nothing may follow DISCONNECT (3.14)
 	discardWill   atomic.Bool // DISCONNECT received that discards the will
@@ -152,7 +152,7 @@
 func (c *conn) process(b []byte) {
 	buffered := len(c.buf) > 0
 	if buffered {
-		c.front.reserve(c, len(b))
+		c.hold(len(c.buf) + len(b))
 		c.buf = append(c.buf, b...)
 		b = c.buf
 	}
@@ -200,7 +200,14 @@
 	if len(b) > 0 && c.partialSince.Load() == 0 {
 		c.partialSince.Store(front.Now())
 	}
-	c.front.reserve(c, len(b)-int(c.partialBytes.Load()))
+	c.hold(len(b))
+}
+
+// hold records the bytes of the partially received packet, and ends the connections that hold most if all of
+// them hold too many; under mu.
+func (c *conn) hold(bytes int) {
+	c.partial.Set(bytes)
+	c.front.partial.Shed()
 }
 
 // refuse closes the connection for an error of the client, with a CONNACK of the error's
@@ -268,7 +275,7 @@
 	c.ended.Store(true)
 	s := c.session
 	c.buf = nil
-	f.reserve(c, -int(c.partialBytes.Load()))
+	c.partial.Leave()
 	c.mu.Unlock()
 	if s == nil {
 		return
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -84,11 +84,11 @@
 	stopping bool
 	draining atomic.Bool
 
-	partialTotal atomic.Int64 // bytes of partially received packets
-	stop         chan struct{}
-	goroutines   sync.WaitGroup
-	outbox       *front.Outbox[*pending]
-	auth         authenticator
+	partial    *front.PartialInput // partially received packets
+	stop       chan struct{}
+	goroutines sync.WaitGroup
+	outbox     *front.Outbox[*pending]
+	auth       authenticator
 }
 
 // Limits that are not configurable.
@@ -105,6 +105,7 @@
 	f := &Front{opt: opt, max: opt.Body + packetOverhead, startedAt: time.Now().UnixNano(),
 		sessions: map[string]*session{}, conns: map[*conn]struct{}{}, stop: make(chan struct{})}
 	f.outbox = front.NewOutbox[*pending]()
+	f.partial = front.NewPartialInput(opt.PartialBytes)
 	f.auth = authenticator{users: opt.Users, slots: make(chan struct{}, 2), verified: map[string][32]byte{}}
 	if _, err := rand.Read(f.auth.salt[:]); err != nil {
 		return nil, fmt.Errorf("mqtt: %w", err)
@@ -205,6 +206,7 @@
 		f.opt.Observer.Closed(mqtt.ServerBusy)
 		return nil
 	}
+	c.partial = f.partial.Join(func() bool { return c.end(mqtt.QuotaExceeded, "half packets hold too much memory") })
 	if secured {
 		c.sec = secure.Server(nb, f.opt.TLS, f.opt.HandshakeSlots, f.opt.Handshake, c.handshakeDone)
 		c.out = c.sec
@@ -236,7 +238,7 @@
 				sessions = append(sessions, s)
 			}
 		}
-		f.opt.Observer.Front(len(f.conns), len(f.sessions), f.partialTotal.Load())
+		f.opt.Observer.Front(len(f.conns), len(f.sessions), f.partial.Bytes())
 		f.mu.Unlock()
 		for _, c := range conns {
 			c.checkTimeouts(now)
@@ -278,39 +280,6 @@
 	}
 }
 
-// reserve adds n, which may be negative, to the bytes of partially received packets of
-// c. Over Options.PartialBytes it closes the connection that holds most of them.
-func (f *Front) reserve(c *conn, n int) {
-	c.partialBytes.Add(int64(n))
-	if f.partialTotal.Add(int64(n)) <= f.opt.PartialBytes || n <= 0 {
-		return
-	}
-	for {
-		largest := f.largestPartial()
-		if largest == nil {
-			return
-		}
-		if largest.end(mqtt.QuotaExceeded, "half packets hold too much memory") {
-			// Freed at once, so that the next call does not close another connection.
-			f.partialTotal.Add(-largest.partialBytes.Swap(0))
-			return
-		}
-	}
-}
-
-// largestPartial returns the open connection that holds most bytes of a partially
-// received packet, or nil if none is open.
-func (f *Front) largestPartial() (largest *conn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for o := range f.conns {
-		if !o.ended.Load() && (largest == nil || o.partialBytes.Load() > largest.partialBytes.Load()) {
-			largest = o
-		}
-	}
-	return largest
-}
-
 // writeLoop passes the core's replies to the sessions, until the front stops. Each batch
 // of replies is sent in one write per connection.
 func (f *Front) writeLoop() {
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -47,6 +47,7 @@
 	Disk        int64 // size of the journal, bytes
 	List        int64 // size of each of the two files of the saved host list in the same folder, bytes
 	WriteBuffer int   // unsent bytes per client
+	Partial     int64 // bytes of requests that have not arrived completely
 	Keep        addr.PoolSettings
 }
 
@@ -55,6 +56,10 @@
 // agent, and the runtime.
 const reservedDescriptors = 40
 
+// partialShare is the part of the memory that requests may hold which have not arrived completely: at least 64 of
+// the longest ones with 32 MB.
+const partialShare = 4
+
 // BoundsOf derives the bounds of a node from its configuration. Of the descriptors that are not
 // reserved, half go to clients, who may use a third of all descriptors for requests, and half to
 // hosts: one per call in flight, the rest for idle connections. The runtime's soft memory limit
@@ -68,6 +73,7 @@
 	b.List = b.Disk / 16
 	b.Disk -= 2 * b.List
 	b.Memory = max(b.Memory, int64(l.MemoryMB)<<20/2)
+	b.Partial = b.Memory / partialShare
 	b.Clients = free * 4 / 9
 	b.Lingering = free / 9
 	b.Kept = l.Sockets / 4 // less than the third that clients may use, so that some of it stays free
--- a/internal/platform/build.go
+++ b/internal/platform/build.go
@@ -218,6 +218,7 @@
 		IdleTimeout:          idleTimeout,
 		LingerTimeout:        lingerTimeout,
 		WriteBuffer:          b.WriteBuffer,
+		PartialBytes:         b.Partial,
 		Core:                 n.core,
 		Journal:              n.journalLog,
 		Notices:              n.notices,
