Fix: half requests over Web Push are bounded by their bytes

Fix: webpush.partialBytes (64 MiB as shipped, like mqtt.partialBytes) over HTTP/1.1 and HTTP/2; those that hold most are refused with 503.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -141,17 +141,18 @@
 		Key       string
 		Resources []string
 	}
-	Connections int
-	Streams     int
-	Messages    int
-	Receipts    int
-	Pending     int
-	Polls       int
-	Poll        Duration
-	Idle        Duration
-	Handshake   Duration
-	HeaderBytes int
-	WriteBuffer int
+	Connections  int
+	PartialBytes int
+	Streams      int
+	Messages     int
+	Receipts     int
+	Pending      int
+	Polls        int
+	Poll         Duration
+	Idle         Duration
+	Handshake    Duration
+	HeaderBytes  int
+	WriteBuffer  int
 }
 
 // Config is a validated configuration. Its fields are documented in schema.cue under the same names.
--- a/internal/config/schema.cue
+++ b/internal/config/schema.cue
@@ -234,6 +234,8 @@
 		keys: [...{key: string & =~"^[A-Za-z0-9_-]{87}$", resources: [...string] | *["*"]}] | *[]
 		// Limit on connections.
 		connections: int & >=1 | *5000
+		// Limit on the bytes of incomplete requests, over all connections.
+		partialBytes: int & >=65536 | *67108864
 		// Limit on concurrent streams of one HTTP/2 connection.
 		streams: int & >=1 & <=10000 | *250
 		// Limit on messages kept, including ended ones.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -301,7 +301,7 @@
 	if w := &cfg.WebPush; len(w.Listen)+len(w.TLSListen) > 0 {
 		o := webpush.Options{Listen: w.Listen, TLSListen: w.TLSListen, TLS: pushTLS, HandshakeSlots: slots,
 			Names: frontNames, Audience: w.Audience, AllowAnonymous: len(w.Keys) == 0, Body: cfg.Limits.Body,
-			Header: w.HeaderBytes, Connections: w.Connections, Streams: w.Streams, Messages: w.Messages,
+			Header: w.HeaderBytes, Connections: w.Connections, PartialBytes: int64(w.PartialBytes), Streams: w.Streams, Messages: w.Messages,
 			Subscriptions: w.Receipts, Pending: w.Pending, Polls: w.Polls,
 			Retention: cfg.Limits.Identities.Keep.D(), MaxPollWait: w.Poll.D(), Handshake: w.Handshake.D(),
 			Idle: w.Idle.D(), WriteBuffer: w.WriteBuffer, Door: door, Observer: r.obs, Keeper: keeper}
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -53,6 +53,7 @@
 	AllowAnonymous        bool                // requests without a token are accepted; for loopback addresses only
 	Body                  int                 // largest content of a request, in bytes
 	Header                int                 // largest header of a request, in bytes
+	PartialBytes          int64               // bytes of requests that have not arrived completely; 0 for no limit
 	Connections           int                 // at this limit new ones are closed at once
 	Streams               int                 // concurrent streams of an HTTP/2 connection
 	Messages              int                 // messages kept, with those that have ended
@@ -80,6 +81,7 @@
 	outbox     *front.Outbox[*push]
 	stop       chan struct{}
 	goroutines sync.WaitGroup
+	partial    *front.PartialInput
 
 	connMu sync.Mutex
 	conns  map[*conn]struct{}
@@ -100,7 +102,7 @@
 // state of an earlier run before Start.
 func New(opt Options) *Front {
 	return &Front{opt: opt, vapid: newVAPID(opt.Audience), outbox: front.NewOutbox[*push](),
-		stop:  make(chan struct{}),
+		stop: make(chan struct{}), partial: front.NewPartialInput(opt.PartialBytes),
 		conns: map[*conn]struct{}{}, pushes: map[string]*push{}, byIdentity: map[string]*push{},
 		topics: map[string]*push{}, unread: map[string]*push{}, ended: list.New(),
 		subscriptions: map[string]*subscription{},
@@ -213,6 +215,7 @@
 	out        io.Writer    // nb, or sec with TLS
 	stateSince atomic.Int64 // when the request or the idle time began, as of front.Now
 	state      atomic.Int32 // 0 idle, 1 receiving a request, 2 waiting for its response, 3 HTTP/2
+	partial    *front.PartialHolder
 
 	mu        sync.Mutex
 	req       http1.Request
@@ -234,6 +237,7 @@
 	if full {
 		return nil
 	}
+	c.partial = f.partial.Join(c.giveUpPartial)
 	if secured {
 		c.sec = secure.Server(nb, f.opt.TLS, f.opt.HandshakeSlots, f.opt.Handshake, c.handshakeDone)
 		c.out = c.sec
@@ -272,6 +276,7 @@
 	if c.sec != nil {
 		c.sec.End()
 	}
+	c.partial.Leave()
 	c.front.connMu.Lock()
 	delete(c.front.conns, c)
 	c.front.connMu.Unlock()
@@ -292,8 +297,15 @@
 
 // handlePlaintext accepts received bytes of HTTP/1.1.
 func (c *conn) handlePlaintext(b []byte) {
+	c.receive(b)
+	c.front.partial.Shed()
+}
+
+// receive does the work of handlePlaintext for this connection.
+func (c *conn) receive(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.recordPartial()
 	if c.state.Load() == 2 { // pipelined requests wait for this response, up to a limit
 		if c.pipelined = append(c.pipelined, b...); len(c.pipelined) > c.front.opt.Header+c.front.opt.Body {
 			_ = c.nb.Close()
@@ -304,6 +316,31 @@
 	c.parse(b)
 }
 
+// recordPartial records what a request that has not arrived completely holds; under mu.
+func (c *conn) recordPartial() {
+	held := 0
+	if c.state.Load() == 1 && !c.closed {
+		held = c.req.HeldBytes()
+	}
+	c.partial.Set(held)
+}
+
+// giveUpPartial refuses a request that has not arrived completely, since such requests hold too much memory. It
+// reports false if the request is complete by now.
+func (c *conn) giveUpPartial() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Load() != 1 || c.closed {
+		return false
+	}
+	c.req = http1.Request{}
+	c.write(textResponse(http.StatusServiceUnavailable, "%v", errPartialInput))
+	return true
+}
+
+// errPartialInput reports that incomplete requests hold more memory than they may.
+var errPartialInput = errors.New("incomplete requests hold too much memory")
+
 // parse handles requests until one must wait for its response; under mu.
 func (c *conn) parse(b []byte) {
 	for len(b) > 0 && !c.closed {
@@ -389,19 +426,53 @@
 	c.state.Store(0)
 }
 
+// bodyPiece is the number of bytes of a body that are read at once.
+const bodyPiece = 16 << 10
+
+// readBody reads the content of a request of HTTP/2, one byte more than allowed if it is too long. It fails with
+// errPartialInput if incomplete requests hold too much memory.
+func (f *Front) readBody(r *http.Request) ([]byte, error) {
+	var shed atomic.Bool
+	partial := f.partial.Join(func() bool {
+		shed.Store(true)
+		_ = r.Body.Close() // ends the read
+		return true
+	})
+	defer partial.Leave()
+	var body bytes.Buffer
+	content := io.LimitReader(r.Body, int64(f.opt.Body)+1)
+	for {
+		_, err := io.CopyN(&body, content, bodyPiece)
+		switch {
+		case err == io.EOF:
+			return body.Bytes(), nil
+		case shed.Load():
+			return nil, errPartialInput
+		case err != nil:
+			return nil, err
+		}
+		partial.Set(body.Cap())
+		f.partial.Shed()
+	}
+}
+
 // serveHTTP handles a request of HTTP/2.
 func (f *Front) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(r.Body, int64(f.opt.Body)+1)); err != nil {
+	body, err := f.readBody(r)
+	if errors.Is(err, errPartialInput) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if err != nil {
 		return
 	}
-	if body.Len() > f.opt.Body {
+	if len(body) > f.opt.Body {
 		http.Error(w, fmt.Sprintf("content is over its limit of %d bytes", f.opt.Body),
 			http.StatusRequestEntityTooLarge)
 		return
 	}
 	done := make(chan response, 1)
-	f.serve(&request{method: r.Method, path: r.URL.RequestURI(), header: r.Header.Get, body: body.Bytes()},
+	f.serve(&request{method: r.Method, path: r.URL.RequestURI(), header: r.Header.Get, body: body},
 		func(r response) { done <- r })
 	select {
 	case a := <-done:
