Fix: the time for which a request waits to be read counts as if it had just been sent

The node stood still, or a crowd filled its queue; a connection waited to be accepted for 1.3 to 3 s, and its request counted as sent when it was read. The node bounded that wait by what it knew of its own accepting, which is nothing where the process itself doesn't run, and by 0.4 s in any case.

Fix: the kernel knows when the last bytes arrived (TCP_INFO). It is asked for the first request of each connection; its message has so much less time, and one whose client has stopped waiting is refused with 503 and not handed in. Where the kernel can't tell, as before.

Later requests of a connection aren't covered: their clients have no other connection open that would show it, and a system call for each has no measured price yet.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is one connection of an Engine. Its methods are safe for concurrent use and never wait for
@@ -416,6 +418,20 @@
 	return waiting || c.handling.Load()
 }
 
+// DataAge returns how long ago the last bytes arrived at this machine, whether or not they have been read since; known
+// is false if the system can't tell. It is as exact as the kernel's clock, some milliseconds.
+func (c *Conn) DataAge() (age time.Duration, known bool) {
+	var info *unix.TCPInfo
+	var err error
+	closed := c.socket.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if closed != nil || err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // EndedByPeer reports whether the peer closed the connection, as opposed to this side or a local
 // error.
 func (c *Conn) EndedByPeer() bool {
--- a/internal/hookfront/conn.go
+++ b/internal/hookfront/conn.go
@@ -94,6 +94,7 @@
 	mu           sync.Mutex
 	req          http1.Request
 	pending      *handIn
+	readDelay    time.Duration // how long the request waited to be read
 	sendingEnded bool
 	invalid      bool // the input was not a valid request, or not complete in time
 	discarded    int  // bytes received and discarded after sendingEnded
@@ -240,6 +241,7 @@
 	case len(rest) > 0:
 		c.reject(http.StatusBadRequest, "a request before the answer to the last one")
 	default:
+		c.readDelay = c.measureReadDelay()
 		c.state.RequestRead(c.name, c.clientDeadline(time.Duration(now)))
 		c.serve()
 	}
@@ -284,6 +286,8 @@
 		c.writeError(http.StatusServiceUnavailable, "not ready")
 	case f.finished.Load(): // covers requests completed after StopHandIns visited this connection, and before
 		c.writeError(http.StatusServiceUnavailable, "the relay ends")
+	case c.clientGaveUp(): // and may hand its message in again
+		c.writeError(http.StatusServiceUnavailable, "read too late")
 	default:
 		m, err := c.parseHandIn()
 		if err != nil {
--- a/internal/hookfront/request.go
+++ b/internal/hookfront/request.go
@@ -39,7 +39,7 @@
 		return nil, err
 	}
 	m := &core.Message{Source: c.name, Identity: id, Class: class, Partner: dest, RejectKnown: true,
-		Left:          max(time.Duration(left)*time.Millisecond-c.readDelay(), time.Millisecond),
+		Left:          max(time.Duration(left)*time.Millisecond-c.readDelay, time.Millisecond),
 		RespondWithin: c.respondWithin(), Front: Name, Body: r.Body}
 	key, n := r.FirstAndCount(idempotencyField)
 	if n > 1 || len(key) > 256 || strings.ContainsFunc(key, func(c rune) bool { return c < ' ' || c >= 0x7f }) {
@@ -58,11 +58,15 @@
 	return m, nil
 }
 
-// readDelay returns an upper bound on how long the request that is being read waited: reading it
-// failed for a while, or, for the first request of a connection, accepting the connection did.
-func (c *conn) readDelay() time.Duration {
+// measureReadDelay returns how long the request that has just been read waited. For the first request of a
+// connection, which waited for the connection to be accepted as well, the system tells; where it doesn't, and for
+// later requests, it is an upper bound on the time for which accepting or reading failed.
+func (c *conn) measureReadDelay() time.Duration {
 	delay := c.socket.ReadDelay()
 	if !c.answeredOnce.Load() {
+		if age, known := c.socket.DataAge(); known {
+			return age
+		}
 		delay += c.queueTime
 	}
 	return min(delay, c.front.opt.RequestPause/2) // a client doesn't wait longer
@@ -73,7 +77,12 @@
 	if c.front.opt.ClientTimeout == 0 {
 		return 0
 	}
-	return now + c.front.opt.ClientTimeout - c.readDelay()
+	return now + c.front.opt.ClientTimeout - c.readDelay
+}
+
+// clientGaveUp reports whether the client of the request that was read has stopped waiting for the response by now.
+func (c *conn) clientGaveUp() bool {
+	return c.front.opt.ClientTimeout > 0 && c.readDelay >= c.front.opt.ClientTimeout
 }
 
 // respondWithin returns how soon the core must answer a hand-in; 0 for no limit.
@@ -81,7 +90,7 @@
 	if c.front.opt.RespondWithin == 0 {
 		return 0
 	}
-	return max(c.front.opt.RespondWithin-c.readDelay(), time.Millisecond)
+	return max(c.front.opt.RespondWithin-c.readDelay, time.Millisecond)
 }
 
 // idempotencyField is the field by which the hosts of some classes recognize a repeat. It is passed
