Fix: a call that waited for its connection is written within a told wait

Fix: the pool of a host keeps calls from being written from the moment that an answer with a wait has been read; such a call ends as not sent, behind the answer in the core's inbox, so that the module knows the wait. It holds for 0.5 s at most, by when the core keeps the wait itself.

TestCallIsNotWrittenWithinAToldWait fails without it (served), and TestUnsolicitedBytesRetractTheLastAnswer, which called within the wait that its host had told, asks that such a call is not sent and goes on behind the wait.

--- a/internal/core/callending.go
+++ b/internal/core/callending.go
@@ -33,6 +33,15 @@
 	e.Attribution = max(e.Attribution, attribution)
 }
 
+// LongestWait returns the longest wait that the host asked for, over all messages of the call; 0 for none.
+func (e *Ending) LongestWait() time.Duration {
+	longest := e.Wait
+	for i := range e.Each {
+		longest = max(longest, e.Each[i].LongestWait())
+	}
+	return longest
+}
+
 // MarkOver records that all messages of the call may be over.
 func (e *Ending) MarkOver() {
 	e.Over = true
--- a/internal/partner/attribution.go
+++ b/internal/partner/attribution.go
@@ -107,6 +107,7 @@
 func (cn *conn) unsolicited(b []byte) {
 	c := cn.pool.caller
 	if wait := c.longestWaitIn(b); wait > 0 && c.opt.UnsolicitedWait != nil {
+		cn.pool.heedWait(wait)
 		c.opt.UnsolicitedWait(cn.host, cn.pool.partner, wait)
 	}
 	cn.mu.Lock()
--- a/internal/partner/attribution_test.go
+++ b/internal/partner/attribution_test.go
@@ -109,6 +109,10 @@
 		t.Errorf("a wait of %s is applied, want 250ms", wait)
 	}
 	waitFor(t, "closed", func() bool { return c.Connections("h") == 0 })
+	if e, _ := sendDoubtable(t, c, "early"); e.Outcome != choice.NotSent {
+		t.Errorf("a call within the wait: %+v, want it not sent", e)
+	}
+	waitFor(t, "over", func() bool { return !c.pools["h"].mustWait() })
 	for i := range 3 {
 		if e, _ := sendDoubtable(t, c, "later"); e.Outcome != choice.Served || e.Attribution != lifecycle.Certain {
 			t.Errorf("call %d after the unsolicited bytes: %+v", i, e)
@@ -122,6 +126,32 @@
 	}
 }
 
+// Guards against a call within a told wait that the core has not learnt of yet: the call had waited for a connection.
+func TestCallIsNotWrittenWithinAToldWait(t *testing.T) {
+	host := startScripted(t, "HTTP/1.1 429 T\r\nX-RateLimit-Wait-Ms: 200\r\nContent-Length: 0\r\n\r\n", servedResponse)
+	c := hookCaller(t, host.addr)
+	ends := make(chan core.Ending, 2)
+	next := core.Call{ID: "next", Identity: "next", Host: "h", Timeout: 10 * time.Second,
+		End: func(e core.Ending) { ends <- e }}
+	first := next
+	first.ID, first.Identity = "first", "first"
+	first.End = func(e core.Ending) {
+		ends <- e
+		c.Send(next)
+	}
+	c.Send(first)
+	if e := <-ends; e.Outcome != choice.Refused {
+		t.Fatalf("the first call: %+v", e)
+	}
+	if e := <-ends; e.Outcome != choice.NotSent {
+		t.Errorf("a call within the wait: %+v, want it not sent", e)
+	}
+	waitFor(t, "over", func() bool { return !c.pools["h"].mustWait() })
+	if e, _ := sendDoubtable(t, c, "later"); e.Outcome != choice.Served {
+		t.Errorf("a call behind the wait: %+v", e)
+	}
+}
+
 // Guards against a copy of a refusal that counts as proof that the next call on the connection did not
 // run: a message that must not be repeated goes where no answer can be a copy, and any other counts as
 // one that may have run, whose call is given up with its connection.
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -36,9 +36,13 @@
 	return k
 }
 
-// write writes the request to the socket. It returns false if the call was already over, or had
-// another connection.
+// write writes the request to the socket. It returns false if the call was already over, had another
+// connection, or must wait.
 func (k *call) write(cn *conn) bool {
+	if k.pool.mustWait() {
+		k.end(notTried, nil)
+		return false
+	}
 	request := k.request() // a single write: the engine's Writev loses buffers after a partial write
 	k.mu.Lock()
 	may, late := k.state.MayWrite(time.Since(k.began), k.WriteWithin)
@@ -157,6 +161,7 @@
 	e := k.ending(ev, r, now)
 	e.Took = now.Sub(k.began)
 	k.attribute(&e, r, belief)
+	k.pool.heedWait(e.LongestWait())
 	k.End(e)
 }
 
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -27,6 +27,7 @@
 	calls      int     // calls that have not ended
 	waiting    []*call // those of them without a connection, in order of arrival
 	excluded   bool
+	waitUntil  time.Duration // no call is written until then; see heedWait
 
 	servedMu sync.Mutex     // guards served; no other lock is taken while it is held
 	served   []servedAnswer // recent answers, oldest first
@@ -200,6 +201,28 @@
 	}
 }
 
+// maxCoreDelay is the longest time for which calls are kept back here for a wait that the core has yet to learn of:
+// a process that stands still is held up for 150 ms (STANDING), and then waits for late events.
+const maxCoreDelay = 500 * time.Millisecond
+
+// heedWait keeps calls from being written for a wait that the host has told. The core keeps the wait, but a call that
+// has waited for its connection may be written before the core processes the answer.
+func (p *pool) heedWait(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waitUntil = max(p.waitUntil, p.caller.now()+min(wait, maxCoreDelay))
+}
+
+// mustWait reports whether a wait that the host has told keeps calls from being written.
+func (p *pool) mustWait() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.caller.now() < p.waitUntil
+}
+
 // callEnded records the end of a call.
 func (p *pool) callEnded(k *call, ev event) {
 	p.mu.Lock()
