Fix: the answer to a message handed in again is lost at a restart

Fix: such a hand-in records the end again, as owed to itself (Core.recordOwedAgain), before its answer goes out.

Fronts that reject what they know (the platform's) are not touched.

--- a/internal/core/arrival.go
+++ b/internal/core/arrival.go
@@ -50,6 +50,9 @@
 		c.byEntry[e].Reply = in.Reply
 	}
 	a := e.Answer // of an ended message; otherwise it follows
+	if a.Verdict != 0 {
+		c.recordOwedAgain(in, e)
+	}
 	c.whenDurable(true, func() {
 		in.Reply.Taken(nil)
 		if a.Verdict != 0 {
@@ -59,6 +62,17 @@
 	return true
 }
 
+// recordOwedAgain records that the answer of a message that has ended is owed to a later hand-in of it, whether or not
+// an earlier one was answered: a later run sends it there.
+func (c *Core) recordOwedAgain(in *Message, e *ledger.Entry) {
+	if c.opt.Journal == nil {
+		return
+	}
+	c.opt.Journal.RecordEnd(journal.End{Seq: seqOf(e.ID), Identity: in.Identity,
+		Class: c.opt.Settings.Classes[in.Class].Name, Verdict: uint8(e.Answer.Verdict),
+		After: int64(e.Answer.RetryAfter), At: c.opt.Journal.Stamp(), Front: in.Front, Way: in.ReturnPath})
+}
+
 // newMessage returns the message of a hand-in with a number of its own, and opens its identity in the ledger.
 func (c *Core) newMessage(in *Message, at time.Duration) (*message, error) {
 	class := &c.opt.Settings.Classes[in.Class]
