Soak: an agent's old address never becomes another node's

A node that restarts meanwhile, and so isn't told of the move, follows the wrong agent: the lists that it hears count as told to the other node.

Change: emulator.addresses hands out each port of a platform once, to agents, hosts and nodes.

--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -18,10 +18,10 @@
 
 // Platform is a set of agents and hosts, with a record of the traffic.
 type Platform struct {
-	Record *Record
-	Hosts  []*Host
-	IP     string // loopback address all servers listen on; other platforms on this machine use others
-	seed   uint64
+	Record    *Record
+	Hosts     []*Host
+	seed      uint64
+	addresses addresses
 
 	mu      sync.Mutex
 	list    agent.List
@@ -33,7 +33,7 @@
 // New starts a platform with one host for each of kinds. Destinations are numbered from 0.
 func New(seed uint64, kinds ...string) (*Platform, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	p := &Platform{IP: ip, seed: seed, Record: NewRecord(), changed: make(chan struct{}),
+	p := &Platform{addresses: addresses{ip: ip, used: map[int]bool{}}, seed: seed, Record: NewRecord(), changed: make(chan struct{}),
 		list: agent.List{Rev: 1, All: true}}
 	for i, kind := range kinds {
 		h := &Host{platform: p, UID: fmt.Sprint("s-", i), r: rand.New(rand.NewPCG(seed, uint64(i))),
@@ -51,9 +51,9 @@
 
 // serve starts an HTTP server at an address of its own, behind a network.
 func (p *Platform) serve(h http.Handler, network *Network) (*server, error) {
-	l, err := net.Listen("tcp", p.IP+":0")
+	l, err := p.addresses.listen()
 	if err != nil {
-		return nil, fmt.Errorf("emulator: %w", err)
+		return nil, err
 	}
 	s := &server{http: &http.Server{Handler: h, ConnContext: withConn}, listener: l}
 	go func() { _ = s.http.Serve(listener{l, network}) }()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -180,7 +178,7 @@
 		if err != nil {
 			return err
 		}
-		addr, err := freeAddr(r.platform.IP)
+		addr, err := r.platform.FreeAddr()
 		if err != nil {
 			return err
 		}
@@ -196,22 +194,6 @@
 	return errors.Join(errs...)
 }
 
-// Range of the nodes' ports. It lies below the system's ephemeral ports, so that a node that restarts finds its
-// port still free.
-const firstPort, lastPort = 12_000, 32_000
-
-// freeAddr returns an address with a port that is free at the moment.
-func freeAddr(ip string) (string, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(lastPort-firstPort)))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", errors.New("soak: no free port found in 100 attempts")
-}
-
 // lagEvery is the interval at which the delay of the emulator's own timers is measured.
 const lagEvery = 10 * time.Millisecond
 
