Soak: hosts that work for up to 0.6 s

Change: kind host_slow, drawn from a stream of its own and only where it is asked for (--kinds), so that every listed seed keeps its faults. ParseKinds stands beside ParseFaults.

--- a/cmd/basaltcross/soak.go
+++ b/cmd/basaltcross/soak.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -33,11 +31,10 @@
 					return err
 				}
 			}
-			for _, k := range strings.FieldsFunc(kinds, func(r rune) bool { return r == ',' }) {
-				if !slices.Contains(soak.Kinds(), soak.Kind(k)) {
-					return fmt.Errorf("soak: unknown kind of fault %q; known are %v", k, soak.Kinds())
+			if kinds != "" {
+				if opt.Kinds, err = soak.ParseKinds(kinds); err != nil {
+					return err
 				}
-				opt.Kinds = append(opt.Kinds, soak.Kind(k))
 			}
 			opt.Plant = soak.Plant(plant)
 			report, err := soak.Series(c.Context(), opt, seeds, shrinks, c.OutOrStdout())
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	behaviour Behaviour
+	slow      bool // works up to maxSlowDelay on a call
 	r         *rand.Rand
 }
 
@@ -46,6 +47,13 @@
 	h.mu.Unlock()
 }
 
+// SetSlow makes the host work up to maxSlowDelay on a call, whatever its behaviour.
+func (h *Host) SetSlow(on bool) {
+	h.mu.Lock()
+	h.slow = on
+	h.mu.Unlock()
+}
+
 // outcome is the drawn result of one message in a call.
 type outcome struct {
 	status int           // 0 for no answer
@@ -57,8 +65,11 @@
 	blank  bool          // the answer has no status
 }
 
-// maxHostDelay bounds the time that a host takes for an answer.
-const maxHostDelay = 20 * time.Millisecond
+const (
+	// maxHostDelay bounds the time that a host takes for an answer, maxSlowDelay that of a slow one.
+	maxHostDelay = 20 * time.Millisecond
+	maxSlowDelay = 600 * time.Millisecond
+)
 
 // drawOutcome draws the outcome of one message by the host's behaviour.
 func (h *Host) drawOutcome() outcome {
@@ -66,6 +77,9 @@
 	defer h.mu.Unlock()
 	f := outcome{status: 200, ran: true, pause: time.Duration(h.r.Int64N(int64(maxHostDelay)))}
 	x := h.r.Float64()
+	if h.slow {
+		f.pause = time.Duration(h.r.Int64N(int64(maxSlowDelay)))
+	}
 	switch h.behaviour {
 	case Failing:
 		if x < 0.8 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -351,6 +351,9 @@
 	case HostRepeats:
 		r.platform.Hosts[where].Network.SetRepeat(on)
 		return
+	case HostSlow:
+		r.platform.Hosts[where].SetSlow(on)
+		return
 	}
 	n := r.nodes[where]
 	switch k {
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -40,6 +40,7 @@
 	AgentNetReset Kind = "agent_net_reset" // connections to agents are reset, in use or idle
 	HostRepeats   Kind = "host_repeats"    // hosts' answers arrive a second time, up to 2 s later
 	AgentRepeats  Kind = "agent_repeats"   // agents' acknowledgements, lists and watch lines arrive a second time
+	HostSlow      Kind = "host_slow"       // hosts work up to 0.6 s on a call
 	HostBlank     Kind = "host_blank"      // hosts answer with a status line without a status
 	ClientsEnd    Kind = "clients_end"     // clients half-close connections after a request and await the response
 	ClientsLeave  Kind = "clients_leave"   // clients close their connection within a request
@@ -48,7 +49,10 @@
 	AttemptLimits Kind = "attempt_limits"  // messages may have only one or two attempts
 )
 
-// Kinds returns all kinds of faults.
+// OptionalKinds are the kinds of faults that are drawn only where they are asked for.
+var OptionalKinds = []Kind{HostSlow}
+
+// Kinds returns all kinds of faults but the optional ones.
 func Kinds() []Kind {
 	all := []Kind{Kill, Term, TermTwice, Reload, AgentSilent, NoticesMute, HostFails, HostFull, HostHangs, HostCuts,
 		HostForgets, HostDrains, HostNetHold, HostNetReset, AgentNetHold, AgentNetReset, HostRepeats, AgentRepeats,
@@ -59,6 +63,20 @@
 	return all
 }
 
+// ParseKinds parses names of kinds, separated by commas.
+func ParseKinds(text string) (kinds []Kind, err error) {
+	for name := range strings.SplitSeq(text, ",") {
+		if !Kind(name).known() {
+			return nil, fmt.Errorf("soak: unknown kind of fault %q; known are %v", name, append(Kinds(), OptionalKinds...))
+		}
+		kinds = append(kinds, Kind(name))
+	}
+	return kinds, nil
+}
+
+// known reports whether there is such a kind.
+func (k Kind) known() bool { return slices.Contains(Kinds(), k) || slices.Contains(OptionalKinds, k) }
+
 // Fault is one fault in a run.
 type Fault struct {
 	Kind   Kind          `json:"kind"`
@@ -94,7 +112,7 @@
 	kind, rest, _ := strings.Cut(text, "@")
 	where, rest, _ := strings.Cut(rest, "+")
 	at, length, _ := strings.Cut(rest, "~")
-	if f.Kind = Kind(kind); !slices.Contains(Kinds(), f.Kind) {
+	if f.Kind = Kind(kind); !f.Kind.known() {
 		return f, fmt.Errorf("unknown kind %q", kind)
 	}
 	if f.Target, err = strconv.Atoi(where); err != nil {
@@ -119,11 +137,12 @@
 // kinds, or of a few kinds for every other seed. Kinds and durations that were added later are drawn from random
 // streams of their own, so that a seed keeps its other faults.
 func Draw(seed uint64, nodes, hosts int, length time.Duration, kinds []Kind) []Fault {
-	first, further, ofPeers, ends := splitBySeries(kinds)
+	first, further, ofPeers, ends, ofSpeed := splitBySeries(kinds)
 	all := drawFirst(rand.New(rand.NewPCG(seed, firstSeries)), nodes, hosts, length, first, seed%2 == 0)
 	all = append(all, drawFurther(rand.New(rand.NewPCG(seed, furtherSeries)), nodes, length, kinds, further)...)
 	all = append(all, drawPeers(rand.New(rand.NewPCG(seed, peerSeries)), nodes, hosts, length, ofPeers)...)
 	all = append(all, drawEnds(rand.New(rand.NewPCG(seed, endSeries)), nodes, length, ends)...)
+	all = append(all, drawSpeeds(rand.New(rand.NewPCG(seed, speedSeries)), hosts, length, ofSpeed)...)
 	slices.SortStableFunc(all, func(x, y Fault) int { return int(x.At - y.At) })
 	return all
 }
@@ -134,6 +153,7 @@
 	furtherSeries = 0xfb
 	peerSeries    = 0xfc
 	endSeries     = 0xfd
+	speedSeries   = 0xfe
 )
 
 // peerKinds are the kinds drawn from peerSeries, for every seed: repeated or malformed answers and half-closed
@@ -149,7 +169,7 @@
 	Kind(shim.SockoptFails), Kind(shim.FileReadFails), Kind(shim.DiskDown), Kind(shim.AcceptDown), Kind(shim.WriteDown)}
 
 // splitBySeries splits kinds by the random stream they are drawn from.
-func splitBySeries(kinds []Kind) (first, further, ofPeers, ends []Kind) {
+func splitBySeries(kinds []Kind) (first, further, ofPeers, ends, ofSpeed []Kind) {
 	for _, k := range kinds {
 		switch {
 		case slices.Contains(furtherKinds, k):
@@ -158,11 +178,25 @@
 			ofPeers = append(ofPeers, k)
 		case slices.Contains(endKinds, k):
 			ends = append(ends, k)
+		case k == HostSlow:
+			ofSpeed = append(ofSpeed, k)
 		default:
 			first = append(first, k)
 		}
 	}
-	return first, further, ofPeers, ends
+	return first, further, ofPeers, ends, ofSpeed
+}
+
+// drawSpeeds draws the faults from speedSeries: hosts are slow for about two thirds of the time.
+func drawSpeeds(r *rand.Rand, hosts int, length time.Duration, kinds []Kind) (all []Fault) {
+	for _, k := range kinds {
+		for host := range hosts {
+			for at := between(r, 0, time.Second); at < length; at += between(r, 2*time.Second, 4*time.Second) {
+				all = append(all, Fault{k, host, at, between(r, time.Second, 3*time.Second)})
+			}
+		}
+	}
+	return all
 }
 
 // drawEnds draws the faults of endKinds: long periods, and one series of kills for one in three nodes.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,12 @@
 	if err != nil || !reflect.DeepEqual(first, again) {
 		t.Errorf("faults were not parsed back: %v", err)
 	}
+	if kinds, err := ParseKinds("host_slow,kill"); err != nil || !slices.Equal(kinds, []Kind{HostSlow, Kill}) {
+		t.Errorf("kinds are parsed as %v, %v", kinds, err)
+	}
+	if _, err := ParseKinds("kill,nothing"); err == nil {
+		t.Error("an unknown kind was accepted")
+	}
 	for _, bad := range []string{"", "nothing@1+1s~1s", "kill@x+1s~1s", "kill@1+1~1s", "kill@1"} {
 		if _, err := ParseFaults(bad); err == nil {
 			t.Errorf("invalid text %q was accepted", bad)
