Fix: a delivery counts as unproven although the rest of its answer proves it

Fix: a first line of 200 ends the call only where it is proved to be its own. Otherwise the rest is read: it may differ from all before it.

TestRestOfAnAnswerProvesItsCall fails without it ("Attribution:1"). Tests of partner, core and platform pass under the race detector.

--- a/internal/partner/attribution.go
+++ b/internal/partner/attribution.go
@@ -27,17 +27,11 @@
 // attribute decides how certain it is that the response just read answers k. followed reports
 // whether more bytes were received behind it. The caller holds cn.mu.
 func (cn *conn) attribute(k *call, followed bool) lifecycle.Attribution {
-	conduct := &cn.pool.caller.conduct
-	if conduct.TrustAll {
-		return lifecycle.Certain
-	}
-	names := cn.resp.matchMessages(k)
-	belief := cn.state.Attribute(lifecycle.PeerAnswer{Written: cn.allSent(), NamesCall: names.call, NamesOther: names.other,
-		TrailingBytes: followed, Distrusted: cn.firstCallOnly(), Success: cn.resp.success(), Digest: cn.resp.digest()})
+	belief := cn.attribution(k, followed)
 	switch belief {
 	case lifecycle.Unmatched:
 		breach := lifecycle.AnswerEarly
-		if names.other {
+		if cn.resp.matchMessages(k).other {
 			breach = lifecycle.AnswerForeign
 		}
 		cn.reportBreach(breach, k)
@@ -48,6 +42,24 @@
 	return belief
 }
 
+// attribution does the work of attribute, without reporting a breach. The caller holds cn.mu.
+func (cn *conn) attribution(k *call, followed bool) lifecycle.Attribution {
+	if cn.pool.caller.conduct.TrustAll {
+		return lifecycle.Certain
+	}
+	names := cn.resp.matchMessages(k)
+	return cn.state.Attribute(lifecycle.PeerAnswer{Written: cn.allSent(), NamesCall: names.call, NamesOther: names.other,
+		TrailingBytes: followed, Distrusted: cn.firstCallOnly(), Success: cn.resp.success(), Digest: cn.resp.digest()})
+}
+
+// endsAtStatusLine reports whether the part of the response read so far ends k: its first line says that the message
+// is delivered, and is proved to be the call's own. The rest of another response may still prove that. The caller
+// holds cn.mu.
+func (cn *conn) endsAtStatusLine(k *call) bool {
+	return cn.resp.hook && cn.resp.firstStatus == http.StatusOK && len(k.Items) == 0 && cn.allSent() &&
+		cn.attribution(k, false) == lifecycle.Certain
+}
+
 // attributeLast is attribute for a response after which no further one can follow. The caller holds
 // cn.mu.
 func (cn *conn) attributeLast(k *call) lifecycle.Attribution {
@@ -324,6 +336,9 @@
 
 // matchMessages compares the messages that a complete response names with those of the call.
 func (r *response) matchMessages(k *call) messageMatch {
+	if !r.Done() {
+		return messageMatch{}
+	}
 	if r.names == nil {
 		match := r.compareMessages(k)
 		r.names = &match
@@ -333,7 +348,7 @@
 
 // compareMessages does the work of matchMessages.
 func (r *response) compareMessages(k *call) messageMatch {
-	if !r.hook || !r.Done() || r.status != http.StatusOK {
+	if !r.hook || r.status != http.StatusOK {
 		return messageMatch{}
 	}
 	var ends []struct {
--- a/internal/partner/attribution_test.go
+++ b/internal/partner/attribution_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -218,6 +219,30 @@
 	}
 }
 
+// Guards against a delivery that counts as unproven although the rest of its answer proves it: its first line came alone,
+// behind an answer that named its messages.
+func TestRestOfAnAnswerProvesItsCall(t *testing.T) {
+	c := hookCaller(t, peer(t, func(conn net.Conn, r *bufio.Reader) {
+		if request(r) != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, list("delivered", "first"))
+		if request(r) != nil {
+			return
+		}
+		line, rest, _ := strings.Cut(servedResponse, "\r\n")
+		_, _ = io.WriteString(conn, line+"\r\n")
+		time.Sleep(50 * time.Millisecond) // the caller reads the line meanwhile
+		_, _ = io.WriteString(conn, rest)
+		_ = request(r)
+	}))
+	for i, call := range []core.Call{{Items: []core.Item{{Identity: "first"}}}, {Identity: "second", Ordered: true, NotRepeatable: true}} {
+		if e, _ := sendCall(t, c, call); e.Attribution != lifecycle.Certain {
+			t.Errorf("call %d ended with %+v", i, e)
+		}
+	}
+}
+
 // Guards against idle connections that no call may use any more: they fill the pool, so that others are not kept.
 func TestConnectionsThatProveNothingAreNotKept(t *testing.T) {
 	for _, x := range []struct {
--- a/internal/partner/conn.go
+++ b/internal/partner/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -156,7 +155,7 @@
 		return nil, false
 	}
 	if !cn.resp.Done() {
-		if r.hook && r.firstStatus == http.StatusOK && len(k.Items) == 0 && cn.allSent() {
+		if cn.endsAtStatusLine(k) {
 			cn.endAtStatusLine(k, &r)
 			return nil, false
 		}
