Soak: a call given up before an end isn't counted as one behind it

The check excused a given-up call only where its host had written no answer.

TestCallGivenUpBeforeAnEndIsNotBehindIt asks both: such a call, reset or closed before its answer, is excused (not before this change); one whose answer was read, that is open, on a used connection, or on one that came behind the end is found.

--- a/internal/emulator/audit_test.go
+++ b/internal/emulator/audit_test.go
@@ -37,6 +37,45 @@
 	}
 }
 
+// Guards against an audit that excuses a call behind an end which its relay has learnt, and against one that finds a call
+// which the relay had given up before: the network held it back, and its host read and answered it behind the end.
+func TestCallGivenUpBeforeAnEndIsNotBehindIt(t *testing.T) {
+	began := time.Now()
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		what     string
+		accepted time.Time
+		endedAt  time.Time // by the relay
+		unread   bool
+		turn     int64
+		broken   int
+	}{
+		{"given up, and reset by its answer", at(0), at(51), true, 1, 0},
+		{"closed before its answer", at(0), at(49), false, 1, 0},
+		{"its answer was read", at(0), at(60), false, 1, 1},
+		{"still open", at(0), time.Time{}, false, 1, 1},
+		{"on a connection that came behind the end", at(45), at(51), true, 1, 1},
+		{"on a used connection", at(0), at(51), true, 2, 1},
+	} {
+		r := NewRecord()
+		answered := func(x Call) Call {
+			x.Host, x.Status, x.Timeout, x.AnswerWritten, x.wroteAt = "h", 410, 4*time.Second, x.Finished, x.Finished
+			return x
+		}
+		first := &faultyConn{network: &Network{}, ended: peerEnd{at: at(70)}}
+		r.histories["m"] = &History{ID: "m", Deadline: at(4000), Calls: []Call{
+			answered(Call{At: at(30), Finished: at(40), conn: first, turn: 1}),
+			answered(Call{At: at(50), Finished: at(50), turn: c.turn,
+				conn: &faultyConn{network: &Network{}, accepted: c.accepted, ended: peerEnd{at: c.endedAt, unread: c.unread}}}),
+		}}
+		a := &audit{record: r, now: at(9000)}
+		a.checkLearned(r.histories["m"])
+		if broken := a.finding("no call after an end is learnt").Broken; broken != c.broken {
+			t.Errorf("%s: %d calls behind an end, want %d", c.what, broken, c.broken)
+		}
+	}
+}
+
 // Guards against an audit that misses messages of a key out of order, and against one that asks for an order of messages
 // that the relay could not have read in it.
 func TestOrderIsThatOfMessagesReadInTime(t *testing.T) {
--- a/internal/emulator/learned.go
+++ b/internal/emulator/learned.go
@@ -94,9 +94,12 @@
 }
 
 // leftBefore reports whether a call that was read after a time may have left the relay before it: it was on its way on
-// a new connection, and the relay gave it up without an answer.
+// a new connection, and the relay gave it up without having read an answer.
 func (x *Call) leftBefore(at time.Time) bool {
-	return x.conn != nil && x.turn == 1 && x.conn.accepted.Before(at) && x.AnswerWritten.IsZero() && !x.conn.ended.isOpen()
+	if x.conn == nil || x.turn != 1 || !x.conn.accepted.Before(at) || x.conn.ended.isOpen() {
+		return false
+	}
+	return x.AnswerWritten.IsZero() || x.conn.ended.beforeReading(x.wroteAt)
 }
 
 // learned reports whether the relay learned from the answer to a call that the message had ended: the answer says so,
