Fix: a call whose bytes the kernel refuses goes out within a wait told meanwhile

Fix: a told wait also takes back the calls of its host that were written and of which the kernel has taken nothing (engine.Conn.DropUnsent): they end as not sent, and their connections are closed.

TestUnsentBytesAreDropped: bytes of which nothing went out are dropped, others aren't; the method is new. Tests of partner, engine, core and platform pass under the race detector.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -33,6 +33,7 @@
 	discarding   bool          // received bytes are discarded
 	discarded    int
 	pending      []byte // bytes still to be written
+	untouched    bool   // nothing of what pending began with has been written
 	writeBy      time.Time
 	retryTimer   *time.Timer
 	retryPause   time.Duration
@@ -220,7 +221,7 @@
 		return n, err
 	}
 	if n < len(b) {
-		c.pending = append([]byte(nil), b[n:]...)
+		c.pending, c.untouched = append([]byte(nil), b[n:]...), n == 0
 		c.retryPause = minRetryPause
 		c.scheduleFlush()
 	}
@@ -279,7 +280,7 @@
 		return
 	}
 	if n > 0 {
-		c.retryPause = minRetryPause
+		c.retryPause, c.untouched = minRetryPause, false
 	}
 	if c.pending = c.pending[n:]; len(c.pending) > 0 {
 		c.scheduleFlush()
@@ -292,6 +293,19 @@
 	}
 }
 
+// DropUnsent drops the bytes that wait to be written, if the kernel has taken none of them since they began to wait. It
+// reports whether it did.
+func (c *Conn) DropUnsent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.open || len(c.pending) == 0 || !c.untouched {
+		return false
+	}
+	c.pending = nil
+	c.retryTimer.Stop()
+	return true
+}
+
 // abort closes the connection and drops the pending bytes. The caller holds mu.
 func (c *Conn) abort(reason error) {
 	if !c.open {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -168,6 +168,39 @@
 	}
 }
 
+// Guards against a call within a wait that its host has told meanwhile: bytes of which the kernel has taken nothing can
+// be taken back, and no others.
+func TestUnsentBytesAreDropped(t *testing.T) {
+	c, _, peer := pair(t, Options{})
+	if c.DropUnsent() {
+		t.Error("dropped though nothing waits")
+	}
+	filled := 0
+	for size := large; size > 0; size /= 2 { // past the engine, until the kernel takes not even a byte
+		for {
+			_ = c.raw.SetWriteDeadline(time.Now().Add(20 * time.Millisecond))
+			n, err := c.raw.Write(make([]byte, size))
+			if filled += n; err != nil {
+				break
+			}
+		}
+	}
+	if _, err := c.Write([]byte("call")); err != nil {
+		t.Fatal(err)
+	}
+	if !c.DropUnsent() || c.Unsent() != 0 {
+		t.Errorf("not dropped, %d bytes wait", c.Unsent())
+	}
+	c.CloseWrite()
+	if n, err := io.Copy(io.Discard, peer); int(n) != filled || err != nil {
+		t.Errorf("the peer reads %d of %d bytes, %v", n, filled, err)
+	}
+	c, _, _ = pair(t, Options{})
+	if _, err := c.Write(make([]byte, large)); err != nil || c.DropUnsent() || c.Unsent() == 0 {
+		t.Errorf("bytes dropped that the kernel had taken in part, %d wait, %v", c.Unsent(), err)
+	}
+}
+
 // Guards against memory that grows with a peer that does not read.
 func TestWriteBufferIsBounded(t *testing.T) {
 	c, r, _ := pair(t, Options{WriteBuffer: large})
--- a/internal/partner/call.go
+++ b/internal/partner/call.go
@@ -76,6 +76,7 @@
 	if t := k.caller.opt.Traffic; t != nil {
 		t.Call(k.Class, k.Partner, k.Zone)
 	}
+	k.pool.callWritten(k)
 	k.mu.Unlock()
 	// From here on the response may arrive at any moment, on the connection's goroutine.
 	if n, err := k.send(cn, request); err != nil {
@@ -228,6 +229,17 @@
 	return cn != nil && !ended && cn.sock.HasUnhandledBytes()
 }
 
+// takeBack ends the call, and closes its connection, if it was written and the kernel has taken nothing of it yet.
+func (k *call) takeBack() {
+	k.mu.Lock()
+	cn := k.conn
+	k.mu.Unlock()
+	if cn != nil && cn.carries(k) && cn.sock.DropUnsent() {
+		k.end(notTried, nil)
+		cn.drop(k)
+	}
+}
+
 // Recall ends the call unless it has been written.
 func (k *call) Recall() bool {
 	k.mu.Lock()
--- a/internal/partner/pool.go
+++ b/internal/partner/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,8 +25,9 @@
 	idle       []*conn // most recently used last
 	open       int     // open connections, those being set up included
 	connecting int
-	calls      int     // calls that have not ended
-	waiting    []*call // those of them without a connection, in order of arrival
+	calls      int                // calls that have not ended
+	written    map[*call]struct{} // those of them that were written, or wait for the kernel to take their bytes
+	waiting    []*call            // those of them without a connection, in order of arrival
 	excluded   bool
 	waitUntil  time.Duration // no call is written until then; see heedWait
 
@@ -55,7 +57,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[host]
 	if p == nil {
-		p = &pool{caller: c, host: host, partner: partner, excluded: c.excluded[host],
+		p = &pool{caller: c, host: host, partner: partner, excluded: c.excluded[host], written: map[*call]struct{}{},
 			policy: addr.NewPoolPolicy(c.opt.Pool, rand.Uint64())}
 		c.pools[host] = p
 	}
@@ -205,15 +207,27 @@
 // a process that stands still is held up for 150 ms (STANDING), and then waits for late events.
 const maxCoreDelay = 500 * time.Millisecond
 
-// heedWait keeps calls from being written for a wait that the host has told. The core keeps the wait, but a call that
-// has waited for its connection may be written before the core processes the answer.
+// heedWait keeps calls from being written for a wait that the host has told, and takes those back of which the kernel
+// has taken nothing. The core keeps the wait, but a call that has waited for its connection may be written before the
+// core processes the answer.
 func (p *pool) heedWait(wait time.Duration) {
 	if wait <= 0 {
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.waitUntil = max(p.waitUntil, p.caller.now()+min(wait, maxCoreDelay))
+	written := slices.Collect(maps.Keys(p.written))
+	p.mu.Unlock()
+	for _, k := range written {
+		k.takeBack()
+	}
+}
+
+// callWritten records that a call was written.
+func (p *pool) callWritten(k *call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.written[k] = struct{}{}
 }
 
 // mustWait reports whether a wait that the host has told keeps calls from being written.
@@ -228,6 +242,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls--
+	delete(p.written, k)
 	if ev != notTried {
 		p.policy.CallEnded(p.caller.now(), ev == answered)
 	}
--- a/internal/partner/reuse.go
+++ b/internal/partner/reuse.go
@@ -96,6 +96,13 @@
 	return []*conn{cn}
 }
 
+// carries reports whether the call is the one in progress on the connection.
+func (cn *conn) carries(k *call) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.call == k
+}
+
 // proofs returns how many kinds of answers to the next call would be proved to be its own.
 func (cn *conn) proofs() int {
 	cn.mu.Lock()
