Fix: a list file that can't be read for a moment is not read again until it changes

The relay knew no host: the first reading of the list file had failed with EMFILE. A drain or a new host whose list fell into such a moment would have been missed as well.

Cause: File.Follow remembered the file's state by stat, which needs no descriptor, before it read it. At the next checks the file "had not changed". Evidence: in the dumps of the failing processes (core, partner and directory idle, no call in progress) 3 of 4 have no goroutine of the watcher either, which needs descriptors too.

Fix: the state is remembered only of a file that was read; one that can't be read is read again at the next check, a second later. One with invalid content still waits for a change.

--- a/internal/directory/file.go
+++ b/internal/directory/file.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -82,7 +84,9 @@
 }
 
 // Follow reads the file and reports its list, and does so again at each change. If the
-// folder can't be watched, it checks the file once a second.
+// folder can't be watched, it checks the file once a second. A file that can't be read, as
+// for want of file descriptors, is read again after a second; one whose content is invalid,
+// once it changes.
 func (f *File) Follow(ctx context.Context, to Receiver) {
 	var events chan fsnotify.Event
 	var errs chan error
@@ -96,16 +100,18 @@
 	if err != nil {
 		to.ReportError(fmt.Errorf("directory: watch: %w", err))
 	}
-	var lastInfo os.FileInfo
+	var lastInfo os.FileInfo // of the file that was read last; nil if it could not be read
 	read := func() {
-		if st, err := os.Stat(f.Path); err == nil {
-			lastInfo = st
-		}
-		if list, err := f.Load(); err != nil {
+		st, statErr := os.Stat(f.Path)
+		list, err := f.Load()
+		if err != nil {
 			to.ReportError(err)
 		} else {
 			to.Report(member.Report{Entries: list, Fresh: true})
 		}
+		if lastInfo = st; statErr != nil || isReadError(err) {
+			lastInfo = nil
+		}
 	}
 	read()
 	settle := time.NewTimer(time.Hour)
@@ -137,3 +143,9 @@
 		}
 	}
 }
+
+// isReadError reports whether an error of Load means that the file could not be read, whatever its content.
+func isReadError(err error) bool {
+	var pathError *fs.PathError
+	return errors.As(err, &pathError)
+}
