Fix: a replaced certificate that can't be read for a moment is not read again

Fix: only what is rejected for its content waits for a change. A file that can't be read is tried again at each check and reported once. The two loops of ReloadChanged are now one function for each kind of file.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -19,6 +19,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"math/big"
 	"net"
 	"os"
@@ -47,7 +48,7 @@
 	CertFile, KeyFile string
 	cert              atomic.Pointer[tls.Certificate]
 	versions          [2]fileVersion // of CertFile and KeyFile, when last loaded
-	statErrorReported bool           // the current failure to stat a file was reported
+	readErrorReported bool           // the current failure to read a file was reported
 }
 
 // CAPool is a file of certificate authorities.
@@ -55,6 +56,8 @@
 	File    string
 	pool    atomic.Pointer[x509.CertPool]
 	version fileVersion
+
+	readErrorReported bool // the current failure to read the file was reported
 }
 
 // fileVersion identifies a version of a file's content by its size, modification
@@ -197,8 +200,9 @@
 const checkInterval = time.Second
 
 // Run reloads files that change until ctx ends. Established connections keep the
-// certificate that they were opened with. A file that cannot be loaded is reported
-// once and tried again when it changes; until then the old content stays in use.
+// certificate that they were opened with. A file whose content is rejected is reported
+// once and tried again when it changes, one that can't be read is reported once and tried
+// again at the next check; until then the old content stays in use.
 func (r *CertStore) Run(ctx context.Context) {
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
@@ -218,35 +222,57 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.pairs {
-		cert, err1 := versionOf(p.CertFile)
-		key, err2 := versionOf(p.KeyFile)
-		if err1 == nil && err2 == nil && cert.equal(p.versions[0]) && key.equal(p.versions[1]) {
-			continue
-		}
-		if err := errors.Join(err1, err2); err != nil {
-			if !p.statErrorReported {
-				r.report(p.CertFile, p.Expires(), err)
-			}
-			p.statErrorReported = true
-			continue
-		}
-		p.statErrorReported = false
-		err := p.load(now)
-		if err != nil {
-			p.versions = [2]fileVersion{cert, key} // a rejected file is not tried again until it changes
-		}
-		r.report(p.CertFile, p.Expires(), err)
+		changed, err := p.reloadChanged(now)
+		r.reportReload(p.CertFile, p.Expires(), changed, err, &p.readErrorReported)
 	}
 	for _, p := range r.pools {
-		current, err := versionOf(p.File)
-		if err != nil || current.equal(p.version) {
-			continue
-		}
-		if err = p.load(); err != nil {
-			p.version = current // a rejected file is not tried again until it changes
-		}
-		r.report(p.File, time.Time{}, err)
+		changed, err := p.reloadChanged()
+		r.reportReload(p.File, time.Time{}, changed, err, &p.readErrorReported)
+	}
+}
+
+// reportReload reports an attempt to reload a file. Of failures to read it in a row, only the first is reported.
+func (r *CertStore) reportReload(file string, expires time.Time, changed bool, err error, readErrorReported *bool) {
+	repeated := isReadError(err) && *readErrorReported
+	if (changed || err != nil) && !repeated {
+		r.report(file, expires, err)
+	}
+	*readErrorReported = isReadError(err)
+}
+
+// isReadError reports whether an error means that a file could not be read, whatever its content.
+func isReadError(err error) bool {
+	var pathError *fs.PathError
+	return errors.As(err, &pathError)
+}
+
+// reloadChanged reloads the files if one has changed, and reports whether it has. Files that are rejected for
+// their content are not tried again until they change; files that can't be read are.
+func (p *KeyPair) reloadChanged(now time.Time) (changed bool, err error) {
+	cert, certErr := versionOf(p.CertFile)
+	key, keyErr := versionOf(p.KeyFile)
+	if err := errors.Join(certErr, keyErr); err != nil {
+		return false, err
+	}
+	if cert.equal(p.versions[0]) && key.equal(p.versions[1]) {
+		return false, nil
+	}
+	if err = p.load(now); err != nil && !isReadError(err) {
+		p.versions = [2]fileVersion{cert, key}
+	}
+	return true, err
+}
+
+// reloadChanged does the same for a file of authorities. A file that is missing isn't an error.
+func (p *CAPool) reloadChanged() (changed bool, err error) {
+	current, err := versionOf(p.File)
+	if err != nil || current.equal(p.version) {
+		return false, nil
+	}
+	if err = p.load(); err != nil && !isReadError(err) {
+		p.version = current
 	}
+	return true, err
 }
 
 // Server returns a server configuration, of TLS 1.2 or later, that presents the
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -85,3 +86,57 @@
 		t.Errorf("none of %d loads found a whole private pair", loads)
 	}
 }
+
+// Guards against a certificate that stays in use until it has expired, although its file was replaced: the new file
+// could not be read for want of descriptors, and was not read again since it didn't change.
+func TestReplacedFileIsReadOnceDescriptorsAreLeft(t *testing.T) {
+	authority, err := NewAuthority("test", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir, _ := issueInto(t, authority, 0o600)
+	replacement, want := issueInto(t, authority, 0o600)
+	rejected := 0
+	store := &CertStore{Report: func(_ string, _ time.Time, err error) {
+		if err != nil {
+			rejected++
+		}
+	}}
+	certFile, keyFile := filepath.Join(dir, "server.pem"), filepath.Join(dir, "server.key")
+	pair, err := store.LoadPair(certFile, keyFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool, err := store.LoadPool(certFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	oldPool := pool.CertPool()
+	for _, name := range []string{"server.pem", "server.key"} {
+		if err := os.Rename(filepath.Join(replacement, name), filepath.Join(dir, name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 1, Max: limit.Max}); err != nil {
+		t.Fatal(err)
+	}
+	store.ReloadChanged(time.Now())
+	store.ReloadChanged(time.Now())
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	if rejected != 2 {
+		t.Errorf("%d errors reported for two files that could not be read, want 2", rejected)
+	}
+	store.ReloadChanged(time.Now())
+	if got := pair.Cert().Leaf.SerialNumber; got.Cmp(want) != 0 {
+		t.Errorf("certificate %d is in use, want %d, which replaced it", got, want)
+	}
+	if pool.CertPool() == oldPool {
+		t.Error("the replaced authorities are still in use")
+	}
+}
