--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -172,6 +172,9 @@
 		h.disconnect(w, first.status)
 		return
 	}
+	if r.Context().Err() != nil {
+		return // the relay has closed the connection: nobody hears an answer
+	}
 	if first.forget {
 		defer h.closeAfterAnswer(w)
 	}
@@ -179,9 +182,6 @@
 		h.answerAll(w, items)
 		return
 	}
-	if r.Context().Err() != nil {
-		return
-	}
 	if first.wait > 0 {
 		w.Header().Set("X-RateLimit-Wait-Ms", strconv.FormatInt(first.wait.Milliseconds(), 10))
 	}
