Shim: forget a traced thread that has ended

By reading: the tracer swallows the first SIGSTOP of a thread that it has not seen, and passes on any other. Threads that had ended, as those of the start program behind its exec, stayed in its table. A later thread that the system gives one of their numbers (there are 32,768 here) would have had its first stop passed on, which stops the whole program. Not seen; a table that only grew, too.

Now a thread leaves the table when it ends, and all others at an exec.

--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -230,6 +230,7 @@
 		case err != nil:
 			return syscall.WaitStatus(ws)
 		case ws.Exited() || ws.Signaled():
+			delete(t.threads, pid) // the system may give the number to a new thread
 			if pid == t.process.Pid {
 				return syscall.WaitStatus(ws)
 			}
@@ -249,6 +250,7 @@
 			signal = 0
 		case unix.PTRACE_EVENT_EXEC:
 			t.pollerReady = false
+			t.threads = map[int]bool{pid: true} // the other threads have ended
 			hideVDSO(pid)
 			signal = 0
 		case unix.PTRACE_EVENT_CLONE:
