Fix: a look at a socket that failed for lack of memory counted as an empty socket

Where the system had no memory for that moment, or a signal interrupted it, the answer was "nothing there": a call could be given up over its arrived 410 and its message called again, and a connection with another call's answer on it be used. The soak could not see it: the shim failed read(2) alone.

Fix: an interrupted look is repeated; one that fails for lack of memory says that it does not know. The shim fails recvfrom(2) as it fails read(2).

TestFailedLookAtTheSocketIsNotAnEmptyOne holds both errors; the code before answers PeekNothing to them. Tests of engine, partner, core and shim pass under the race detector.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -39,6 +39,8 @@
 	retryPause   time.Duration
 	closeTimer   *time.Timer
 
+	peekFrom func(fd int, b []byte) (n int, err error)
+
 	handling atomic.Bool // bytes may have been read that the handler has not finished with
 
 	// For the connection's goroutine only.
@@ -398,7 +400,8 @@
 const (
 	PeekNothing PeekResult = iota
 	PeekBytes
-	PeekEnd // the peer's end, or an error
+	PeekEnd     // the peer's end, or an error
+	PeekUnknown // the system was out of memory
 )
 
 // Peek looks at the socket without reading from it: the end of a connection may not have been read
@@ -412,24 +415,34 @@
 	var b [1]byte
 	var n int
 	var err error
-	closed := c.socket.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	closed := c.socket.Control(func(fd uintptr) { n, err = c.peekFrom(int(fd), b[:]) })
 	switch {
 	case closed != nil:
 		return PeekEnd
-	case err == syscall.EAGAIN || err == syscall.EINTR || isTransient(err):
+	case err == syscall.EAGAIN:
 		return PeekNothing
+	case isTransient(err):
+		return PeekUnknown
 	case err == nil && n > 0:
 		return PeekBytes
 	}
 	return PeekEnd
 }
 
-// HasUnhandledBytes reports whether bytes have arrived that the handler has not finished with.
+// peek looks at received bytes without taking them, again when a signal interrupts it.
+func peek(fd int, b []byte) (n int, err error) {
+	for {
+		n, _, err = syscall.Recvfrom(fd, b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return n, err
+		}
+	}
+}
+
+// HasUnhandledBytes reports whether bytes have arrived, or may have, that the handler has not finished with.
 func (c *Conn) HasUnhandledBytes() bool {
-	waiting := c.Peek() == PeekBytes // before handling: bytes that are read now are seen by one of the two
-	return waiting || c.handling.Load()
+	found := c.Peek() // before handling: bytes that are read now are seen by one of the two
+	return found == PeekBytes || found == PeekUnknown || c.handling.Load()
 }
 
 // DataAge returns how long ago the last bytes arrived at this machine, whether or not they have been read since; known
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// Guards against an answer that is taken for not arrived, and a connection for clean, because the look at the socket failed
+// for lack of memory.
+func TestFailedLookAtTheSocketIsNotAnEmptyOne(t *testing.T) {
+	c, _, _ := pair(t, Options{})
+	for _, errno := range []syscall.Errno{syscall.ENOMEM, syscall.ENOBUFS} {
+		c.peekFrom = func(int, []byte) (int, error) { return -1, errno }
+		if found := c.Peek(); found != PeekUnknown {
+			t.Errorf("%v: found %d, want %d", errno, found, PeekUnknown)
+		}
+		if !c.HasUnhandledBytes() {
+			t.Errorf("%v: no bytes are said to have arrived", errno)
+		}
+	}
+}
+
 // large is more bytes than the kernel buffers for a peer that does not read.
 const large = 16 << 20
 
--- a/internal/partner/reuse.go
+++ b/internal/partner/reuse.go
@@ -17,6 +17,7 @@
 	peekClosed                 // closed by the peer
 	peekUnsolicited            // bytes that no call asked for
 	peekTLSRecords             // TLS records have to be read first
+	peekUnknown                // the system could not tell
 )
 
 // peek checks an idle connection for bytes or a close by the peer that the engine may not have
@@ -29,6 +30,8 @@
 		return peekTLSRecords
 	case found == engine.PeekBytes:
 		return peekUnsolicited
+	case found == engine.PeekUnknown:
+		return peekUnknown
 	}
 	return peekClosed
 }
@@ -70,7 +73,7 @@
 		case peekClosed:
 			unusable.closed = append(unusable.closed, cn)
 		case peekUnsolicited: // the connection's goroutine reads the bytes and closes it
-		case peekTLSRecords:
+		case peekTLSRecords, peekUnknown:
 			later = append(later, cn)
 		}
 	}
--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -35,6 +35,10 @@
 	switch regs.number() {
 	case unix.SYS_READ:
 		t.read(pid, regs)
+	case unix.SYS_RECVFROM:
+		if !t.fail(regs, Interrupted, true, unix.EINTR) {
+			t.fail(regs, ReadNoMemory, true, unix.ENOMEM, unix.ENOBUFS)
+		}
 	case unix.SYS_WRITE:
 		t.write(pid, regs)
 	case unix.SYS_PWRITE64:
--- a/internal/shim/exec.go
+++ b/internal/shim/exec.go
@@ -16,7 +16,7 @@
 // tracedCalls are the system calls that stop in the tracer.
 var tracedCalls = []uint32{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FTRUNCATE, unix.SYS_OPENAT,
 	unix.SYS_RENAMEAT, unix.SYS_UNLINKAT, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_EPOLL_CTL,
-	unix.SYS_SETSOCKOPT, unix.SYS_GETSOCKOPT, unix.SYS_PREAD64, unix.SYS_GETDENTS64}
+	unix.SYS_SETSOCKOPT, unix.SYS_GETSOCKOPT, unix.SYS_PREAD64, unix.SYS_GETDENTS64, unix.SYS_RECVFROM}
 
 // Offsets in struct seccomp_data, in bytes.
 const (
