Fix: the age of a first request counted as nothing when the system was out of memory

Fix: the system is asked up to eight times. If it can't tell then, the wait counts as far as the node's own accepting shows it, as before.

TestAgeOfDataIsAskedAgainWhileMemoryIsShort: before, "age 0s, known false, want 700 ms". Tests of engine and hookfront pass twice under the race detector.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -40,6 +40,7 @@
 	closeTimer   *time.Timer
 
 	peekFrom func(fd int, b []byte) (n int, err error)
+	tcpInfo  func(fd int) (*unix.TCPInfo, error)
 
 	handling atomic.Bool // bytes may have been read that the handler has not finished with
 
@@ -445,13 +446,20 @@
 	return found == PeekBytes || found == PeekUnknown || c.handling.Load()
 }
 
+// dataAgeAttempts bounds how often the system is asked for the age of data while it is out of memory.
+const dataAgeAttempts = 8
+
 // DataAge returns how long ago the last bytes arrived at this machine, whether or not they have been read since; known
 // is false if the system can't tell. It is as exact as the kernel's clock, some milliseconds.
 func (c *Conn) DataAge() (age time.Duration, known bool) {
 	var info *unix.TCPInfo
 	var err error
 	closed := c.socket.Control(func(fd uintptr) {
-		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		for range dataAgeAttempts {
+			if info, err = c.tcpInfo(int(fd)); err == nil || !isTransient(err) {
+				return
+			}
+		}
 	})
 	if closed != nil || err != nil {
 		return 0, false
@@ -459,6 +467,11 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
+// tcpInfo asks the system for the state of a TCP connection.
+func tcpInfo(fd int) (*unix.TCPInfo, error) {
+	return unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+}
+
 // EndedByPeer reports whether the peer closed the connection, as opposed to this side or a local
 // error.
 func (c *Conn) EndedByPeer() bool {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -74,7 +74,7 @@
 // Adopt starts to serve a connected socket. bind makes its handler before any data can arrive. On
 // an error the socket is closed, and the handler's Closed is called.
 func (e *Engine) Adopt(raw net.Conn, bind func(*Conn) Handler) (*Conn, error) {
-	c := &Conn{engine: e, raw: raw, open: true, peekFrom: peek, closedSignal: make(chan struct{}),
+	c := &Conn{engine: e, raw: raw, open: true, peekFrom: peek, tcpInfo: tcpInfo, closedSignal: make(chan struct{}),
 		local: raw.LocalAddr(), remote: raw.RemoteAddr()}
 	err := c.initSocket()
 	c.handler = bind(c)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Guards against Stop blocking when it is called before the poller has run: with one processor the
@@ -117,6 +119,26 @@
 	}
 }
 
+// Guards against a request that counts as just sent although it waited: the system was out of memory when it was asked
+// how long.
+func TestAgeOfDataIsAskedAgainWhileMemoryIsShort(t *testing.T) {
+	c, _, _ := pair(t, Options{})
+	failures := 0
+	c.tcpInfo = func(int) (*unix.TCPInfo, error) {
+		if failures++; failures < dataAgeAttempts {
+			return nil, unix.ENOBUFS
+		}
+		return &unix.TCPInfo{Last_data_recv: 700}, nil
+	}
+	if age, known := c.DataAge(); !known || age != 700*time.Millisecond {
+		t.Errorf("age %v, known %v, want 700 ms", age, known)
+	}
+	c.tcpInfo = func(int) (*unix.TCPInfo, error) { return nil, unix.ENOMEM }
+	if age, known := c.DataAge(); known {
+		t.Errorf("age %v is said to be known", age)
+	}
+}
+
 // large is more bytes than the kernel buffers for a peer that does not read.
 const large = 16 << 20
 
