Node: a first request's wait counts as far as the process's own clock shows that it may have waited

Need: since the kernel was asked for each new connection how long its first bytes had waited (TCP_INFO).

Change: the process's own clock says for how long a request may have waited at most: since the listener's queue was last known to be empty, or since the process began to stand still, whichever is earlier, and since the connection was accepted. Up to 20 ms count as nothing; beyond, the kernel is asked, and its answer counts up to that bound. The heartbeat of the core that showed stalls is a package of its own now (stall), which core and listeners of a node share.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/limit"
+	"basaltcross.example/basaltcross/internal/stall"
 )
 
 // Message is a message as a front hands it in.
@@ -181,9 +182,10 @@
 	// Clock returns the monotonic time; nil for the machine's clock. With a simulated clock
 	// the core is driven by Step instead of Run.
 	Clock      func() time.Duration
-	InboxSize  int           // capacity of the inbox in hand-ins, shared fairly among clients; ErrBusy beyond
-	Identities int           // capacity of the ledger in identities
-	Retention  time.Duration // retention of ended identities
+	InboxSize  int            // capacity of the inbox in hand-ins, shared fairly among clients; ErrBusy beyond
+	Stalls     *stall.Monitor // tells when the process stood still; nil for one of the core's own
+	Identities int            // capacity of the ledger in identities
+	Retention  time.Duration  // retention of ended identities
 	Caller     Caller
 	Observer   Observer
 	Journal    Journal // nil if nothing is stored
@@ -249,12 +251,11 @@
 	identityLedger *ledger.Ledger
 	clock          func() time.Duration // monotonic, from 0
 
-	mu            sync.Mutex
-	inbox         []event
-	arrivals      *limit.Share // hand-ins in the inbox, by client
-	stopping      bool         // hand-ins are rejected
-	wake          chan struct{}
-	lastHeartbeat atomic.Int64 // in nanoseconds, by Now
+	mu       sync.Mutex
+	inbox    []event
+	arrivals *limit.Share // hand-ins in the inbox, by client
+	stopping bool         // hand-ins are rejected
+	wake     chan struct{}
 
 	// The fields below belong to the goroutine of Run.
 	now             time.Duration
@@ -420,15 +421,11 @@
 	return all, err
 }
 
-// A goroutine of its own stores a heartbeat every heartbeatInterval. If the last one is older
-// than suspendThreshold, the whole process was suspended. The core then waits until the
-// events of that time have come in from the sockets: it checks the inbox every
-// settleInterval, settleRounds times at most.
+// After a stall of the process the core waits until the events of that time have come in from the sockets: it checks
+// the inbox every settleInterval, settleRounds times at most.
 const (
-	heartbeatInterval = 20 * time.Millisecond
-	suspendThreshold  = 100 * time.Millisecond
-	settleInterval    = 10 * time.Millisecond
-	settleRounds      = 20
+	settleInterval = 10 * time.Millisecond
+	settleRounds   = 20
 )
 
 // Run processes events until ctx ends. It then rejects hand-ins, gives attempts in progress
@@ -436,10 +433,11 @@
 func (c *Core) Run(ctx context.Context, grace time.Duration) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	c.lastHeartbeat.Store(int64(c.Now()))
-	over := make(chan struct{})
-	defer close(over)
-	go c.runHeartbeat(over)
+	stalls := c.opt.Stalls
+	if stalls == nil {
+		stalls = stall.Start()
+		defer stalls.Stop()
+	}
 	done := ctx.Done()
 	for {
 		sleep := time.Hour
@@ -460,7 +458,7 @@
 			c.graceEnd, c.draining = c.Now()+grace, true
 			c.journalDeadline = c.graceEnd + grace
 		}
-		if c.Now()-time.Duration(c.lastHeartbeat.Load()) > suspendThreshold {
+		if stalls.Ending(time.Now()) {
 			c.awaitLateEvents()
 		}
 		c.now = c.Now()
@@ -480,21 +478,7 @@
 	return c.nextTime()
 }
 
-// runHeartbeat stores a heartbeat every heartbeatInterval until over is closed.
-func (c *Core) runHeartbeat(over <-chan struct{}) {
-	tick := time.NewTicker(heartbeatInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-over:
-			return
-		case <-tick.C:
-			c.lastHeartbeat.Store(int64(c.Now()))
-		}
-	}
-}
-
-// awaitLateEvents waits, after the process was suspended, until no events have come in for a while.
+// awaitLateEvents waits, after the process has stood still, until no events have come in for a while.
 // Responses in the kernel's buffers then reach the inbox before their time-outs are
 // checked, and count as in time.
 func (c *Core) awaitLateEvents() {
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"basaltcross.example/basaltcross/internal/engine"
+	"basaltcross.example/basaltcross/internal/stall"
 )
 
 // ConnHandler is a front's handler for one connection.
@@ -23,14 +24,23 @@
 	Addrs       []string
 	ReadBuffer  int
 	WriteBuffer int // bytes that may wait to be written to a connection, which is closed beyond that
-	// NewHandler makes the front's handler for a connection; nil closes the connection at once. waited
-	// bounds the time for which the connection waited in the listener's queue because accepting
-	// failed.
-	NewHandler func(conn *engine.Conn, waited time.Duration) ConnHandler
+	// NewHandler makes the front's handler for a connection; nil closes the connection at once.
+	NewHandler func(conn *engine.Conn, wait QueueWait) ConnHandler
+	// Stalls tells when the process stood still; nil if that isn't known.
+	Stalls *stall.Monitor
 	// OnError is called when accepting a connection fails, in most cases for lack of descriptors.
 	OnError func(err error)
 }
 
+// QueueWait is what is known of the time for which a connection waited in its listener's queue.
+type QueueWait struct {
+	AcceptedAt time.Time
+	// Delayed is an upper bound for a connection that waited because accepting failed or was slow; 0 otherwise.
+	Delayed time.Duration
+	// AtMost is the time since the queue was last known to be empty, an upper bound for any connection.
+	AtMost time.Duration
+}
+
 // Listeners are the open listening sockets of one front.
 type Listeners struct {
 	Addrs     []string
@@ -81,7 +91,7 @@
 // connections that are still in the queue when a listener is closed.
 func (l *Listeners) accept(listener *net.TCPListener) {
 	defer listener.Close()
-	var delay queueDelay
+	delay := newQueueDelay(time.Now())
 	var drainUntil time.Time // limit for emptying the queue, set once the listener is closing
 	for {
 		asked := time.Now()
@@ -94,6 +104,7 @@
 			}
 			_ = listener.SetDeadline(drainUntil) // connections in the queue are accepted at once
 		}
+		empty := !pending(listener)
 		raw, err := listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -104,9 +115,13 @@
 			l.sockets.OnError(err)
 			time.Sleep(acceptRetryPause)
 		default:
-			delay.accepted(asked, time.Now())
+			came := time.Now()
+			delay.accepted(asked, empty, came)
+			if begin, stalled := l.stalledSince(asked, came); stalled {
+				delay.stalled(begin)
+			}
 			asked = time.Now()
-			l.serve(raw, delay.longest(asked))
+			l.serve(raw, delay.wait(asked))
 			if time.Since(asked) > promptAccept {
 				delay.delayed(asked)
 			}
@@ -114,6 +129,14 @@
 	}
 }
 
+// stalledSince returns the beginning of the first stall of the process that ended after a time, if there was one.
+func (l *Listeners) stalledSince(from, now time.Time) (begin time.Time, stalled bool) {
+	if l.sockets.Stalls == nil {
+		return time.Time{}, false
+	}
+	return l.sockets.Stalls.Since(from, now)
+}
+
 // pending reports whether a connection waits in a listener's queue.
 func pending(listener *net.TCPListener) (waits bool) {
 	raw, err := listener.SyscallConn()
@@ -135,38 +158,55 @@
 // the queue.
 const promptAccept = 5 * time.Millisecond
 
-// queueDelay bounds how long connections may have waited in a listener's queue: from the moment at
-// which accepting failed or was delayed until the next connection that was not there yet when it
-// was accepted.
-type queueDelay struct{ since time.Time }
+// queueDelay bounds how long connections may have waited in a listener's queue.
+type queueDelay struct {
+	// delayedSince is when accepting failed or was delayed, until the next connection that was not there yet when it
+	// was accepted; zero if it didn't.
+	delayedSince time.Time
+	emptyAt      time.Time // when the queue was last known to be empty
+}
+
+// newQueueDelay returns the queueDelay of a listener that is opened now.
+func newQueueDelay(now time.Time) queueDelay { return queueDelay{emptyAt: now} }
 
 // delayed records that no connection was accepted from the given time on.
 func (q *queueDelay) delayed(from time.Time) {
-	if q.since.IsZero() {
-		q.since = from
+	if q.delayedSince.IsZero() {
+		q.delayedSince = from
+	}
+}
+
+// stalled records that the process stood still from the given time on, while a connection was asked for.
+func (q *queueDelay) stalled(from time.Time) {
+	if from.Before(q.emptyAt) {
+		q.emptyAt = from
 	}
 }
 
-// accepted records that a connection was asked for and when it arrived.
-func (q *queueDelay) accepted(asked, came time.Time) {
+// accepted records that a connection was asked for, whether the queue was empty then, and when it arrived.
+func (q *queueDelay) accepted(asked time.Time, empty bool, came time.Time) {
 	if came.Sub(asked) > promptAccept {
-		q.since = time.Time{}
+		q.delayedSince = time.Time{}
+	}
+	if empty {
+		q.emptyAt = came
 	}
 }
 
-// longest returns the longest time for which a connection accepted now may have waited.
-func (q *queueDelay) longest(now time.Time) time.Duration {
-	if q.since.IsZero() {
-		return 0
+// wait returns what is known of the wait of a connection accepted now.
+func (q *queueDelay) wait(now time.Time) QueueWait {
+	w := QueueWait{AcceptedAt: now, AtMost: now.Sub(q.emptyAt)}
+	if !q.delayedSince.IsZero() {
+		w.Delayed = now.Sub(q.delayedSince)
 	}
-	return now.Sub(q.since)
+	return w
 }
 
 // serve passes one connection to the engine and to the front.
-func (l *Listeners) serve(raw net.Conn, waited time.Duration) {
+func (l *Listeners) serve(raw net.Conn, wait QueueWait) {
 	refused := false
 	conn, err := l.engine.Adopt(raw, func(conn *engine.Conn) engine.Handler {
-		c := l.sockets.NewHandler(conn, waited)
+		c := l.sockets.NewHandler(conn, wait)
 		if refused = c == nil; refused {
 			return rejected{}
 		}
--- a/internal/hookfront/conn.go
+++ b/internal/hookfront/conn.go
@@ -85,7 +85,7 @@
 	requestBegun atomic.Int64 // by front.Now: start of the request, or of the connection before its first request
 	state        lifecycle.ClientConn
 	answeredOnce atomic.Bool          // a request has been answered
-	queueTime    time.Duration        // upper bound on the time the connection waited in the listener's queue
+	queue        front.QueueWait      // wait in the listener's queue
 	evicting     atomic.Bool          // selected to be closed to make room
 	partial      *front.PartialHolder // bytes of the request that has not arrived completely
 	// The client has ended its sending side while its request is being answered.
--- a/internal/hookfront/front.go
+++ b/internal/hookfront/front.go
@@ -16,6 +16,7 @@
 	"basaltcross.example/basaltcross/internal/http1"
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/lifecycle"
+	"basaltcross.example/basaltcross/internal/stall"
 )
 
 // Name is the name of this front in records.
@@ -63,6 +64,7 @@
 	Journal              Journal
 	Notices              Notices
 	Trace                lifecycle.Trace
+	Stalls               *stall.Monitor   // tells when the process stood still; nil if that isn't known
 	Guard                *lifecycle.Guard // checks responses and closes; nil for one that doesn't count
 	Logf                 func(format string, args ...any)
 }
@@ -98,7 +100,7 @@
 		partial: front.NewPartialInput(opt.PartialBytes)}
 	var err error
 	f.sockets, err = front.Listen(front.ListenOptions{Name: Name, Addrs: []string{opt.Listen}, ReadBuffer: 16 << 10,
-		WriteBuffer: opt.WriteBuffer, NewHandler: f.open,
+		WriteBuffer: opt.WriteBuffer, NewHandler: f.open, Stalls: opt.Stalls,
 		OnError: func(err error) { opt.Logf("accept: %v", err) }})
 	if err != nil {
 		return nil, err
@@ -214,8 +216,8 @@
 // without a pending request is closed; with too many connections between two requests, the one of
 // them that has been idle longest. Clients have a limit on their connections as well, and keep
 // those they have used open until the relay closes them.
-func (f *Front) open(socket *engine.Conn, waited time.Duration) front.ConnHandler {
-	c := &conn{front: f, socket: socket, queueTime: waited, name: strconv.FormatUint(f.lastNumber.Add(1), 36)}
+func (f *Front) open(socket *engine.Conn, wait front.QueueWait) front.ConnHandler {
+	c := &conn{front: f, socket: socket, queue: wait, name: strconv.FormatUint(f.lastNumber.Add(1), 36)}
 	c.lastActive.Store(front.Now())
 	c.requestBegun.Store(c.lastActive.Load())
 	c.req.Reset(http1.Limits{Header: f.opt.HeaderBytes, Body: f.opt.BodyBytes})
--- a/internal/hookfront/front_test.go
+++ b/internal/hookfront/front_test.go
@@ -300,7 +300,7 @@
 	}
 	late := onlyConn(t, f)
 	late.mu.Lock()
-	late.queueTime = time.Hour
+	late.queue.Delayed, late.queue.AtMost = time.Hour, time.Hour
 	late.mu.Unlock()
 	if _, err := io.WriteString(c, handInText("late", "notice", "7", "480", "", "")); err != nil {
 		t.Fatal(err)
--- a/internal/hookfront/request.go
+++ b/internal/hookfront/request.go
@@ -58,16 +58,24 @@
 	return m, nil
 }
 
-// measureReadDelay returns how long the request that has just been read waited. For the first request of a
-// connection, which waited for the connection to be accepted as well, the system tells; where it doesn't, and for
-// later requests, it is an upper bound on the time for which accepting or reading failed.
+// shortReadDelay is a wait of a request that isn't worth a question to the system.
+const shortReadDelay = 20 * time.Millisecond
+
+// measureReadDelay returns how long the request that has just been read waited. The first request of a connection may
+// have waited for the connection to be accepted as well. Where this process knows that it may have waited for long, the
+// system tells; where that doesn't, and for later requests, the result is an upper bound on the time for which accepting
+// or reading failed.
 func (c *conn) measureReadDelay() time.Duration {
 	delay := c.socket.ReadDelay()
 	if !c.answeredOnce.Load() {
+		atMost := c.queue.AtMost + time.Since(c.queue.AcceptedAt)
+		if atMost <= shortReadDelay {
+			return 0
+		}
 		if age, known := c.socket.DataAge(); known {
-			return age
+			return min(age, atMost)
 		}
-		delay += c.queueTime
+		delay += c.queue.Delayed
 	}
 	return min(delay, c.front.opt.RequestPause/2) // a client doesn't wait longer
 }
--- a/internal/mqttfront/front.go
+++ b/internal/mqttfront/front.go
@@ -119,7 +119,7 @@
 		}
 		l, err := front.Listen(front.ListenOptions{Name: "mqtt", Addrs: addrs, ReadBuffer: 64 << 10,
 			WriteBuffer: opt.WriteBuffer,
-			NewHandler:  func(nb *engine.Conn, _ time.Duration) front.ConnHandler { return f.open(nb, i == 1) },
+			NewHandler:  func(nb *engine.Conn, _ front.QueueWait) front.ConnHandler { return f.open(nb, i == 1) },
 			OnError: func(err error) {
 				if !f.draining.Load() {
 					opt.Observer.Logf("mqtt: accept: %v", err)
--- a/internal/platform/build.go
+++ b/internal/platform/build.go
@@ -18,6 +18,7 @@
 	"basaltcross.example/basaltcross/internal/ledger"
 	"basaltcross.example/basaltcross/internal/lifecycle"
 	"basaltcross.example/basaltcross/internal/partner"
+	"basaltcross.example/basaltcross/internal/stall"
 )
 
 // Start starts a node: it restores the state of an earlier run from the journal, then loads the
@@ -59,6 +60,8 @@
 		return nil, err
 	}
 	opened.add(func() { _ = n.journalLog.Close() })
+	n.stalls = stall.Start()
+	opened.add(n.stalls.Stop)
 	if err := n.createCaller(); err != nil {
 		return nil, err
 	}
@@ -153,6 +156,7 @@
 		LateMargin:        clientTimeout,
 		Names:             core.Names{Partner: strconv.Itoa},
 		Guard:             n.guard,
+		Stalls:            n.stalls,
 		Trace:             stepLogger(n.log),
 		DeliveryRetracted: n.deliveryRetracted,
 		DeliveryUnproven:  n.oweFailure,
@@ -223,6 +227,7 @@
 		Journal:              n.journalLog,
 		Notices:              n.notices,
 		Guard:                n.guard,
+		Stalls:               n.stalls,
 		Trace:                stepLogger(n.log),
 		Logf:                 func(f string, v ...any) { n.warn("front").Msgf(f, v...) },
 	})
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -27,6 +27,7 @@
 	"basaltcross.example/basaltcross/internal/member"
 	"basaltcross.example/basaltcross/internal/partner"
 	"basaltcross.example/basaltcross/internal/recover"
+	"basaltcross.example/basaltcross/internal/stall"
 	tracing "basaltcross.example/basaltcross/internal/trace"
 )
 
@@ -87,6 +88,7 @@
 	stats         *observer
 	hostLists     *hostListWriter
 	guard         *lifecycle.Guard
+	stalls        *stall.Monitor
 
 	ready       atomic.Bool
 	ctx         context.Context
@@ -332,6 +334,7 @@
 	n.caller.Close()
 	n.client.Close()
 	n.hostLists.close()
+	n.stalls.Stop()
 	if err := n.journalLog.Close(); err != nil {
 		n.warn("journal").Err(err).Msg("")
 	}
--- a/internal/webpush/front.go
+++ b/internal/webpush/front.go
@@ -120,7 +120,7 @@
 		}
 		l, err := front.Listen(front.ListenOptions{Name: "webpush", Addrs: addrs, ReadBuffer: 32 << 10,
 			WriteBuffer: opt.WriteBuffer,
-			NewHandler:  func(nb *engine.Conn, _ time.Duration) front.ConnHandler { return f.open(nb, i == 1) },
+			NewHandler:  func(nb *engine.Conn, _ front.QueueWait) front.ConnHandler { return f.open(nb, i == 1) },
 			OnError:     func(err error) { opt.Observer.Logf("webpush: accept: %v", err) }})
 		if err != nil {
 			f.closeListeners()
