Soak: a late answer isn't the relay's when stalls and write faults left it no time

The check excused write faults only where they alone reached the client's limit.

The shim reports each stall, the record keeps it. The check is narrowed to what these show: the time that is left behind a request's reading, less the stalls in it, must exceed the socket's grace; and a response in time to a socket that could not be written until the client had gone counts, whether by write faults, stalls or both.

--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -143,20 +143,32 @@
 }
 
 // checkAnswered checks that a request that the relay read whole is answered while its client waits. The relay is
-// not to blame for a request that it could read only after that, nor for a response written in time to a socket
-// that accepted nothing from then on.
+// not to blame for a request that it could read only after that, or so late that a stall of its process took the rest of
+// the time, nor for a response written in time to a socket that accepted nothing from then on, because of write faults or
+// stalls.
 func (a *audit) checkAnswered(c *History) {
 	until := c.Sent.Add(clientTimeout)
-	if c.Read.IsZero() || c.Reply.At.IsZero() || c.Read.After(until.Add(-socketGrace)) {
+	if c.Read.IsZero() || c.Reply.At.IsZero() {
 		return
 	}
-	if !c.Responded.IsZero() && c.Responded.Before(until) &&
-		covers(a.record.writeFaults, c.Node, c.Responded, until.Add(-maxWriteRetry)) {
+	stalled := totalWithin(a.record.stalls, c.Node, c.Read, until)
+	if c.Read.Add(stalled).After(until.Add(-socketGrace)) {
+		return
+	}
+	late := !c.Reply.Complete && c.Reply.End == "timeout"
+	if late && !c.Responded.IsZero() && c.Responded.Before(until) &&
+		covers(a.unwritable(), c.Node, c.Responded, until.Add(-maxWriteRetry)) {
 		return
 	}
 	died := a.processEnding(c.Node, c.Sent, until)
-	a.finding("a request that was read is answered in time").
-		check(c.Reply.Complete || c.Reply.End != "timeout" || died, c.String)
+	a.finding("a request that was read is answered in time").check(!late || died, c.String)
+}
+
+// unwritable returns the periods in which processes could write to no socket, in the order of their starts.
+func (a *audit) unwritable() []nodePeriod {
+	all := slices.Concat(a.record.writeFaults, a.record.stalls)
+	slices.SortFunc(all, func(x, y nodePeriod) int { return x.from.Compare(y.from) })
+	return all
 }
 
 // checkNewConnection checks that a connection opened soon after its relay's SIGTERM, while clients still connect
--- a/internal/emulator/audit_test.go
+++ b/internal/emulator/audit_test.go
@@ -104,3 +104,38 @@
 		}
 	}
 }
+
+// Guards against an audit that blames a relay for a late answer when a stall left it no time for it, and against one that
+// excuses a relay which had the time, or stood still by itself.
+func TestLateAnswerIsExcusedByAStallThatTookItsTime(t *testing.T) {
+	sent := time.Now()
+	at := func(ms int) time.Time { return sent.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		what       string
+		node, read int
+		stalls     [][2]int
+		writeFault [2]int
+		broken     int
+	}{
+		{"no stall", 1, 277, nil, [2]int{}, 1},
+		{"a stall over the rest of the time", 1, 277, [][2]int{{278, 402}}, [2]int{}, 0},
+		{"two stalls over the rest of the time", 1, 200, [][2]int{{201, 280}, {290, 370}}, [2]int{}, 0},
+		{"a stall with time left behind it", 1, 100, [][2]int{{101, 240}}, [2]int{}, 1},
+		{"a stall before the request was read", 1, 277, [][2]int{{140, 276}}, [2]int{}, 1},
+		{"a stall of another node", 0, 277, [][2]int{{278, 402}}, [2]int{}, 1},
+		{"writes that fail, then a stall", 1, 97, [][2]int{{300, 415}}, [2]int{85, 333}, 0},
+		{"time to write between the two", 1, 97, [][2]int{{360, 415}}, [2]int{85, 333}, 1},
+	} {
+		r := NewRecord()
+		for _, s := range c.stalls {
+			r.Stalled(c.node, at(s[0]), at(s[1]))
+		}
+		r.writeFaults = []nodePeriod{{1, at(c.writeFault[0]), at(c.writeFault[1])}}
+		a := &audit{record: r, now: at(5000)}
+		a.checkAnswered(&History{ID: "m", Node: 1, Sent: sent, Read: at(c.read), Responded: at(c.read + 23),
+			Reply: Reply{At: at(400), End: "timeout"}})
+		if broken := a.finding("a request that was read is answered in time").Broken; broken != c.broken {
+			t.Errorf("%s: %d broken, want %d", c.what, broken, c.broken)
+		}
+	}
+}
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -141,6 +141,7 @@
 	closePeriods []nodePeriod // when new connections may be closed unread
 	diskFaults   []nodePeriod // when writes to the state directory may fail
 	writeFaults  []nodePeriod // when no write to a socket succeeds
+	stalls       []nodePeriod // when the process stood still
 	unknown      []string     // calls and notices of messages that no client sent
 }
 
@@ -166,6 +167,13 @@
 	r.addPeriod(&r.writeFaults, node, length)
 }
 
+// Stalled records that a relay's process stood still between two times, by no fault of its own.
+func (r *Record) Stalled(node int, from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stalls = append(r.stalls, nodePeriod{node, from, to})
+}
+
 // addPeriod adds a period of a node from now on to periods.
 func (r *Record) addPeriod(periods *[]nodePeriod, node int, length time.Duration) {
 	r.mu.Lock()
@@ -185,6 +193,24 @@
 	return from.After(to)
 }
 
+// totalWithin returns how much of a time range the periods of a node take. They must not overlap.
+func totalWithin(periods []nodePeriod, node int, from, to time.Time) (total time.Duration) {
+	for _, s := range periods {
+		if s.node != node || s.from.After(to) || s.to.Before(from) {
+			continue
+		}
+		begin, end := s.from, s.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		total += end.Sub(begin)
+	}
+	return total
+}
+
 // overlaps reports whether a period of a node overlaps a time range.
 func overlaps(periods []nodePeriod, node int, from, to time.Time) bool {
 	return slices.ContainsFunc(periods, func(s nodePeriod) bool {
--- a/internal/shim/call.go
+++ b/internal/shim/call.go
@@ -135,8 +135,7 @@
 	}
 	if t.process.isActive(Stall) { // only once per activation: the tracer serves no other thread meanwhile
 		t.process.Set(Stall, false)
-		t.process.countHit(Stall)
-		time.Sleep(time.Duration(t.random.Int64N(int64(maxStall))))
+		t.stall()
 	}
 	if t.process.isActive(WriteDown) {
 		t.skipWith(regs, -int64(unix.ENOBUFS))
@@ -152,6 +151,16 @@
 	}
 }
 
+// stall delays the program.
+func (t *tracer) stall() {
+	t.process.countHit(Stall)
+	begin := time.Now()
+	time.Sleep(time.Duration(t.random.Int64N(int64(maxStall))))
+	if t.process.opt.OnStall != nil {
+		t.process.opt.OnStall(begin, time.Now())
+	}
+}
+
 // writeFile injects faults into a write to a file of the state directory.
 func (t *tracer) writeFile(pid int, regs *registers) {
 	if !t.fdInState(pid, regs.argument(firstArgument)) {
--- a/internal/shim/shim.go
+++ b/internal/shim/shim.go
@@ -75,6 +75,9 @@
 	// Poll also traces waits for events, for PollInterrupted. It slows the program down: every wait stops in
 	// the tracer, and programs wait often.
 	Poll bool
+	// OnStall, if set, is called after each Stall fault, from the goroutine that traces the program. The whole
+	// program may have stood still between the two times.
+	OnStall func(begin, end time.Time)
 }
 
 // Process is a traced program.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -154,7 +154,8 @@
 	}
 	p, err := shim.Start(shim.Options{Path: n.run.opt.Shim, Args: []string{"shim-exec", n.run.opt.Program, "node"},
 		Dir: n.dir, State: n.stateDir(), Env: env,
-		Stderr: log, Seed: seed, Poll: n.run.includes(Kind(shim.PollInterrupted))})
+		Stderr: log, Seed: seed, Poll: n.run.includes(Kind(shim.PollInterrupted)),
+		OnStall: func(begin, end time.Time) { n.run.platform.Record.Stalled(n.number, begin, end) }})
 	if err != nil {
 		return err
 	}
