--- a/review/_src2/world.go
+++ b/review/_src2/world.go
@@ -372,6 +372,7 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	starts int
+	nofile int // limit on descriptors that the process is started with; 0 for none
 }
 
 func freePort() (string, error) {
@@ -424,7 +425,11 @@
 		return err
 	}
 	defer logFile.Close()
-	cmd := exec.Command("/bin/sh", "-c", "exec bin/basaltcross node")
+	run := "exec bin/basaltcross node"
+	if p.nofile > 0 {
+		run = fmt.Sprintf("ulimit -n %d && %s", p.nofile, run)
+	}
+	cmd := exec.Command("/bin/sh", "-c", run)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.root, logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Env = append(os.Environ(), "ROUTER_NAME=n1", "ROUTER_LISTEN="+p.listen, "ROUTER_DISCOVERY="+p.agent,
@@ -489,6 +494,12 @@
 	}
 }
 
+// descriptors returns the number of descriptors that the relay holds.
+func (p *relay) descriptors() int {
+	all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(all)
+}
+
 // rss returns the anonymous resident memory of the relay in MB.
 func (p *relay) rss() float64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
