--- a/review/_src2/memory.go
+++ b/review/_src2/memory.go
@@ -88,8 +88,9 @@
 			default:
 			}
 			_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+			id := *known.Load()
 			fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %s\r\nX-Lane: trip-status\r\nX-Remaining-Ms: 4000\r\n"+
-				"Content-Length: %d\r\nX-Addressing: dest=%d\r\nX-Note: %s\r\n\r\n", *known.Load(), len(body), dest, pad)
+				"Content-Length: %d\r\nX-Addressing: dest=%d\r\nX-Note: %s\r\n\r\n", id, len(body), dest, pad)
 			if _, err := conn.Write(body); err != nil {
 				return
 			}
@@ -100,6 +101,7 @@
 			}
 			_, _ = io.Copy(io.Discard, r.Body)
 			turnedAway.Add(1)
+			s.rec.log("bad hand-in id=%s answered=%d", id, r.StatusCode)
 			if r.Close {
 				return
 			}
