--- a/review/_src2/descriptors.go
+++ b/review/_src2/descriptors.go
@@ -13,7 +13,7 @@
 
 func init() { cases["descriptors"] = descriptors }
 
-// descriptors plays a relay with 256 descriptors. Idle clients fill those of the clients, and a quarter of the hosts
+// descriptors plays a relay with 512 descriptors. Idle clients fill those of the clients, and a quarter of the hosts
 // hangs. The rule: the relay holds no more descriptors than its limit.
 func descriptors(s *scene) ([]string, error) {
 	const (
